--- /dev/null
+++ b/include/galenarelay/common/http.h
@@ -0,0 +1,78 @@
+#ifndef GALENARELAY_COMMON_HTTP_H
+#define GALENARELAY_COMMON_HTTP_H
+
+#include "galenarelay/common/endpoint.h"
+#include "galenarelay/common/error.h"
+#include "galenarelay/common/time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenarelay::common {
+
+/// A request to an admin endpoint, its target split into path and query.
+struct HttpRequest {
+  std::string Method;
+  std::string Path;
+  std::map<std::string, std::string> Query; ///< Percent-decoded.
+  std::string Body;
+
+  friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
+};
+
+/// An answer of an admin endpoint.
+struct HttpResponse {
+  unsigned Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  std::vector<std::pair<std::string, std::string>> Headers;
+
+  friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
+};
+
+using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
+
+/// Percent-encodes a query value.
+[[nodiscard]] std::string encodeQuery(std::string_view Text);
+
+/// Sends one request and reads the answer. Errors: PeerUnreachable (nothing was sent),
+/// RequestOutcomeUnknown (sent, but no whole answer within the timeout).
+[[nodiscard]] boost::asio::awaitable<Outcome<HttpResponse>>
+httpCall(Endpoint Server, std::string Method, std::string Target, std::string Body,
+         Duration Timeout);
+
+/// Blocking form of httpCall for command-line programs and tests.
+[[nodiscard]] Outcome<HttpResponse> httpCallBlocking(Endpoint Server, const std::string &Method,
+                                                     const std::string &Target,
+                                                     const std::string &Body, Duration Timeout);
+
+/// HTTP/1.1 server for admin endpoints with bodies up to MaxBodyBytes.
+class HttpServer {
+public:
+  /// A store value of 1 MB with its JSON frame and escapes.
+  static constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+
+  /// Binds at once; port 0 takes a free port. Throws boost::system::system_error if it can't bind.
+  HttpServer(boost::asio::io_context &Io, Endpoint Local, HttpHandler Handler);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  [[nodiscard]] Endpoint local() const noexcept;
+  void close();
+
+private:
+  struct State;
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace galenarelay::common
+
+#endif // GALENARELAY_COMMON_HTTP_H
--- /dev/null
+++ b/include/galenarelay/config/configuration.h
@@ -0,0 +1,73 @@
+#ifndef GALENARELAY_CONFIG_CONFIGURATION_H
+#define GALENARELAY_CONFIG_CONFIGURATION_H
+
+#include "galenarelay/common/endpoint.h"
+#include "galenarelay/common/error.h"
+#include "galenarelay/common/time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenarelay::config {
+
+/// Store key of the configuration document.
+inline constexpr const char *StoreKey = "config";
+/// Audit entries kept inside the document; older ones are under audit/<revision>.
+inline constexpr std::size_t MaxEdits = 50;
+/// Largest document, in bytes: the store's limit on a value.
+inline constexpr std::size_t MaxDocumentBytes = 1'000'000;
+
+using Revision = std::uint64_t;
+using UpstreamId = std::string;
+using ServiceName = std::string;
+using Labels = std::map<std::string, std::string>;
+
+/// A service: where callers reach it and which upstreams may carry it.
+struct Service {
+  common::Endpoint Address;
+  std::string Selector;
+  common::Duration Deadline = std::chrono::seconds(10); ///< For requests that state none.
+
+  friend bool operator==(const Service &, const Service &) = default;
+};
+
+/// One accepted edit, as the audit trail keeps it.
+struct AuditEntry {
+  std::string EditId;
+  std::string Author;
+  std::int64_t TimeMs = 0; ///< Wall clock, milliseconds since 1970 UTC.
+  Revision Accepted = 0;
+  std::string Summary;
+  nlohmann::json Patch; ///< JSON patch (RFC 6902) from the revision before.
+
+  friend bool operator==(const AuditEntry &, const AuditEntry &) = default;
+};
+
+/// The configuration document at one revision.
+struct Configuration {
+  Revision Number = 0;
+  std::map<ServiceName, Service> Services;
+  std::map<UpstreamId, Labels> UpstreamLabels;
+  std::vector<AuditEntry> Edits; ///< Newest last, at most MaxEdits.
+
+  friend bool operator==(const Configuration &, const Configuration &) = default;
+};
+
+/// Writes the document's JSON form.
+[[nodiscard]] nlohmann::json toJson(const Configuration &Value);
+
+/// Reads the document's JSON form. Errors: ConfigurationMalformed.
+[[nodiscard]] common::Result<Configuration> configurationFromJson(const nlohmann::json &Document);
+
+/// Tells whether an upstream with these operator labels, ID and zone may carry the service.
+/// A selector that can't be parsed matches nothing.
+[[nodiscard]] bool isEligible(const Service &Wanted, const Configuration &In, const UpstreamId &Id,
+                              const std::string &Zone);
+
+} // namespace galenarelay::config
+
+#endif // GALENARELAY_CONFIG_CONFIGURATION_H
--- /dev/null
+++ b/tests/common_test.cpp
@@ -0,0 +1,125 @@
+#include "galenarelay/common/endpoint.h"
+#include "galenarelay/common/http.h"
+#include "galenarelay/common/settings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace galenarelay::tests {
+
+using namespace common;
+
+class SettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsTest);
+  CPPUNIT_TEST(testLoad_faultyFile_namesCodeAndKey);
+  CPPUNIT_TEST(testLoad_validFile_appliesDefaults);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::string Path;
+
+  void write(const std::string &Text) const { std::ofstream(Path) << Text; }
+
+  static std::vector<SettingRule> rules() {
+    return {{"node", "address", SettingKind::Address, std::nullopt, 0, 0, "own address"},
+            {"node", "slots", SettingKind::Integer, "5", 1, 64, "slots"}};
+  }
+
+public:
+  void setUp() override {
+    char Name[] = "/tmp/galenarelay-settings-XXXXXX";
+    const int File = mkstemp(Name);
+    close(File);
+    Path = Name;
+  }
+
+  void tearDown() override { std::remove(Path.c_str()); }
+
+  // Guards against a daemon that starts with settings it misread.
+  void testLoad_faultyFile_namesCodeAndKey() {
+    struct Row {
+      const char *Text;
+      ResultCode Code;
+      const char *Names;
+    };
+    const Row Rows[] = {
+        {"[node]\naddress = 1.2.3.4:5\nslots = 65\n", ResultCode::SettingsBadValue, "node.slots"},
+        {"[node]\naddress = 1.2.3.4\n", ResultCode::SettingsBadValue, "node.address"},
+        {"[node]\nslots = 3\n", ResultCode::SettingsMissingKey, "node.address"},
+        {"[node]\naddress = 1.2.3.4:5\nslot = 3\n", ResultCode::SettingsUnknownKey, "node.slot"},
+        {"[nodes]\naddress = 1.2.3.4:5\n", ResultCode::SettingsUnknownSection, "nodes"},
+        {"[node]\naddress\n", ResultCode::SettingsSyntax, ":2:"},
+    };
+    for (const Row &Case : Rows) {
+      write(Case.Text);
+      const auto Loaded = capture([&] { return loadSettings(Path, rules()); });
+      CPPUNIT_ASSERT_MESSAGE(Case.Text, !Loaded);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Text, std::string(name(Case.Code)),
+                                   std::string(name(Loaded.Failure.Code)));
+      CPPUNIT_ASSERT_MESSAGE(Loaded.Failure.Detail,
+                             Loaded.Failure.Detail.find(Case.Names) != std::string::npos);
+    }
+  }
+
+  // Guards against a default that isn't applied when its key is absent.
+  void testLoad_validFile_appliesDefaults() {
+    write("[node]\naddress = 1.2.3.4:5\n");
+    const auto Loaded = capture([&] { return loadSettings(Path, rules()); });
+    CPPUNIT_ASSERT(Loaded);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, Loaded->integer("node", "slots"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1.2.3.4:5"), toString(Loaded->endpoint("node", "address")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
+
+class HttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(testCall_runningServer_returnsItsAnswer);
+  CPPUNIT_TEST(testCall_closedPort_isPeerUnreachable);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t Loopback = 0x7f000001;
+  static constexpr Duration Timeout = std::chrono::seconds(10);
+
+public:
+  // Guards against query values that reach the handler still percent-encoded.
+  void testCall_runningServer_returnsItsAnswer() {
+    boost::asio::io_context Io;
+    HttpServer Server(Io, {Loopback, 0},
+                      [](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+                        co_return HttpResponse{200, Request.Method + Request.Path +
+                                                        Request.Query["q"] + Request.Body};
+                      });
+    std::thread Loop([&] { Io.run(); });
+    const auto Answer = httpCallBlocking(Server.local(), "PUT",
+                                         "/v1/kv/a?q=" + encodeQuery("x y&z"), "body", Timeout);
+    Io.stop();
+    Loop.join();
+    CPPUNIT_ASSERT(Answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("PUT/v1/kv/ax y&zbody"), Answer->Body);
+  }
+
+  // Guards against calling a request "perhaps sent" when no connection was made.
+  void testCall_closedPort_isPeerUnreachable() {
+    boost::asio::io_context Io;
+    Endpoint Closed;
+    {
+      HttpServer Server(Io, {Loopback, 0}, nullptr);
+      Closed = Server.local();
+    }
+    const auto Answer = httpCallBlocking(Closed, "GET", "/", "", Timeout);
+    CPPUNIT_ASSERT(!Answer);
+    CPPUNIT_ASSERT(Answer.Failure.Code == ResultCode::PeerUnreachable);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
+
+} // namespace galenarelay::tests
