--- /dev/null
+++ b/include/galenarelay/schedule/scheduler.h
@@ -0,0 +1,102 @@
+#ifndef GALENARELAY_SCHEDULE_SCHEDULER_H
+#define GALENARELAY_SCHEDULE_SCHEDULER_H
+
+#include "galenarelay/common/random.h"
+#include "galenarelay/common/result_code.h"
+#include "galenarelay/common/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenarelay::schedule {
+
+using RequestId = std::uint64_t;
+
+/// How a dispatched request ended.
+enum class Completion : std::uint8_t {
+  Succeeded, ///< The upstream answered with a status below 500.
+  Failed,    ///< The upstream answered 5xx, or the connection broke after the request was sent.
+  Shed,      ///< The upstream refused it without running it.
+  NotSent,   ///< The upstream could not be reached; nothing was sent.
+};
+
+/// What a request's duration is predicted from.
+struct WorkClass {
+  std::string Service;
+  std::string Method;
+  std::string Route;          ///< First path segment.
+  std::uint8_t SizeClass = 0; ///< Base-4 logarithm of the body's kilobytes.
+
+  friend auto operator<=>(const WorkClass &, const WorkClass &) = default;
+};
+
+/// A request that asks for a slot.
+struct RequestInfo {
+  RequestId Id = 0;
+  std::uint32_t Caller = 0; ///< The caller's IPv4 address, the identity for fairness.
+  WorkClass Class;
+  common::TimePoint Deadline{};
+
+  friend bool operator==(const RequestInfo &, const RequestInfo &) = default;
+};
+
+/// Static properties of the upstream and of the policy.
+struct SchedulerOptions {
+  std::uint32_t Slots = 5;
+  std::uint64_t Seed = 1;
+
+  friend bool operator==(const SchedulerOptions &, const SchedulerOptions &) = default;
+};
+
+/// What to do with one request.
+struct Decision {
+  RequestId Id = 0;
+  bool Dispatch = false; ///< True: send it to the upstream now. False: answer with Reason at once.
+  common::ResultCode Reason = common::ResultCode::Ok;
+  common::Duration RetryAfter{}; ///< When the caller should come back, for a rejection.
+
+  friend bool operator==(const Decision &, const Decision &) = default;
+};
+
+/// What peers learn of this agent's load.
+struct LoadReport {
+  std::string MemberId;
+  std::uint32_t Slots = 0;
+  std::uint32_t Busy = 0;
+  std::uint32_t Queued = 0;
+  double QueuedWorkMs = 0; ///< Predicted service time of the queue.
+  double ErrorShare = 0;   ///< Recent share of failed or shed requests.
+  std::uint64_t Sequence = 0;
+
+  friend bool operator==(const LoadReport &, const LoadReport &) = default;
+};
+
+/// Queues and schedules requests on one upstream's slots.
+class Scheduler {
+public:
+  explicit Scheduler(SchedulerOptions Options);
+
+  [[nodiscard]] std::uint32_t busySlots() const noexcept;
+  [[nodiscard]] std::size_t queued() const noexcept;
+  [[nodiscard]] LoadReport report(common::TimePoint Now) const;
+  [[nodiscard]] std::optional<common::TimePoint> nextTimer() const noexcept;
+
+  [[nodiscard]] std::vector<Decision> onArrival(const RequestInfo &Request, common::TimePoint Now);
+  /// The response has become a feed: it keeps its connection and frees its slot.
+  [[nodiscard]] std::vector<Decision> onFeedStarted(RequestId Id, common::TimePoint Now);
+  [[nodiscard]] std::vector<Decision> onFinished(RequestId Id, Completion How,
+                                                 common::TimePoint Now);
+  /// The caller went away; a queued request leaves the queue, a running one frees its slot on
+  /// onFinished.
+  [[nodiscard]] std::vector<Decision> onCancelled(RequestId Id, common::TimePoint Now);
+  [[nodiscard]] std::vector<Decision> onTimer(common::TimePoint Now);
+  /// Asks the retry budget; true takes one retry from it.
+  [[nodiscard]] bool takeRetry(common::TimePoint Now);
+};
+
+} // namespace galenarelay::schedule
+
+#endif // GALENARELAY_SCHEDULE_SCHEDULER_H
