Read and write the configuration document and parse selectors

Routing, membership and the node need the document's JSON form and the eligibility rule before edits exist.

AuditEntry gets its own JSON functions, because entries are also stored under audit/<revision>.

--- a/include/galenarelay/config/configuration.h
+++ b/include/galenarelay/config/configuration.h
@@ -57,6 +57,12 @@
   friend bool operator==(const Configuration &, const Configuration &) = default;
 };
 
+/// Writes an audit entry's JSON form, as it is in the document and under audit/<revision>.
+[[nodiscard]] nlohmann::json toJson(const AuditEntry &Value);
+
+/// Reads an audit entry's JSON form. Errors: ConfigurationMalformed.
+[[nodiscard]] common::Result<AuditEntry> auditEntryFromJson(const nlohmann::json &Document);
+
 /// Writes the document's JSON form.
 [[nodiscard]] nlohmann::json toJson(const Configuration &Value);
 
--- /dev/null
+++ b/src/config/configuration.cpp
@@ -0,0 +1,109 @@
+#include "galenarelay/config/configuration.h"
+
+#include "galenarelay/config/selector.h"
+
+namespace galenarelay::config {
+
+using common::capture;
+using common::fail;
+using common::Result;
+using common::ResultCode;
+using nlohmann::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+json serviceToJson(const Service &Value) {
+  return {{"address", common::toString(Value.Address)},
+          {"selector", Value.Selector},
+          {"deadline_ms", duration_cast<milliseconds>(Value.Deadline).count()}};
+}
+
+json editToJson(const AuditEntry &Value) {
+  return {{"id", Value.EditId},         {"author", Value.Author},   {"time_ms", Value.TimeMs},
+          {"revision", Value.Accepted}, {"summary", Value.Summary}, {"patch", Value.Patch}};
+}
+
+Result<Service> serviceFromJson(const json &Document) {
+  Service Parsed;
+  BOOST_LEAF_ASSIGN(Parsed.Address,
+                    common::parseEndpoint(Document.at("address").get<std::string>()));
+  Parsed.Selector = Document.at("selector").get<std::string>();
+  Parsed.Deadline = milliseconds(Document.at("deadline_ms").get<std::int64_t>());
+  if (Parsed.Deadline <= common::Duration::zero())
+    return fail(ResultCode::ConfigurationMalformed, "a deadline isn't positive");
+  return Parsed;
+}
+
+AuditEntry editFromJson(const json &Document) {
+  AuditEntry Parsed;
+  Parsed.EditId = Document.at("id").get<std::string>();
+  Parsed.Author = Document.at("author").get<std::string>();
+  Parsed.TimeMs = Document.at("time_ms").get<std::int64_t>();
+  Parsed.Accepted = Document.at("revision").get<Revision>();
+  Parsed.Summary = Document.at("summary").get<std::string>();
+  Parsed.Patch = Document.at("patch");
+  return Parsed;
+}
+
+Result<Configuration> parseFields(const json &Document) {
+  Configuration Parsed;
+  Parsed.Number = Document.at("revision").get<Revision>();
+  for (const auto &[Name, Value] : Document.at("services").items()) {
+    BOOST_LEAF_AUTO(Definition, serviceFromJson(Value));
+    Parsed.Services.emplace(Name, std::move(Definition));
+  }
+  Parsed.UpstreamLabels = Document.at("labels").get<std::map<UpstreamId, Labels>>();
+  for (const json &Value : Document.at("edits"))
+    Parsed.Edits.push_back(editFromJson(Value));
+  return Parsed;
+}
+
+} // namespace
+
+json toJson(const AuditEntry &Value) { return editToJson(Value); }
+
+Result<AuditEntry> auditEntryFromJson(const json &Document) {
+  try {
+    return editFromJson(Document);
+  } catch (const json::exception &Problem) {
+    return fail(ResultCode::ConfigurationMalformed, Problem.what());
+  }
+}
+
+json toJson(const Configuration &Value) {
+  json Services = json::object();
+  for (const auto &[Name, Definition] : Value.Services)
+    Services[Name] = serviceToJson(Definition);
+  json Edits = json::array();
+  for (const AuditEntry &Edit : Value.Edits)
+    Edits.push_back(editToJson(Edit));
+  return {{"revision", Value.Number},
+          {"services", std::move(Services)},
+          {"labels", json(Value.UpstreamLabels)},
+          {"edits", std::move(Edits)}};
+}
+
+Result<Configuration> configurationFromJson(const json &Document) {
+  try {
+    const auto Parsed = capture([&] { return parseFields(Document); });
+    if (!Parsed)
+      return fail(ResultCode::ConfigurationMalformed, Parsed.Failure.Detail);
+    return *Parsed;
+  } catch (const json::exception &Problem) {
+    return fail(ResultCode::ConfigurationMalformed, Problem.what());
+  }
+}
+
+bool isEligible(const Service &Wanted, const Configuration &In, const UpstreamId &Id,
+                const std::string &Zone) {
+  const auto Parsed = capture([&] { return Selector::parse(Wanted.Selector); });
+  if (!Parsed)
+    return false;
+  static const Labels NoLabels;
+  const auto Found = In.UpstreamLabels.find(Id);
+  return Parsed->matches(Found == In.UpstreamLabels.end() ? NoLabels : Found->second, Id, Zone);
+}
+
+} // namespace galenarelay::config
