Add the routing view and the balancer's decision

Balancers and agents need one function from (configuration, members) to service tables, candidates and possible owners. A view built from a previous one keeps the eligibility of unchanged members and the tables of unchanged member sets, so that one member's change doesn't match every agent against every selector.

--- a/include/galenarelay/routing/routing_view.h
+++ b/include/galenarelay/routing/routing_view.h
@@ -46,9 +46,20 @@
 
 private:
   void build(const RoutingView *Previous);
+  [[nodiscard]] std::vector<const membership::Member *>
+  changedSince(const RoutingView &Previous) const;
+  [[nodiscard]] std::vector<std::string>
+  eligibleFor(const config::Service &Wanted, const std::vector<std::string> *Known,
+              const std::vector<const membership::Member *> &Changed) const;
+  [[nodiscard]] std::shared_ptr<const ServiceRoute>
+  buildRoute(const config::ServiceName &Name, const config::Service &Definition,
+             const std::vector<const membership::Member *> &Residuals,
+             const ServiceRoute *Previous) const;
 
   config::Configuration Document;
   std::vector<membership::Member> All; ///< Sorted by ID.
+  /// Sorted IDs of the agents in any state that match each service's selector.
+  std::map<config::ServiceName, std::vector<std::string>> Eligible;
   std::map<common::Endpoint, std::shared_ptr<const ServiceRoute>> Routes;
 };
 
