--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <string>
 
-/// Runs all tests, or only the one whose path is given (for example "SelectorTest").
+/// Runs all tests, or only one fixture (for example "SettingsTest").
 int main(int ArgumentCount, char **Arguments) {
   CppUnit::TestResult Controller;
   CppUnit::TestResultCollector Collector;
@@ -17,7 +17,8 @@
   Controller.addListener(&Progress);
   CppUnit::TestRunner Runner;
   Runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  Runner.run(Controller, ArgumentCount > 1 ? std::string(Arguments[1]) : std::string());
+  const std::string Fixture = ArgumentCount > 1 ? Arguments[1] : "";
+  Runner.run(Controller, Fixture.empty() ? Fixture : "galenarelay::tests::" + Fixture);
   CppUnit::CompilerOutputter(&Collector, std::cerr).write();
   const int Failed = Collector.testFailuresTotal();
   std::cout << Collector.runTests() - Failed << " passed, " << Failed << " failed\n";
