Add lost answers to the HTTP server and two result codes for edits

A stand-in has to lose an answer after a write took effect. An answer with the status NoAnswer closes the connection; the caller sees RequestOutcomeUnknown, which a test checks.

ConfigurationTooLarge and LabelUnknown name two refusals of edits that no code covered.

--- a/include/galenarelay/common/http.h
+++ b/include/galenarelay/common/http.h
@@ -17,6 +17,9 @@
 
 namespace galenarelay::common {
 
+/// Status of an answer that a stand-in loses on purpose.
+inline constexpr unsigned NoAnswer = 0;
+
 /// A request to an admin endpoint, its target split into path and query.
 struct HttpRequest {
   std::string Method;
@@ -29,7 +32,7 @@
 
 /// An answer of an admin endpoint.
 struct HttpResponse {
-  unsigned Status = 200;
+  unsigned Status = 200; ///< NoAnswer closes the connection instead of answering.
   std::string Body;
   std::string ContentType = "application/json";
   std::vector<std::pair<std::string, std::string>> Headers;
--- a/include/galenarelay/common/result_code.h
+++ b/include/galenarelay/common/result_code.h
@@ -38,6 +38,8 @@
   RevisionRegression = 41,
   NotInForce = 42,
   NameSyntax = 43,
+  ConfigurationTooLarge = 44,
+  LabelUnknown = 45,
   PacketMalformed = 50,
   PacketUnknownService = 51,
   PacketWrongService = 52,
--- a/src/common/http.cpp
+++ b/src/common/http.cpp
@@ -103,6 +103,8 @@
       break;
     Stream.expires_never();
     const auto Answer = co_await handleSafely(Handler, fromBeast(Parser.get()));
+    if (Answer.Status == NoAnswer)
+      break;
     auto Raw = toBeast(Answer, Parser.get().version(), Parser.get().keep_alive());
     Stream.expires_after(IdleTimeout);
     const auto [WriteFailure, WriteSize] = co_await http::async_write(Stream, Raw, AsTuple);
--- a/tests/common_test.cpp
+++ b/tests/common_test.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(testCall_runningServer_returnsItsAnswer);
   CPPUNIT_TEST(testCall_closedPort_isPeerUnreachable);
+  CPPUNIT_TEST(testCall_answerLost_isOutcomeUnknown);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Loopback = 0x7f000001;
@@ -118,6 +119,20 @@
     CPPUNIT_ASSERT(!Answer);
     CPPUNIT_ASSERT(Answer.Failure.Code == ResultCode::PeerUnreachable);
   }
+
+  // Guards against calling a request "not sent" when only its answer was lost.
+  void testCall_answerLost_isOutcomeUnknown() {
+    boost::asio::io_context Io;
+    HttpServer Server(Io, {Loopback, 0}, [](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
+      co_return HttpResponse{NoAnswer, ""};
+    });
+    std::thread Loop([&] { Io.run(); });
+    const auto Answer = httpCallBlocking(Server.local(), "PUT", "/", "", Timeout);
+    Io.stop();
+    Loop.join();
+    CPPUNIT_ASSERT(!Answer);
+    CPPUNIT_ASSERT(Answer.Failure.Code == ResultCode::RequestOutcomeUnknown);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
