--- a/include/galenarelay/packet/packet.h
+++ b/include/galenarelay/packet/packet.h
@@ -61,6 +61,7 @@
   Flags Bits;
   std::uint8_t Ttl = 0;
   std::uint32_t Acknowledgement = 0;
+  std::uint32_t Sequence = 0;
 };
 
 /// 64-bit hash of a flow key, the same on every machine.
--- a/src/packet/packet.cpp
+++ b/src/packet/packet.cpp
@@ -116,6 +116,7 @@
                (Control & 0x04U) != 0};
   View.Ttl = Bytes[TtlOffset];
   View.Acknowledgement = boost::endian::load_big_u32(Tcp + 8);
+  View.Sequence = boost::endian::load_big_u32(Tcp + 4);
   return View;
 }
 
