Parse each selector once per routing view

isEligible parses the selector and looks the labels up for each pair of service and agent: 4.4 million pairs at 710 services and 6,200 agents. The view now parses a selector once per service and looks labels up once per agent.

--- a/include/galenarelay/routing/routing_view.h
+++ b/include/galenarelay/routing/routing_view.h
@@ -45,12 +45,18 @@
   [[nodiscard]] std::size_t serviceCount() const noexcept { return Routes.size(); }
 
 private:
+  /// An agent with its operator labels, looked up once for all selectors.
+  struct Labelled {
+    const membership::Member *Agent = nullptr;
+    const config::Labels *Labels = nullptr;
+  };
+
   void build(const RoutingView *Previous);
-  [[nodiscard]] std::vector<const membership::Member *>
-  changedSince(const RoutingView &Previous) const;
-  [[nodiscard]] std::vector<std::string>
-  eligibleFor(const config::Service &Wanted, const std::vector<std::string> *Known,
-              const std::vector<const membership::Member *> &Changed) const;
+  /// All agents, or those whose eligibility may differ from the previous view.
+  [[nodiscard]] std::vector<Labelled> agentsToMatch(const RoutingView *Previous) const;
+  [[nodiscard]] std::vector<std::string> eligibleFor(const config::Service &Wanted,
+                                                     const std::vector<std::string> *Known,
+                                                     const std::vector<Labelled> &ToMatch) const;
   [[nodiscard]] std::shared_ptr<const ServiceRoute>
   buildRoute(const config::ServiceName &Name, const config::Service &Definition,
              const std::vector<const membership::Member *> &Residuals,
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/routing/routing_view.h"
 
+#include "galenarelay/config/selector.h"
+
 #include <algorithm>
 
 namespace galenarelay::routing {
@@ -44,8 +46,12 @@
 }
 
 struct IdLess {
-  bool operator()(const Member *Left, const std::string &Right) const { return Left->Id < Right; }
-  bool operator()(const std::string &Left, const Member *Right) const { return Left < Right->Id; }
+  template <typename T> bool operator()(const T &Left, const std::string &Right) const {
+    return Left.Agent->Id < Right;
+  }
+  template <typename T> bool operator()(const std::string &Left, const T &Right) const {
+    return Left < Right.Agent->Id;
+  }
 };
 
 bool sameLabels(const config::Configuration &Left, const config::Configuration &Right,
@@ -86,48 +92,46 @@
   return Found == Document.Services.end() ? nullptr : serviceAt(Found->second.Address);
 }
 
-// Matching 6,200 agents against 710 selectors takes seconds, and most changes concern one member.
-// Eligibility depends on the ID, zone, labels and selector only, so that of members and services
-// for which none of these changed is taken from the previous view.
-std::vector<std::string>
-RoutingView::eligibleFor(const config::Service &Wanted, const std::vector<std::string> *Known,
-                         const std::vector<const Member *> &Changed) const {
+// Matching 6,200 agents against 710 selectors takes about a second, and most changes concern one
+// member. Eligibility depends on the ID, zone, labels and selector only, so that of members and
+// services for which none of these changed is taken from the previous view.
+std::vector<std::string> RoutingView::eligibleFor(const config::Service &Wanted,
+                                                  const std::vector<std::string> *Known,
+                                                  const std::vector<Labelled> &ToMatch) const {
   std::vector<std::string> Ids;
-  const auto Add = [&](const Member &Candidate) {
-    if (isEligible(Wanted, Document, Candidate.Id, Candidate.Zone))
-      Ids.push_back(Candidate.Id);
+  const auto IsRematched = [&](const std::string &Id) {
+    return std::binary_search(ToMatch.begin(), ToMatch.end(), Id, IdLess{});
   };
-  if (Known == nullptr) {
-    for (const Member &Candidate : All)
-      if (Candidate.Kind == MemberKind::Agent)
-        Add(Candidate);
+  if (Known != nullptr)
+    for (const std::string &Id : *Known) {
+      const Member *Found = member(Id);
+      if (Found != nullptr && Found->Kind == MemberKind::Agent && !IsRematched(Id))
+        Ids.push_back(Id);
+    }
+  const auto Parsed = common::capture([&] { return config::Selector::parse(Wanted.Selector); });
+  if (!Parsed)
     return Ids;
-  }
-  const auto IsChanged = [&](const std::string &Id) {
-    return std::binary_search(Changed.begin(), Changed.end(), Id, IdLess{});
-  };
-  for (const std::string &Id : *Known)
-    if (member(Id) != nullptr && !IsChanged(Id))
-      Ids.push_back(Id);
-  for (const Member *Candidate : Changed)
-    Add(*Candidate);
+  for (const Labelled &Each : ToMatch)
+    if (Parsed->matches(*Each.Labels, Each.Agent->Id, Each.Agent->Zone))
+      Ids.push_back(Each.Agent->Id);
   std::sort(Ids.begin(), Ids.end());
   return Ids;
 }
 
-std::vector<const Member *> RoutingView::changedSince(const RoutingView &Previous) const {
-  std::vector<const Member *> Changed;
-  for (const Member &Candidate : All) {
-    if (Candidate.Kind != MemberKind::Agent)
+std::vector<RoutingView::Labelled> RoutingView::agentsToMatch(const RoutingView *Previous) const {
+  static const config::Labels None;
+  std::vector<Labelled> ToMatch;
+  for (const Member &Each : All) {
+    if (Each.Kind != MemberKind::Agent)
       continue;
-    const Member *Before = Previous.member(Candidate.Id);
-    const bool Same = Before != nullptr && Before->Kind == Candidate.Kind &&
-                      Before->Zone == Candidate.Zone &&
-                      sameLabels(Previous.Document, Document, Candidate.Id);
+    const Member *Before = Previous != nullptr ? Previous->member(Each.Id) : nullptr;
+    const bool Same = Before != nullptr && Before->Kind == Each.Kind && Before->Zone == Each.Zone &&
+                      sameLabels(Previous->Document, Document, Each.Id);
+    const auto Found = Document.UpstreamLabels.find(Each.Id);
     if (!Same)
-      Changed.push_back(&Candidate);
+      ToMatch.push_back({&Each, Found == Document.UpstreamLabels.end() ? &None : &Found->second});
   }
-  return Changed;
+  return ToMatch;
 }
 
 std::shared_ptr<const ServiceRoute>
@@ -160,8 +164,8 @@
 }
 
 void RoutingView::build(const RoutingView *Previous) {
-  const auto Changed =
-      Previous != nullptr ? changedSince(*Previous) : std::vector<const Member *>();
+  const auto Everyone = agentsToMatch(nullptr);
+  const auto Changed = Previous != nullptr ? agentsToMatch(Previous) : Everyone;
   std::vector<const Member *> Residuals;
   for (const Member &Candidate : All)
     if (Candidate.Kind == MemberKind::Agent && !Candidate.Residual.empty())
@@ -171,7 +175,7 @@
     const bool SameSelector = Before != nullptr && Before->Name == Name &&
                               Before->Definition.Selector == Definition.Selector;
     const auto *Known = SameSelector ? &Previous->Eligible.at(Name) : nullptr;
-    Eligible[Name] = eligibleFor(Definition, Known, Changed);
+    Eligible[Name] = eligibleFor(Definition, Known, Known != nullptr ? Changed : Everyone);
     auto Route = buildRoute(Name, Definition, Residuals, SameSelector ? Before : nullptr);
     const bool Unchanged = SameSelector && *Route == *Before;
     Routes[Definition.Address] =
