Schedule requests and choose upstreams: first version

Cause: the interfaces in include/galenarelay/schedule had no behaviour. Change: Scheduler with duration estimates per class, start-time fair queueing between callers, slot reservation with ageing, bounded admission with deadlines, planned returns, slow start, reaction to shedding and a retry budget; LoadView with aged reports, own assignments, error share and join ramp. SchedulerOptions and LoadViewOptions carry the knobs. Before and after: no code before; 19 tests of the two classes pass.

--- a/include/galenarelay/schedule/scheduler.h
+++ b/include/galenarelay/schedule/scheduler.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
   std::string Route;          ///< First path segment.
   std::uint8_t SizeClass = 0; ///< Base-4 logarithm of the body's kilobytes.
 
+  // NOLINTNEXTLINE: clang-tidy 14 reports the defaulted operator's own code.
   friend auto operator<=>(const WorkClass &, const WorkClass &) = default;
 };
 
@@ -44,9 +46,24 @@
 };
 
 /// Static properties of the upstream and of the policy.
+/// docs/tuning.md describes each member for operators.
 struct SchedulerOptions {
   std::uint32_t Slots = 5;
   std::uint64_t Seed = 1;
+  std::uint32_t MaxQueued = 1024; ///< Waiting requests; one more evicts or is rejected.
+  common::Duration MaxQueueDelay = std::chrono::milliseconds(500); ///< Of predicted short work.
+  common::Duration MaxLongDelay = std::chrono::seconds(30);        ///< Of predicted straggler work.
+  common::Duration DefaultDuration = std::chrono::milliseconds(100); ///< Until one is learnt.
+  double LongFactor = 8;      ///< Work is a straggler above this multiple of the median.
+  double ReservedShare = 0.6; ///< Of the slots, kept free of stragglers for short work.
+  common::Duration ReserveHold = std::chrono::seconds(1); ///< Reserve after the last short arrival.
+  common::Duration LongPatience = std::chrono::seconds(5); ///< Wait that lifts a straggler.
+  common::Duration SlowStart = std::chrono::seconds(2);    ///< Ramp from one slot to all.
+  common::Duration ShedRecovery = std::chrono::seconds(2); ///< The same after shedding.
+  double RetryShare = 0.1;                                 ///< Retries per request.
+  double RetryBurst = 10;                                  ///< Retries saved up.
+  double ReturnShare = 0.5; ///< Share of the drain rate that is promised to returning requests.
+  common::Duration MaxRetryAfter = std::chrono::seconds(30);
 
   friend bool operator==(const SchedulerOptions &, const SchedulerOptions &) = default;
 };
@@ -74,16 +91,32 @@
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
+namespace impl {
+class SchedulerState;
+} // namespace impl
+
 /// Queues and schedules requests on one upstream's slots.
+/// Each call returns what to do now, in order; a decision may concern another request than the
+/// call's, for example an evicted one. Example: `for (const Decision &D : S.onArrival(Request,
+/// Now))`
 class Scheduler {
 public:
   explicit Scheduler(SchedulerOptions Options);
+  Scheduler(Scheduler &&) noexcept;
+  Scheduler &operator=(Scheduler &&) noexcept;
+  ~Scheduler();
 
   [[nodiscard]] std::uint32_t busySlots() const noexcept;
   [[nodiscard]] std::size_t queued() const noexcept;
+  /// Running requests that are stragglers by prediction or by the time they have run.
+  [[nodiscard]] std::uint32_t longRunning(common::TimePoint Now) const noexcept;
+  /// Load for peers; the caller sets MemberId and Sequence.
   [[nodiscard]] LoadReport report(common::TimePoint Now) const;
+  /// When onTimer is due; empty if nothing waits.
   [[nodiscard]] std::optional<common::TimePoint> nextTimer() const noexcept;
 
+  /// Queues, dispatches or rejects a request. A request whose ID is known is ignored. A deadline
+  /// at the clock's origin means none.
   [[nodiscard]] std::vector<Decision> onArrival(const RequestInfo &Request, common::TimePoint Now);
   /// The response has become a feed: it keeps its connection and frees its slot.
   [[nodiscard]] std::vector<Decision> onFeedStarted(RequestId Id, common::TimePoint Now);
@@ -95,6 +128,9 @@
   [[nodiscard]] std::vector<Decision> onTimer(common::TimePoint Now);
   /// Asks the retry budget; true takes one retry from it.
   [[nodiscard]] bool takeRetry(common::TimePoint Now);
+
+private:
+  std::unique_ptr<impl::SchedulerState> State;
 };
 
 } // namespace galenarelay::schedule
--- /dev/null
+++ b/src/schedule/concurrency_limit.cpp
@@ -0,0 +1,57 @@
+#include "galenarelay/schedule/impl/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace galenarelay::schedule::impl {
+
+using common::Duration;
+using common::TimePoint;
+
+namespace {
+
+Duration perSlot(Duration Whole, std::uint32_t Slots) noexcept {
+  return Whole / std::max<std::int64_t>(Slots, 1);
+}
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t Slots, Duration SlowStart, Duration ShedRecovery)
+    : Slots(std::max(Slots, 1U)), SlowStartStep(perSlot(SlowStart, Slots)),
+      ShedStep(perSlot(ShedRecovery, Slots)) {}
+
+std::uint32_t ConcurrencyLimit::allowed(TimePoint Now) const noexcept {
+  if (Step <= Duration::zero())
+    return Slots;
+  const auto Added = static_cast<std::uint64_t>(std::max<std::int64_t>((Now - Since) / Step, 0));
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(Slots, Base + Added));
+}
+
+std::optional<TimePoint> ConcurrencyLimit::nextStep(TimePoint Now) const noexcept {
+  if (allowed(Now) >= Slots)
+    return std::nullopt;
+  return Since + Step * (allowed(Now) - Base + 1);
+}
+
+void ConcurrencyLimit::onFirstWork(TimePoint Now) noexcept {
+  if (Started)
+    return;
+  Started = true;
+  restart(1, SlowStartStep, Now);
+}
+
+void ConcurrencyLimit::onShed(std::uint32_t Busy, TimePoint Now) noexcept {
+  // The upstream carried the requests beside the refused one. Several refusals of the same moment
+  // lower the limit once each, down to one slot.
+  const std::uint32_t Carried = Busy > 1 ? Busy - 1 : 1;
+  restart(std::min(Carried, allowed(Now)), ShedStep, Now);
+}
+
+void ConcurrencyLimit::onUnreachable(TimePoint Now) noexcept { restart(1, SlowStartStep, Now); }
+
+void ConcurrencyLimit::restart(std::uint32_t From, Duration NewStep, TimePoint Now) noexcept {
+  Base = From;
+  Step = NewStep;
+  Since = Now;
+}
+
+} // namespace galenarelay::schedule::impl
--- /dev/null
+++ b/src/schedule/load_view.cpp
@@ -0,0 +1,196 @@
+#include "galenarelay/schedule/load_view.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenarelay::schedule {
+
+using common::Duration;
+using common::TimePoint;
+
+namespace {
+
+/// A member that has not reported for this long is forgotten.
+constexpr Duration ForgetAfter = std::chrono::seconds(60);
+/// A lower sequence after this silence comes from a restarted agent, not from a late datagram.
+constexpr Duration RestartAfter = std::chrono::seconds(2);
+/// Most members that are remembered; a service has far fewer agents.
+constexpr std::size_t MaxPeers = 4096;
+/// Members known within this time of the first one were there before this view.
+constexpr Duration ViewStart = std::chrono::seconds(1);
+/// Share of its work that a joining member gets at once.
+constexpr double RampFloor = 0.1;
+/// Share of the own assignments that a report doesn't show yet: those made while it was under way,
+/// and those whose requests have not come.
+constexpr double KeptAssignments = 0.25;
+/// How strongly flows are moved away from a home above the average load.
+constexpr double BalanceGain = 2.0;
+
+double ratio(Duration Part, Duration Whole) noexcept {
+  return static_cast<double>(Part.count()) /
+         static_cast<double>(std::max<std::int64_t>(1, Whole.count()));
+}
+
+double slotsOf(const LoadReport &Report) noexcept { return std::max(1U, Report.Slots); }
+
+} // namespace
+
+LoadView::LoadView(std::uint64_t Seed, LoadViewOptions Options) : Options(Options), Random(Seed) {}
+
+double LoadView::ramp(const Peer &Of, TimePoint Now) const noexcept {
+  if (!Began || Of.FirstSeen - *Began < ViewStart)
+    return 1;
+  return std::clamp(ratio(Now - Of.FirstSeen, Options.JoinRamp), RampFloor, 1.0);
+}
+
+double LoadView::reportedLoad(const Peer &Of) const noexcept {
+  const double Occupied = Of.Last.Busy + Of.Last.Queued + Of.Assigned;
+  return Occupied / slotsOf(Of.Last) + Options.ErrorWeight * Of.Last.ErrorShare;
+}
+
+std::optional<double> LoadView::expectedLoad(const std::string &MemberId, TimePoint /*Now*/) const {
+  const auto Found = Peers.find(MemberId);
+  if (Found == Peers.end() || !Found->second.Reported)
+    return std::nullopt;
+  return reportedLoad(Found->second);
+}
+
+void LoadView::onReport(const LoadReport &Report, TimePoint Now) {
+  if (!Began)
+    Began = Now;
+  const auto Found = Peers.find(Report.MemberId);
+  if (Found == Peers.end()) {
+    if (Peers.size() >= MaxPeers)
+      return;
+    Peer Fresh;
+    Fresh.FirstSeen = Now;
+    Peers.emplace(Report.MemberId, Fresh);
+  }
+  Peer &Known = Peers[Report.MemberId];
+  const bool Late = Known.Reported && Report.Sequence < Known.Last.Sequence;
+  if (Late && Now - Known.Received < RestartAfter)
+    return;
+  const double Busy = Report.Busy / slotsOf(Report);
+  const double Kept = std::exp(-ratio(Now - Known.Received, Options.Smoothing));
+  Known.Average = Known.Reported ? Known.Average * Kept + Busy * (1 - Kept) : Busy;
+  if (Report.Sequence != Known.Last.Sequence)
+    Known.Assigned *= KeptAssignments;
+  Known.Last = Report;
+  Known.Received = Now;
+  Known.Reported = true;
+}
+
+std::vector<LoadView::Candidate> LoadView::assess(const routing::ServiceRoute &Route,
+                                                  TimePoint Now) {
+  std::vector<Candidate> Assessed;
+  std::vector<double> Weights;
+  double Sum = 0;
+  double Total = 0;
+  for (const membership::Member &Member : Route.Candidates) {
+    Peer &Known = Peers.try_emplace(Member.Id, Peer{.FirstSeen = Now}).first->second;
+    Candidate Next;
+    Next.Slots = Known.Reported ? slotsOf(Known.Last) : std::max(1U, Member.Slots);
+    Next.Ramp = ramp(Known, Now);
+    Next.Usable = Member.State == membership::MemberState::Active;
+    Next.Load = Known.Reported ? reportedLoad(Known) : Known.Assigned / Next.Slots;
+    Next.Average = Known.Average;
+    const double Weight =
+        Known.Reported ? std::exp2(-ratio(Now - Known.Received, Options.HalfLife)) : 0;
+    Weights.push_back(Weight);
+    Sum += Weight * Next.Load;
+    Total += Weight;
+    Assessed.push_back(Next);
+  }
+  const double Mean = Total > 0 ? Sum / Total : 0;
+  for (std::size_t I = 0; I < Assessed.size(); ++I)
+    Assessed[I].Load = Weights[I] * Assessed[I].Load + (1 - Weights[I]) * Mean;
+  return Assessed;
+}
+
+std::size_t LoadView::weighted(const std::vector<double> &Weights, std::size_t Otherwise) {
+  double Total = 0;
+  for (const double Weight : Weights)
+    Total += Weight;
+  if (Total <= 0)
+    return Otherwise;
+  double Left = common::uniformUnit(Random) * Total;
+  for (std::size_t I = 0; I < Weights.size(); ++I) {
+    Left -= Weights[I];
+    if (Left < 0)
+      return I;
+  }
+  return Otherwise;
+}
+
+std::size_t LoadView::pick(const std::vector<Candidate> &From, std::size_t Home) {
+  const std::size_t None = From.size();
+  double Sum = 0;
+  double Slots = 0;
+  for (const Candidate &Each : From) {
+    Sum += Each.Average * Each.Slots;
+    Slots += Each.Slots;
+  }
+  const double Mean = Sum / Slots;
+  // A free slot at the home is known exactly, so the flow stays unless the home carries more than
+  // its share or is still joining.
+  if (Home != None && From[Home].Usable && From[Home].Load < 1) {
+    const Candidate &Own = From[Home];
+    const double Excess = Own.Average > 0 ? BalanceGain * (Own.Average - Mean) / Own.Average : 0;
+    const double Moved = std::max(Excess, 1 - Own.Ramp);
+    if (common::uniformUnit(Random) >= Moved)
+      return Home;
+  }
+  // Homes choose at the same time from reports of the same age. A choice by weight spreads their
+  // flows; the single best member would get them all.
+  std::vector<double> Weights;
+  for (std::size_t I = 0; I < From.size(); ++I) {
+    const double Free = std::max(0.0, 1 - From[I].Load);
+    Weights.push_back(From[I].Usable && I != Home ? Free * From[I].Slots * From[I].Ramp : 0);
+  }
+  const std::size_t Chosen = weighted(Weights, None);
+  if (Chosen != None)
+    return Chosen;
+  // No slot is expected to be free: the less loaded of two, against the home with a margin.
+  for (std::size_t I = 0; I < From.size(); ++I)
+    Weights[I] = From[I].Usable ? From[I].Slots * From[I].Ramp : 0;
+  std::size_t Best = weighted(Weights, None);
+  const std::size_t Other = weighted(Weights, None);
+  if (Best == None)
+    return None;
+  if (From[Other].Load < From[Best].Load)
+    Best = Other;
+  const bool HomeServes = Home != None && From[Home].Usable;
+  return HomeServes && From[Home].Load <= From[Best].Load + Options.HandOffMargin ? Home : Best;
+}
+
+void LoadView::forgetOthers(const routing::ServiceRoute &Route, TimePoint Now) {
+  if (Now - LastSweep < ForgetAfter)
+    return;
+  LastSweep = Now;
+  std::erase_if(Peers, [&](const auto &Entry) {
+    const bool Candidate =
+        std::any_of(Route.Candidates.begin(), Route.Candidates.end(),
+                    [&](const membership::Member &Member) { return Member.Id == Entry.first; });
+    return !Candidate && Now - Entry.second.Received > ForgetAfter;
+  });
+}
+
+std::optional<std::size_t> LoadView::choose(const routing::ServiceRoute &Route,
+                                            const std::string &Self, TimePoint Now) {
+  if (Route.Candidates.empty())
+    return std::nullopt;
+  if (!Began)
+    Began = Now;
+  forgetOthers(Route, Now);
+  const std::vector<Candidate> Assessed = assess(Route, Now);
+  const auto Own = std::find_if(Route.Candidates.begin(), Route.Candidates.end(),
+                                [&](const membership::Member &Each) { return Each.Id == Self; });
+  const auto Home = static_cast<std::size_t>(Own - Route.Candidates.begin());
+  const std::size_t Chosen = pick(Assessed, Home);
+  if (Chosen >= Route.Candidates.size())
+    return std::nullopt;
+  Peers[Route.Candidates[Chosen].Id].Assigned += 1;
+  return Chosen;
+}
+
+} // namespace galenarelay::schedule
--- /dev/null
+++ b/tests/schedule_load_view_test.cpp
@@ -0,0 +1,152 @@
+#include "galenarelay/schedule/load_view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace galenarelay::tests {
+
+using namespace schedule;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::array<const char *, 3> Ids{"a", "b", "c"};
+
+routing::ServiceRoute makeRoute() {
+  routing::ServiceRoute Route;
+  Route.Name = "desk";
+  for (const char *Id : Ids)
+    Route.Candidates.push_back({.Id = Id, .State = membership::MemberState::Active, .Slots = 5});
+  return Route;
+}
+
+LoadReport makeReport(const std::string &Id, std::uint32_t Busy, std::uint64_t Sequence = 1) {
+  return {.MemberId = Id, .Slots = 5, .Busy = Busy, .Sequence = Sequence};
+}
+
+/// Counts 300 choices by home "a"; the reports are repeated before each.
+std::array<int, 3> countChoices(LoadView &View, const std::vector<LoadReport> &Reports,
+                                TimePoint Now) {
+  const routing::ServiceRoute Route = makeRoute();
+  std::array<int, 3> Count{};
+  auto Sequence = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+  for (int I = 0; I < 300; ++I) {
+    ++Sequence;
+    for (LoadReport Report : Reports) {
+      Report.Sequence = Sequence;
+      View.onReport(Report, Now);
+    }
+    ++Count.at(*View.choose(Route, "a", Now));
+  }
+  return Count;
+}
+
+} // namespace
+
+class LoadViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoadViewTest);
+  CPPUNIT_TEST(testChoose_noCandidate_isEmpty);
+  CPPUNIT_TEST(testChoose_balancedPeers_keepsFlowAtHome);
+  CPPUNIT_TEST(testChoose_fullHome_spreadsOverFreePeers);
+  CPPUNIT_TEST(testChoose_failingPeer_getsNoWork);
+  CPPUNIT_TEST(testChoose_joiningPeer_rampsUp);
+  CPPUNIT_TEST(testChoose_ownAssignments_countBeforeTheNextReport);
+  CPPUNIT_TEST(testReport_olderSequence_isIgnored);
+  CPPUNIT_TEST(testReport_restartedMember_isHeard);
+  CPPUNIT_TEST(testChoose_sameSeed_sameChoices);
+  CPPUNIT_TEST_SUITE_END();
+
+  const TimePoint Now{seconds(100)};
+
+public:
+  // Guards against a position outside an empty list.
+  void testChoose_noCandidate_isEmpty() {
+    LoadView View(1);
+    CPPUNIT_ASSERT(!View.choose({}, "a", TimePoint{}));
+  }
+
+  // Guards against hand-offs, each of which costs a hop per packet, without need.
+  void testChoose_balancedPeers_keepsFlowAtHome() {
+    LoadView View(1);
+    const auto Count =
+        countChoices(View, {makeReport("a", 2), makeReport("b", 2), makeReport("c", 2)}, Now);
+    CPPUNIT_ASSERT_EQUAL(300, Count[0]);
+  }
+
+  // Guards against homes that all choose the same least loaded peer.
+  void testChoose_fullHome_spreadsOverFreePeers() {
+    LoadView View(1);
+    const auto Count =
+        countChoices(View, {makeReport("a", 5), makeReport("b", 1), makeReport("c", 1)}, Now);
+    CPPUNIT_ASSERT_EQUAL(0, Count[0]);
+    CPPUNIT_ASSERT(Count[1] > 100 && Count[2] > 100);
+  }
+
+  // Guards against an upstream that fails fast, looks idle and attracts all work.
+  void testChoose_failingPeer_getsNoWork() {
+    LoadView View(1);
+    LoadReport Failing = makeReport("b", 0);
+    Failing.ErrorShare = 0.9;
+    const auto Count = countChoices(View, {makeReport("a", 5), Failing, makeReport("c", 4)}, Now);
+    CPPUNIT_ASSERT_EQUAL(0, Count[1]);
+  }
+
+  // Guards against a cold upstream that gets its full share in its first moment.
+  void testChoose_joiningPeer_rampsUp() {
+    LoadView View(1);
+    View.onReport(makeReport("a", 5), TimePoint{});
+    View.onReport(makeReport("b", 2), TimePoint{});
+    const std::vector<LoadReport> Reports{makeReport("a", 5), makeReport("b", 2),
+                                          makeReport("c", 2)};
+    const auto AtFirst = countChoices(View, Reports, Now);
+    const auto Later = countChoices(View, Reports, Now + seconds(10));
+    CPPUNIT_ASSERT(AtFirst[2] > 0 && AtFirst[2] < 60);
+    CPPUNIT_ASSERT(Later[2] > 120);
+  }
+
+  // Guards against a burst of flows to the peer whose last report was the lowest.
+  void testChoose_ownAssignments_countBeforeTheNextReport() {
+    LoadView View(1);
+    const routing::ServiceRoute Route = makeRoute();
+    View.onReport(makeReport("a", 5), Now);
+    View.onReport(makeReport("b", 0), Now);
+    View.onReport(makeReport("c", 0), Now);
+    std::array<int, 3> Count{};
+    for (int I = 0; I < 10; ++I)
+      ++Count.at(*View.choose(Route, "a", Now));
+    CPPUNIT_ASSERT_EQUAL(5, Count[1]);
+    CPPUNIT_ASSERT_EQUAL(5, Count[2]);
+  }
+
+  // Guards against a late datagram that brings back an old load.
+  void testReport_olderSequence_isIgnored() {
+    LoadView View(1);
+    View.onReport(makeReport("b", 4, 7), Now);
+    View.onReport(makeReport("b", 0, 6), Now);
+    CPPUNIT_ASSERT_EQUAL(0.8, *View.expectedLoad("b", Now));
+  }
+
+  // Guards against a restarted agent, which counts from 1 again, that is never heard.
+  void testReport_restartedMember_isHeard() {
+    LoadView View(1);
+    View.onReport(makeReport("b", 4, 7000), Now);
+    View.onReport(makeReport("b", 1, 1), Now + seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0.2, *View.expectedLoad("b", Now));
+  }
+
+  // Guards against decisions that can't be replayed.
+  void testChoose_sameSeed_sameChoices() {
+    const std::vector<LoadReport> Reports{makeReport("a", 5), makeReport("b", 1),
+                                          makeReport("c", 3)};
+    LoadView First(7);
+    LoadView Second(7);
+    CPPUNIT_ASSERT(countChoices(First, Reports, Now) == countChoices(Second, Reports, Now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadViewTest);
+
+} // namespace galenarelay::tests
--- /dev/null
+++ b/tests/schedule_scheduler_test.cpp
@@ -0,0 +1,316 @@
+#include "galenarelay/schedule/scheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace galenarelay::tests {
+
+using namespace schedule;
+using common::Duration;
+using common::ResultCode;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const WorkClass Order{"desk", "POST", "orders", 0};
+const WorkClass Photo{"desk", "POST", "photos", 5};
+constexpr Duration OrderTime = milliseconds(40);
+constexpr Duration PhotoTime = milliseconds(2000);
+
+/// Drives one scheduler and keeps what happened to each request.
+class Driver {
+public:
+  explicit Driver(SchedulerOptions Options) : Subject(Options) {}
+
+  Scheduler Subject;
+  TimePoint Now{seconds(1)};
+  RequestId LastId = 0;
+  std::vector<Decision> History;
+
+  void take(const std::vector<Decision> &Decisions) {
+    History.insert(History.end(), Decisions.begin(), Decisions.end());
+  }
+  RequestId arrive(std::uint32_t Caller, const WorkClass &Class, Duration Deadline = seconds(60)) {
+    take(Subject.onArrival({++LastId, Caller, Class, Now + Deadline}, Now));
+    return LastId;
+  }
+  void finish(RequestId Id, Completion How = Completion::Succeeded) {
+    take(Subject.onFinished(Id, How, Now));
+  }
+  /// Runs requests one by one until both classes are known and the slow start is over.
+  void warmUp() {
+    for (int I = 0; I < 50; ++I)
+      run(Order, OrderTime);
+    for (int I = 0; I < 5; ++I)
+      run(Photo, PhotoTime);
+    Now += seconds(10);
+    History.clear();
+  }
+  void run(const WorkClass &Class, Duration Taken) {
+    const RequestId Id = arrive(1, Class);
+    while (!dispatched(Id))
+      fireTimer();
+    Now += Taken;
+    finish(Id);
+  }
+  /// Advances to the next timer and fires it.
+  void fireTimer() {
+    const auto At = Subject.nextTimer();
+    CPPUNIT_ASSERT_MESSAGE("a timer is due", At.has_value());
+    CPPUNIT_ASSERT_MESSAGE("the timer is in the future", *At > Now);
+    Now = *At;
+    take(Subject.onTimer(Now));
+  }
+  [[nodiscard]] std::optional<Decision> decision(RequestId Id) const {
+    const auto Found = std::find_if(History.begin(), History.end(),
+                                    [Id](const Decision &D) { return D.Id == Id; });
+    return Found == History.end() ? std::nullopt : std::optional(*Found);
+  }
+  [[nodiscard]] bool dispatched(RequestId Id) const {
+    const auto Found = decision(Id);
+    return Found && Found->Dispatch;
+  }
+};
+
+} // namespace
+
+class SchedulerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SchedulerTest);
+  CPPUNIT_TEST(testArrival_stragglersBesideShortWork_leaveReserveFree);
+  CPPUNIT_TEST(testArrival_stragglersAlone_useAllSlots);
+  CPPUNIT_TEST(testTimer_agedStraggler_isDispatched);
+  CPPUNIT_TEST(testArrival_deadlineOutOfReach_isRejectedAtOnce);
+  CPPUNIT_TEST(testCancel_queuedRequest_isNeverDispatched);
+  CPPUNIT_TEST(testFinish_largeAndSmallCaller_alternate);
+  CPPUNIT_TEST(testArrival_fullQueue_evictsLargestCaller);
+  CPPUNIT_TEST(testFinish_shed_lowersLimitForAWhile);
+  CPPUNIT_TEST(testRetry_budgetSpent_isRefused);
+  CPPUNIT_TEST(testEvents_random_keepInvariants);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against stragglers that occupy every slot while orders come in.
+  void testArrival_stragglersBesideShortWork_leaveReserveFree() {
+    Driver D({});
+    D.warmUp();
+    D.finish(D.arrive(1, Order));
+    for (int I = 0; I < 5; ++I)
+      static_cast<void>(D.arrive(2, Photo));
+    CPPUNIT_ASSERT_EQUAL(2U, D.Subject.busySlots());
+    CPPUNIT_ASSERT(D.dispatched(D.arrive(1, Order)));
+  }
+
+  // Guards against idle slots when only stragglers want them.
+  void testArrival_stragglersAlone_useAllSlots() {
+    Driver D({});
+    D.warmUp();
+    for (int I = 0; I < 5; ++I)
+      static_cast<void>(D.arrive(2, Photo));
+    CPPUNIT_ASSERT_EQUAL(5U, D.Subject.busySlots());
+  }
+
+  // Guards against a straggler that waits for ever behind a stream of orders.
+  void testTimer_agedStraggler_isDispatched() {
+    SchedulerOptions Options;
+    Driver D(Options);
+    D.warmUp();
+    const TimePoint Begin = D.Now;
+    D.finish(D.arrive(1, Order));
+    RequestId Last = 0;
+    for (int I = 0; I < 3; ++I)
+      Last = D.arrive(2, Photo);
+    while (!D.dispatched(Last) && D.Now < Begin + seconds(30)) {
+      D.Now += milliseconds(100);
+      D.take(D.Subject.onTimer(D.Now));
+      D.finish(D.arrive(1, Order));
+    }
+    CPPUNIT_ASSERT(D.Now - Begin <= Options.LongPatience + milliseconds(100));
+  }
+
+  // Guards against queueing a request that can only time out.
+  void testArrival_deadlineOutOfReach_isRejectedAtOnce() {
+    Driver D({});
+    D.warmUp();
+    for (std::uint32_t I = 0; I < 40; ++I)
+      static_cast<void>(D.arrive(I, Order));
+    const auto Late = D.decision(D.arrive(1, Order, milliseconds(60)));
+    CPPUNIT_ASSERT(Late && !Late->Dispatch);
+    CPPUNIT_ASSERT(Late->Reason == ResultCode::RequestDeadline);
+    CPPUNIT_ASSERT(Late->RetryAfter >= seconds(1) && Late->RetryAfter <= seconds(30));
+  }
+
+  // Guards against running work whose caller has gone.
+  void testCancel_queuedRequest_isNeverDispatched() {
+    Driver D({.Slots = 1});
+    const RequestId First = D.arrive(1, Order);
+    const RequestId Gone = D.arrive(1, Order);
+    D.take(D.Subject.onCancelled(Gone, D.Now));
+    D.finish(First);
+    CPPUNIT_ASSERT(!D.decision(Gone));
+    CPPUNIT_ASSERT_EQUAL(0U, D.Subject.busySlots());
+  }
+
+  // Guards against a caller that gains service by sending more requests.
+  void testFinish_largeAndSmallCaller_alternate() {
+    Driver D({.Slots = 1});
+    D.warmUp();
+    RequestId Running = D.arrive(9, Order);
+    std::set<RequestId> Small;
+    for (int I = 0; I < 8; ++I)
+      static_cast<void>(D.arrive(1, Order));
+    for (int I = 0; I < 4; ++I)
+      Small.insert(D.arrive(2, Order));
+    int SmallServed = 0;
+    for (int I = 0; I < 8; ++I) {
+      D.Now += OrderTime;
+      D.finish(Running);
+      Running = D.History.back().Id;
+      SmallServed += static_cast<int>(Small.count(Running));
+    }
+    CPPUNIT_ASSERT_EQUAL(4, SmallServed);
+  }
+
+  // Guards against a full queue that belongs to whoever filled it first.
+  void testArrival_fullQueue_evictsLargestCaller() {
+    Driver D({.Slots = 1, .MaxQueued = 8, .MaxQueueDelay = seconds(10)});
+    static_cast<void>(D.arrive(9, Order));
+    RequestId Newest = 0;
+    for (int I = 0; I < 8; ++I)
+      Newest = D.arrive(1, Order);
+    const RequestId Small = D.arrive(2, Order);
+    CPPUNIT_ASSERT(!D.decision(Small));
+    const auto Evicted = D.decision(Newest);
+    CPPUNIT_ASSERT(Evicted && Evicted->Reason == ResultCode::RequestQueueFull);
+  }
+
+  // Guards against sending the same number of requests to an upstream that sheds.
+  void testFinish_shed_lowersLimitForAWhile() {
+    Driver D({});
+    D.warmUp();
+    std::vector<RequestId> Ids;
+    for (int I = 0; I < 8; ++I)
+      Ids.push_back(D.arrive(1, Order));
+    D.finish(Ids[4], Completion::Shed);
+    CPPUNIT_ASSERT_EQUAL(4U, D.Subject.busySlots());
+    D.fireTimer();
+    CPPUNIT_ASSERT_EQUAL(5U, D.Subject.busySlots());
+  }
+
+  // Guards against retries that multiply an overload.
+  void testRetry_budgetSpent_isRefused() {
+    Driver D({.RetryBurst = 1});
+    CPPUNIT_ASSERT(D.Subject.takeRetry(D.Now));
+    CPPUNIT_ASSERT(!D.Subject.takeRetry(D.Now));
+    for (int I = 0; I < 10; ++I)
+      static_cast<void>(D.arrive(1, Order));
+    CPPUNIT_ASSERT(D.Subject.takeRetry(D.Now));
+  }
+
+  // Guards against lost, repeated or revived requests, idle slots and unbounded queues, and against
+  // decisions that differ between two runs of the same events.
+  void testEvents_random_keepInvariants();
+};
+
+namespace {
+
+/// Applies random events to a scheduler and checks the invariants after each.
+class RandomRun {
+public:
+  explicit RandomRun(std::uint32_t Slots)
+      : D({.Slots = Slots, .MaxQueued = 32, .SlowStart = Duration{}}), Slots(Slots) {}
+
+  Driver D;
+
+  void step(unsigned Event, unsigned Choice) {
+    const std::size_t Before = D.History.size();
+    switch (Event % 6) {
+    case 0:
+    case 1:
+      Live.insert(
+          D.arrive(Choice % 5, Choice % 7 == 0 ? Photo : Order, milliseconds(50 + Choice % 3000)));
+      break;
+    case 2:
+    case 3:
+      finishOne(Choice);
+      break;
+    case 4:
+      cancelOne(Choice);
+      break;
+    default:
+      D.Now += milliseconds(Choice % 400);
+      D.take(D.Subject.onTimer(D.Now));
+    }
+    for (std::size_t I = Before; I < D.History.size(); ++I)
+      apply(D.History[I]);
+    check();
+  }
+
+private:
+  std::uint32_t Slots;
+  std::set<RequestId> Live; ///< Waiting.
+  std::set<RequestId> OnSlots;
+
+  static RequestId pickFrom(const std::set<RequestId> &From, unsigned Choice) {
+    return *std::next(From.begin(), static_cast<std::ptrdiff_t>(Choice % From.size()));
+  }
+  void finishOne(unsigned Choice) {
+    if (OnSlots.empty())
+      return;
+    const RequestId Id = pickFrom(OnSlots, Choice);
+    OnSlots.erase(Id);
+    if (Choice % 9 == 0)
+      D.take(D.Subject.onFeedStarted(Id, D.Now));
+    else
+      D.finish(Id, Choice % 8 == 0 ? Completion::Failed : Completion::Succeeded);
+  }
+  void cancelOne(unsigned Choice) {
+    if (Live.empty())
+      return;
+    const RequestId Id = pickFrom(Live, Choice);
+    Live.erase(Id);
+    D.take(D.Subject.onCancelled(Id, D.Now));
+  }
+  void apply(const Decision &Made) {
+    RC_ASSERT(Live.erase(Made.Id) == 1U); // One decision per request, none once cancelled.
+    if (Made.Dispatch)
+      OnSlots.insert(Made.Id);
+  }
+  void check() {
+    RC_ASSERT(D.Subject.busySlots() == OnSlots.size());
+    RC_ASSERT(D.Subject.queued() == Live.size());
+    RC_ASSERT(OnSlots.size() <= Slots);
+    RC_ASSERT(Live.size() <= 32U);
+    if (const auto At = D.Subject.nextTimer())
+      RC_ASSERT(*At > D.Now);
+    else
+      RC_ASSERT(Live.empty() || OnSlots.size() == Slots);
+  }
+};
+
+} // namespace
+
+void SchedulerTest::testEvents_random_keepInvariants() {
+  // NOLINTNEXTLINE(concurrency-mt-unsafe): no other thread runs yet.
+  setenv("RC_PARAMS", "seed=20261204 max_success=200 max_size=400", 0);
+  const bool Holds = rc::check([](const std::vector<std::pair<unsigned, unsigned>> &Events) {
+    const std::uint32_t Slots = Events.size() % 2 == 0 ? 5 : 3;
+    RandomRun First(Slots);
+    RandomRun Second(Slots);
+    for (const auto &Event : Events) {
+      First.step(Event.first, Event.second);
+      Second.step(Event.first, Event.second);
+    }
+    RC_ASSERT(First.D.History == Second.D.History);
+  });
+  CPPUNIT_ASSERT(Holds);
+}
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
+
+} // namespace galenarelay::tests
