Add the agent's flow router

An agent needs the six routing rules of the design's section 5 without sockets and clocks. FlowRouter holds the served flows, the hand-off entries and the pending locates, all bounded, and returns actions. A reset additionally requires that every peer that answered knows the same set of possible owners (a digest in notfound), so that an agent with a partial view can't end a running flow. An entry that a packet with few hops left uses is dropped, which ends cycles of outdated entries. A home is told of ended flows in the same paced messages as registrations, and idle entries expire.

A view that stays wrong for longer than ViewSettle still leads to resets, as the design states.

--- a/include/galenarelay/flow/flow_router.h
+++ b/include/galenarelay/flow/flow_router.h
@@ -9,11 +9,14 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -21,6 +24,27 @@
 
 using Bytes = std::vector<std::uint8_t>;
 
+/// A reset needs a view that has not changed for this time.
+inline constexpr common::Duration ViewSettle = std::chrono::seconds(5);
+/// A flow that its caller has not acknowledged for this time is dropped.
+inline constexpr common::Duration HalfOpenTimeout = std::chrono::seconds(10);
+/// Flows that an agent registers with their homes per second, and per datagram of 1,200 bytes.
+inline constexpr std::size_t RegistrationsPerSecond = 200;
+inline constexpr std::size_t RegistrationsPerMessage = 20;
+/// A hand-off entry without packets is forgotten after four keepalive intervals of a stream.
+inline constexpr common::Duration HandOffIdleTimeout = std::chrono::seconds(120);
+/// An unanswered locate message is repeated after this time, at most LocateAttempts times in all.
+inline constexpr common::Duration LocateInterval = std::chrono::milliseconds(200);
+inline constexpr int LocateAttempts = 3;
+/// Bounds of the tables. At a bound the packet is dropped with FlowTableFull (a new flow) or
+/// FlowUnknown (a packet to locate), and the caller retransmits it.
+inline constexpr std::size_t MaxServedFlows = 600'000;
+inline constexpr std::size_t MaxHandOffs = 1'000'000;
+inline constexpr std::size_t MaxLocates = 1024;
+inline constexpr std::size_t MaxLocatesPerSecond = 500;
+inline constexpr std::size_t MaxHeldPerFlow = 8;
+inline constexpr std::size_t MaxHeldBytes = 4 * 1024 * 1024;
+
 /// Open a flow for this service and give it the SYN.
 struct AcceptFlow {
   packet::FlowKey Key;
@@ -103,6 +127,124 @@
   /// Stops taking new flows, for a drain.
   void refuseNewFlows() noexcept;
   [[nodiscard]] std::vector<Action> onTimer(common::TimePoint Now);
+  /// Returns and forgets the flows that were dropped because their callers never acknowledged
+  /// them. Their streams must be discarded without a reset: another agent may own the flow.
+  [[nodiscard]] std::vector<packet::FlowKey> takeExpired();
+
+private:
+  /// Small number for a member ID or service name.
+  using NameId = std::uint32_t;
+
+  class Names {
+  public:
+    NameId idOf(const std::string &Name);
+    [[nodiscard]] const std::string &nameOf(NameId Id) const { return Texts[Id]; }
+    [[nodiscard]] std::size_t size() const noexcept { return Texts.size(); }
+
+  private:
+    std::deque<std::string> Texts;
+    std::unordered_map<std::string, NameId> Ids;
+  };
+
+  struct ServedFlow {
+    NameId Service = 0;
+    NameId Home = 0;   ///< The home that knows of the flow, or will once RegisterQueue is empty.
+    bool Open = false; ///< The caller has acknowledged the SYN-ACK.
+  };
+
+  struct HandOff {
+    NameId Owner = 0;
+    std::uint32_t UsedSecond = 0;
+  };
+
+  struct Locate {
+    packet::RouteView Route;
+    std::vector<Bytes> Held;
+    std::vector<std::string> Waiting; ///< Possible owners that have not answered.
+    std::uint64_t OwnersDigest = 0;
+    int Attempts = 1;
+    bool Conclusive = true; ///< All answers so far came from agents with the same possible owners.
+  };
+
+  using Deadlines = std::deque<std::pair<common::TimePoint, packet::FlowKey>>;
+  using LocateMap = std::unordered_map<packet::FlowKey, Locate, packet::FlowKeyHash>;
+
+  /// One packet on its way through the rules.
+  struct Arrival {
+    const packet::RouteView &Header;
+    const routing::ServiceRoute &Route;
+    std::span<const std::uint8_t> Packet;
+    common::TimePoint Now;
+  };
+
+  [[nodiscard]] bool isCandidate(const routing::ServiceRoute &Route) const;
+  [[nodiscard]] bool takesNewFlow(const routing::ServiceRoute &Route) const;
+  [[nodiscard]] std::string homeOf(const packet::FlowKey &Key) const;
+  [[nodiscard]] const membership::Member *liveMember(const std::string &Id) const;
+  [[nodiscard]] bool settled(common::TimePoint Now) const noexcept;
+
+  void route(const Arrival &In, std::vector<Action> &Out);
+  void routeServed(const Arrival &In, ServedFlow &Flow, std::vector<Action> &Out);
+  bool routeHandedOff(const Arrival &In, std::vector<Action> &Out);
+  void routeNewFlow(const Arrival &In, std::vector<Action> &Out);
+  void routeToOtherChoice(const Arrival &In, std::vector<Action> &Out);
+  void acceptFlow(const Arrival &In, std::vector<Action> &Out);
+  void redirectFlow(const Arrival &In, const membership::Member &Target, std::vector<Action> &Out);
+  [[nodiscard]] const membership::Member *chooseOther(const Arrival &In);
+  void forward(std::span<const std::uint8_t> Packet, std::uint8_t Ttl,
+               const membership::Member &Target, std::vector<Action> &Out) const;
+
+  void locate(const Arrival &In, std::vector<Action> &Out);
+  void hold(Locate &Pending, std::span<const std::uint8_t> Packet, std::vector<Action> &Out);
+  [[nodiscard]] bool takeLocateToken(common::TimePoint Now);
+  void sendLocate(const Locate &Pending, std::vector<Action> &Out) const;
+  void concludeLocate(LocateMap::iterator Pending, bool AllAnswered, common::TimePoint Now,
+                      std::vector<Action> &Out);
+  void onLocate(const nlohmann::json &Message, common::Endpoint From, std::vector<Action> &Out);
+  void onFound(const nlohmann::json &Message, common::TimePoint Now, std::vector<Action> &Out);
+  void onNotFound(const nlohmann::json &Message, common::TimePoint Now, std::vector<Action> &Out);
+  void onRegister(const nlohmann::json &Message, common::TimePoint Now);
+  void dispatchControl(const nlohmann::json &Message, common::Endpoint From, common::TimePoint Now,
+                       std::vector<Action> &Out);
+
+  bool recordHandOff(const packet::FlowKey &Key, const std::string &Owner, common::TimePoint Now);
+  void forgetDeadOwners();
+  void queueRegistrations(const routing::RoutingView *Previous, common::TimePoint Now);
+  void queueRegistration(const packet::FlowKey &Key, common::TimePoint Now);
+  void dropHalfOpen(common::TimePoint Now);
+  void repeatLocates(common::TimePoint Now, std::vector<Action> &Out);
+  void sendRegistrations(common::TimePoint Now, std::vector<Action> &Out);
+  void forgetIdleHandOffs(common::TimePoint Now);
+  void forgetService(NameId Service);
+
+  std::string SelfId;
+  UpstreamChooser Choose;
+  FlowFits Fits;
+  common::Engine Random;
+  bool Refusing = false;
+
+  std::shared_ptr<const routing::RoutingView> View;
+  common::TimePoint LastViewChange{};
+  Names MemberNames;
+  Names ServiceNames;
+  NameId SelfName = 0;
+
+  std::unordered_map<packet::FlowKey, ServedFlow, packet::FlowKeyHash> Served;
+  std::unordered_map<NameId, std::size_t> ServedByService;
+  std::unordered_map<packet::FlowKey, HandOff, packet::FlowKeyHash> HandOffs;
+  std::vector<packet::FlowKey> Expired;
+  Deadlines HalfOpen;
+
+  LocateMap Locates;
+  Deadlines LocateDeadlines;
+  std::size_t HeldBytes = 0;
+  double LocateTokens = MaxLocatesPerSecond;
+  common::TimePoint LocateTokensAt{};
+
+  std::deque<packet::FlowKey> RegisterQueue;
+  common::TimePoint NextRegistration{};
+  std::size_t SweepBucket = 0;
+  common::TimePoint NextSweep{};
 };
 
 } // namespace galenarelay::flow
--- a/include/galenarelay/packet/packet.h
+++ b/include/galenarelay/packet/packet.h
@@ -25,6 +25,8 @@
   common::Endpoint Caller;
   common::Endpoint Service;
 
+  // clang-tidy 14 reports the code that the compiler generates for this operator.
+  // NOLINTNEXTLINE(readability-identifier-naming,modernize-use-nullptr)
   friend auto operator<=>(const FlowKey &, const FlowKey &) = default;
 };
 
