--- a/src/schedule/load_view.cpp
+++ b/src/schedule/load_view.cpp
@@ -189,7 +189,9 @@
   const std::size_t Chosen = pick(Assessed, Home);
   if (Chosen >= Route.Candidates.size())
     return std::nullopt;
-  Peers[Route.Candidates[Chosen].Id].Assigned += 1;
+  // The home's own load is current, so its assignments are in it.
+  if (Chosen != Home)
+    Peers[Route.Candidates[Chosen].Id].Assigned += 1;
   return Chosen;
 }
 
--- a/tests/schedule_load_view_test.cpp
+++ b/tests/schedule_load_view_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(testChoose_failingPeer_getsNoWork);
   CPPUNIT_TEST(testChoose_joiningPeer_rampsUp);
   CPPUNIT_TEST(testChoose_ownAssignments_countBeforeTheNextReport);
+  CPPUNIT_TEST(testChoose_ownAssignmentsAtHome_doNotFillIt);
   CPPUNIT_TEST(testReport_olderSequence_isIgnored);
   CPPUNIT_TEST(testReport_restartedMember_isHeard);
   CPPUNIT_TEST(testChoose_sameSeed_sameChoices);
@@ -121,6 +122,17 @@
     CPPUNIT_ASSERT_EQUAL(5, Count[2]);
   }
 
+  // Guards against a home that counts its flows twice, in its current load and as assignments, and
+  // hands off most of them.
+  void testChoose_ownAssignmentsAtHome_doNotFillIt() {
+    LoadView View(1);
+    const routing::ServiceRoute Route = makeRoute();
+    for (const char *Id : Ids)
+      View.onReport(makeReport(Id, 2), Now);
+    for (int I = 0; I < 50; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *View.choose(Route, "a", Now));
+  }
+
   // Guards against a late datagram that brings back an old load.
   void testReport_olderSequence_isIgnored() {
     LoadView View(1);
