Add the crest benchmark

Cause: service at the peak of a demand swing was not measured. Change: bench-crest: 0.3x to 3x and back within 2 s each, 10 s plateau, a dealer with half of the demand, stragglers with 30% of the work, clients that retry after Retry-After up to ten times; steady 2x to 10x.

--- /dev/null
+++ b/bench/crest/main.cpp
@@ -0,0 +1,219 @@
+// Service at the peak of a demand swing and under steady overload, with clients that retry.
+#include "galenarelay/bench/fleet.h"
+#include "galenarelay/bench/report.h"
+
+#include <algorithm>
+
+namespace galenarelay::bench {
+
+namespace {
+
+using common::Duration;
+using common::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds WarmUp{20};
+constexpr seconds Swing{2}; ///< From low to peak demand, and back.
+constexpr seconds Plateau{10};
+constexpr seconds After{30};
+constexpr double Low = 0.3;
+constexpr double Peak = 3;
+constexpr double DealerShare = 0.5;
+constexpr double StragglerShare = 0.3;
+constexpr Duration NormalWindow = milliseconds(250);
+/// Share of the new orders of a window that must be done in their first attempt and in time.
+constexpr double NormalShare = 0.99;
+
+struct Shape {
+  const char *Name;
+  std::uint32_t Hosts;
+  std::uint32_t Slots;
+  std::uint32_t Callers;
+};
+
+constexpr Shape Shapes[] = {{"shop 7x3", 7, 3, 50},
+                            {"dealer desk 7x5", 7, 5, 100},
+                            {"warranty 3x5", 3, 5, 40},
+                            {"x10 70x5", 70, 5, 1000}};
+
+FleetOptions baseOptions(const Shape &Of, std::uint64_t Seed) {
+  FleetOptions Options;
+  Options.Hosts = Of.Hosts;
+  Options.Slots = Of.Slots;
+  Options.Callers = Of.Callers;
+  Options.DealerShare = DealerShare;
+  Options.StragglerShare = StragglerShare;
+  Options.MaxAttempts = 10;
+  Options.Seed = Seed;
+  return Options;
+}
+
+bool inTime(const FleetOptions &Options, const Order &Of, const Attempt &Each) {
+  const Duration Deadline = Of.Straggler ? Options.StragglerDeadline : Options.OrderDeadline;
+  return Each.End == Ending::Done && Each.Finished - Each.Arrived <= Deadline;
+}
+
+/// Figures of the attempts in a window.
+struct Service {
+  double Goodput = 0;  ///< Of capacity: work finished in the window and in time.
+  double Order99 = 0;  ///< p99 of accepted orders, from arrival to end, as a share of the deadline.
+  double Rejected = 0; ///< Share of the attempts.
+  double WorstShare = 0;  ///< Worst caller's service time over its max-min share, over the mean.
+  double DealerShare = 0; ///< The same for the dealer.
+};
+
+/// Service time that each caller would get by max-min fairness.
+std::vector<double> entitlements(const std::vector<double> &Demand, double Capacity) {
+  std::vector<std::size_t> Order(Demand.size());
+  for (std::size_t I = 0; I < Order.size(); ++I)
+    Order[I] = I;
+  std::sort(Order.begin(), Order.end(),
+            [&](std::size_t A, std::size_t B) { return Demand[A] < Demand[B]; });
+  std::vector<double> Granted(Demand.size());
+  double Left = Capacity;
+  for (std::size_t I = 0; I < Order.size(); ++I) {
+    Granted[Order[I]] = std::min(Demand[Order[I]], Left / static_cast<double>(Order.size() - I));
+    Left -= Granted[Order[I]];
+  }
+  return Granted;
+}
+
+Service serviceIn(const Fleet &Run, const FleetOptions &Options, TimePoint From, TimePoint To) {
+  Service Result;
+  std::vector<double> Served(Options.Callers);
+  std::vector<double> Orders;
+  double Good = 0;
+  double Attempts = 0;
+  double Rejected = 0;
+  for (const Attempt &Each : Run.attempts()) {
+    const Order &Of = Run.orders()[Each.OrderIndex];
+    const bool Arrived = Each.Arrived >= From && Each.Arrived < To;
+    Attempts += Arrived ? 1 : 0;
+    Rejected += Arrived && Each.End == Ending::Rejected ? 1 : 0;
+    if (Arrived && !Of.Straggler && Each.Started != TimePoint{}) {
+      const TimePoint Ended = Each.End == Ending::Done ? Each.Finished : TimePoint(Options.Length);
+      Orders.push_back(std::chrono::duration<double>(Ended - Each.Arrived) /
+                       std::chrono::duration<double>(Options.OrderDeadline));
+    }
+    if (!inTime(Options, Of, Each))
+      continue;
+    // Only the part of the work that falls into the window counts.
+    const TimePoint Begin = std::max(From, Each.Started);
+    const TimePoint End = std::min(To, Each.Finished);
+    const double Work = std::max(0.0, std::chrono::duration<double>(End - Begin).count());
+    Good += Work;
+    Served[Of.Caller] += Work;
+  }
+  const double Length = std::chrono::duration<double>(To - From).count();
+  const double Capacity = Run.capacity() * Length;
+  std::vector<double> Demand(Options.Callers);
+  for (const Order &Of : Run.orders())
+    if (Of.Fresh >= From && Of.Fresh < To)
+      Demand[Of.Caller] += std::chrono::duration<double>(Of.Work).count();
+  const std::vector<double> Fair = entitlements(Demand, std::min(Capacity, Good));
+  double Sum = 0;
+  double Worst = 1e9;
+  for (std::size_t I = 0; I < Fair.size(); ++I) {
+    const double Share = Fair[I] > 0 ? Served[I] / Fair[I] : 1;
+    Sum += Share;
+    Worst = std::min(Worst, Share);
+  }
+  const double Mean = Sum / static_cast<double>(Fair.size());
+  Result.Goodput = Good / Capacity;
+  Result.Order99 = quantile(Orders, 0.99);
+  Result.Rejected = Rejected / std::max(1.0, Attempts);
+  Result.WorstShare = Mean > 0 ? Worst / Mean : 0;
+  Result.DealerShare = Mean > 0 && Fair[0] > 0 ? Served[0] / Fair[0] / Mean : 0;
+  return Result;
+}
+
+/// Seconds from a moment until new orders are served as in normal times for good.
+double timeToNormal(const Fleet &Run, const FleetOptions &Options, TimePoint From) {
+  const auto Windows = static_cast<std::size_t>(After / NormalWindow) - 8;
+  std::vector<double> All(Windows);
+  std::vector<double> Good(Windows);
+  for (const Attempt &Each : Run.attempts()) {
+    const Order &Of = Run.orders()[Each.OrderIndex];
+    if (Each.Number != 1 || Of.Straggler || Each.Arrived < From)
+      continue;
+    const auto Window = static_cast<std::size_t>((Each.Arrived - From) / NormalWindow);
+    if (Window >= Windows)
+      continue;
+    ++All[Window];
+    Good[Window] += inTime(Options, Of, Each) ? 1 : 0;
+  }
+  std::size_t Abnormal = 0;
+  for (std::size_t I = 0; I < Windows; ++I)
+    if (Good[I] < NormalShare * All[I])
+      Abnormal = I + 1;
+  return std::chrono::duration<double>(NormalWindow).count() * static_cast<double>(Abnormal);
+}
+
+Table crest(const BenchArguments &Given, const Shape &Of) {
+  Table Result{std::string("0.3x to 3x and back, ") + Of.Name, {}};
+  for (const Policy Which : policies()) {
+    FleetOptions Options = baseOptions(Of, Given.Seed);
+    const Duration Up = WarmUp;
+    const Duration Top = Up + Swing;
+    const Duration Down = Top + Plateau;
+    const Duration End = Down + Swing;
+    Options.Demand = {{Up, Low}, {Top, Peak}, {Down, Peak}, {End, Low}};
+    Options.Length = End + After;
+    Fleet Run(Which, Options);
+    Run.run();
+    const Service At = serviceIn(Run, Options, TimePoint(Top), TimePoint(Down));
+    Result.Rows.push_back({{"policy", name(Which)},
+                           {"goodput", At.Goodput},
+                           {"order_p99_of_deadline", At.Order99},
+                           {"rejected", At.Rejected},
+                           {"worst_share", At.WorstShare},
+                           {"dealer_share", At.DealerShare},
+                           {"normal_after_s", timeToNormal(Run, Options, TimePoint(End))}});
+  }
+  return Result;
+}
+
+Table overload(const BenchArguments &Given, const Shape &Of) {
+  Table Result{std::string("steady overload, ") + Of.Name, {}};
+  for (const double Demand : {2.0, 5.0, 10.0}) {
+    for (const Policy Which : policies()) {
+      FleetOptions Options = baseOptions(Of, Given.Seed);
+      const auto Length =
+          std::chrono::duration_cast<seconds>(std::chrono::duration<double>(30 * Given.Scale));
+      Options.MaxAttempts = 3;
+      Options.Demand = {{Duration{}, Low}, {WarmUp, Low}, {WarmUp + Swing, Demand}};
+      Options.Length = WarmUp + Swing + Length;
+      Fleet Run(Which, Options);
+      Run.run();
+      const Service At =
+          serviceIn(Run, Options, TimePoint(WarmUp + Swing), TimePoint(Options.Length));
+      Result.Rows.push_back({{"demand", Demand},
+                             {"policy", name(Which)},
+                             {"goodput", At.Goodput},
+                             {"order_p99_of_deadline", At.Order99},
+                             {"rejected", At.Rejected},
+                             {"worst_share", At.WorstShare},
+                             {"dealer_share", At.DealerShare}});
+    }
+  }
+  return Result;
+}
+
+std::vector<Table> measure(const BenchArguments &Given) {
+  std::vector<Table> Tables;
+  for (const Shape &Of : Shapes)
+    Tables.push_back(crest(Given, Of));
+  for (const Shape &Of : {Shapes[0], Shapes[1]})
+    Tables.push_back(overload(Given, Of));
+  return Tables;
+}
+
+} // namespace
+
+} // namespace galenarelay::bench
+
+int main(int ArgumentCount, char **Arguments) {
+  return galenarelay::bench::runBench("crest", ArgumentCount, Arguments,
+                                      galenarelay::bench::measure);
+}
