Refuse packets whose IP version or TCP header length is wrong

The new table of malformed inputs showed that parseFromCaller takes a packet with IP version 6 for IPv4, because libtins doesn't check the field, and that readRoute passes a TCP header that extends beyond the packet, which the serving agent then can't parse. Both now refuse these packets at the first reader.

--- a/src/packet/packet.cpp
+++ b/src/packet/packet.cpp
@@ -35,6 +35,9 @@
 }
 
 common::Result<Packet> parse(std::span<const std::uint8_t> Bytes, bool TowardsCaller) {
+  // libtins doesn't check the IP version.
+  if (!readRoute(Bytes))
+    return fail(ResultCode::PacketMalformed, "the bytes aren't a whole IPv4 packet with TCP");
   try {
     const Tins::IP Ip(Bytes.data(), static_cast<std::uint32_t>(Bytes.size()));
     const auto *Tcp = Ip.find_pdu<Tins::TCP>();
@@ -108,6 +111,9 @@
   if (!Whole || Bytes[9] != ProtocolTcp)
     return std::nullopt;
   const std::uint8_t *Tcp = &Bytes[IpHeaderBytes];
+  const std::size_t TcpHeaderBytes = (Tcp[12] >> 4) * 4U;
+  if (TcpHeaderBytes < MinTcpHeaderBytes || IpHeaderBytes + TcpHeaderBytes > TotalBytes)
+    return std::nullopt;
   const std::uint8_t Control = Tcp[13];
   RouteView View;
   View.Key.Caller = {boost::endian::load_big_u32(&Bytes[12]), loadBig16(Tcp)};
