Let receivers change a datagram in place

A balancer sets the TTL of each packet that it forwards. With a constant buffer it would copy each packet first. Receivers that take a constant span still fit.

--- a/include/galenarelay/common/udp_socket.h
+++ b/include/galenarelay/common/udp_socket.h
@@ -13,10 +13,10 @@
 
 namespace galenarelay::common {
 
-/// Non-blocking UDP socket that hands each datagram to a callback.
+/// Non-blocking UDP socket that hands each datagram to a callback, which may change it in place.
 class UdpSocket {
 public:
-  using Receiver = std::function<void(std::span<const std::uint8_t>, Endpoint)>;
+  using Receiver = std::function<void(std::span<std::uint8_t>, Endpoint)>;
 
   /// Binds at once; port 0 takes a free port. Throws boost::system::system_error if it can't bind.
   UdpSocket(boost::asio::io_context &Io, Endpoint Local, Receiver Receive);
