Keep separate ledgers for orders and stragglers, plan returns symmetrically

Cause: a straggler dispatched on its own slots moved the virtual time of all callers far ahead, so what a dealer had used was forgotten; returns were spread to one side and capped at 30 s, which brought back more than was planned. The queue bound ignored slots held by stragglers. Change: a ledger per kind of work; jitter of 25% to either side; Retry-After up to 120 s; the bound of the short queue counts the slots that serve short work; bench-crest reports the worst share for orders and for all work.

--- a/bench/crest/main.cpp
+++ b/bench/crest/main.cpp
@@ -59,8 +59,10 @@
   double Goodput = 0;  ///< Of capacity: work finished in the window and in time.
   double Order99 = 0;  ///< p99 of accepted orders, from arrival to end, as a share of the deadline.
   double Rejected = 0; ///< Share of the attempts.
-  double WorstShare = 0;  ///< Worst caller's service time over its max-min share, over the mean.
+  double WorstShare = 0;  ///< Worst caller's service time of orders over its max-min share, over
+                          ///< the mean.
   double DealerShare = 0; ///< The same for the dealer.
+  double WorstAll = 0;    ///< As WorstShare, with stragglers.
 };
 
 /// Service time that each caller would get by max-min fairness.
@@ -79,9 +81,33 @@
   return Granted;
 }
 
+/// Each caller's service time over its max-min share, divided by the mean over callers.
+std::vector<double> shares(const std::vector<double> &Served, const std::vector<double> &Demand,
+                           double Capacity) {
+  double All = 0;
+  for (const double Each : Served)
+    All += Each;
+  const std::vector<double> Fair = entitlements(Demand, std::min(Capacity, All));
+  std::vector<double> Result;
+  double Sum = 0;
+  for (std::size_t I = 0; I < Fair.size(); ++I) {
+    Result.push_back(Fair[I] > 0 ? Served[I] / Fair[I] : 1);
+    Sum += Result.back();
+  }
+  for (double &Each : Result)
+    Each *= static_cast<double>(Result.size()) / std::max(1e-9, Sum);
+  return Result;
+}
+
 Service serviceIn(const Fleet &Run, const FleetOptions &Options, TimePoint From, TimePoint To) {
   Service Result;
-  std::vector<double> Served(Options.Callers);
+  // Position 0: orders; position 1: orders and stragglers.
+  std::vector<double> Served[2];
+  std::vector<double> Demand[2];
+  for (int I = 0; I < 2; ++I) {
+    Served[I].resize(Options.Callers);
+    Demand[I].resize(Options.Callers);
+  }
   std::vector<double> Orders;
   double Good = 0;
   double Attempts = 0;
@@ -103,28 +129,25 @@
     const TimePoint End = std::min(To, Each.Finished);
     const double Work = std::max(0.0, std::chrono::duration<double>(End - Begin).count());
     Good += Work;
-    Served[Of.Caller] += Work;
+    Served[1][Of.Caller] += Work;
+    Served[0][Of.Caller] += Of.Straggler ? 0 : Work;
   }
-  const double Length = std::chrono::duration<double>(To - From).count();
-  const double Capacity = Run.capacity() * Length;
-  std::vector<double> Demand(Options.Callers);
-  for (const Order &Of : Run.orders())
-    if (Of.Fresh >= From && Of.Fresh < To)
-      Demand[Of.Caller] += std::chrono::duration<double>(Of.Work).count();
-  const std::vector<double> Fair = entitlements(Demand, std::min(Capacity, Good));
-  double Sum = 0;
-  double Worst = 1e9;
-  for (std::size_t I = 0; I < Fair.size(); ++I) {
-    const double Share = Fair[I] > 0 ? Served[I] / Fair[I] : 1;
-    Sum += Share;
-    Worst = std::min(Worst, Share);
+  for (const Order &Of : Run.orders()) {
+    if (Of.Fresh < From || Of.Fresh >= To)
+      continue;
+    const double Work = std::chrono::duration<double>(Of.Work).count();
+    Demand[1][Of.Caller] += Work;
+    Demand[0][Of.Caller] += Of.Straggler ? 0 : Work;
   }
-  const double Mean = Sum / static_cast<double>(Fair.size());
+  const double Capacity = Run.capacity() * std::chrono::duration<double>(To - From).count();
+  const std::vector<double> OrderShares = shares(Served[0], Demand[0], Capacity);
+  const std::vector<double> AllShares = shares(Served[1], Demand[1], Capacity);
   Result.Goodput = Good / Capacity;
   Result.Order99 = quantile(Orders, 0.99);
   Result.Rejected = Rejected / std::max(1.0, Attempts);
-  Result.WorstShare = Mean > 0 ? Worst / Mean : 0;
-  Result.DealerShare = Mean > 0 && Fair[0] > 0 ? Served[0] / Fair[0] / Mean : 0;
+  Result.WorstShare = *std::min_element(OrderShares.begin(), OrderShares.end());
+  Result.DealerShare = OrderShares.front();
+  Result.WorstAll = *std::min_element(AllShares.begin(), AllShares.end());
   return Result;
 }
 
@@ -168,6 +191,7 @@
                            {"order_p99_of_deadline", At.Order99},
                            {"rejected", At.Rejected},
                            {"worst_share", At.WorstShare},
+                           {"worst_share_all", At.WorstAll},
                            {"dealer_share", At.DealerShare},
                            {"normal_after_s", timeToNormal(Run, Options, TimePoint(End))}});
   }
@@ -194,6 +218,7 @@
                              {"order_p99_of_deadline", At.Order99},
                              {"rejected", At.Rejected},
                              {"worst_share", At.WorstShare},
+                             {"worst_share_all", At.WorstAll},
                              {"dealer_share", At.DealerShare}});
     }
   }
--- a/include/galenarelay/schedule/impl/caller_ledger.h
+++ b/include/galenarelay/schedule/impl/caller_ledger.h
@@ -23,8 +23,9 @@
 
   /// Charges predicted service time at dispatch and moves the virtual time to the start tag.
   void dispatched(std::uint32_t Caller, common::Duration Start, common::Duration Predicted);
-  /// Replaces the prediction by the time used. Difference = used - predicted.
-  void corrected(std::uint32_t Caller, common::Duration Difference);
+  /// Replaces the prediction by the time used. Difference = used - predicted. The caller's tag
+  /// ends at most MaxAhead after the virtual time.
+  void corrected(std::uint32_t Caller, common::Duration Difference, common::Duration MaxAhead);
 
 private:
   void prune();
--- a/include/galenarelay/schedule/impl/scheduler_state.h
+++ b/include/galenarelay/schedule/impl/scheduler_state.h
@@ -24,13 +24,22 @@
   friend bool operator==(const Running &, const Running &) = default;
 };
 
+/// Waiting work of one kind and what its callers used. The kinds have ledgers of their own: a
+/// caller's photo upload doesn't delay the same caller's orders.
+struct Lane {
+  FairQueue Queue;
+  CallerLedger Ledger;
+};
+
 /// The parts of a scheduler and the rules that connect them.
 class SchedulerState {
 public:
   explicit SchedulerState(SchedulerOptions Options);
 
   [[nodiscard]] std::uint32_t busySlots() const noexcept;
-  [[nodiscard]] std::size_t queued() const noexcept { return Short.size() + Long.size(); }
+  [[nodiscard]] std::size_t queued() const noexcept {
+    return Short.Queue.size() + Long.Queue.size();
+  }
   [[nodiscard]] std::uint32_t longRunning(common::TimePoint Now) const noexcept;
   [[nodiscard]] LoadReport report(common::TimePoint Now) const;
   [[nodiscard]] std::optional<common::TimePoint> nextTimer() const noexcept;
@@ -59,18 +68,20 @@
   void enforceBounds(common::TimePoint Now, std::vector<Decision> &Out);
   void expire(common::TimePoint Now, std::vector<Decision> &Out);
   void dispatch(common::TimePoint Now, std::vector<Decision> &Out);
-  void start(std::pair<Waiting, FairQueue::Tag> Taken, common::TimePoint Now,
+  void start(Lane &From, std::pair<Waiting, FairQueue::Tag> Taken, common::TimePoint Now,
              std::vector<Decision> &Out);
   void reject(RequestId Id, common::ResultCode Reason, common::TimePoint Now,
               std::vector<Decision> &Out);
   void forget(const Waiting &Item);
   void settle(const Running &Ended, common::Duration Used);
+  void charge(const Running &Ended, common::Duration Used);
+  [[nodiscard]] Lane &laneOf(const Prediction &Of) noexcept { return Of.Long ? Long : Short; }
+  [[nodiscard]] std::uint32_t shortServers(common::TimePoint Now) const noexcept;
 
   SchedulerOptions Options;
   DurationEstimates Estimates;
-  CallerLedger Ledger;
-  FairQueue Short;
-  FairQueue Long;
+  Lane Short;
+  Lane Long;
   ConcurrencyLimit Limit;
   ReturnPlan Returns;
   RetryBudget Retries;
--- a/include/galenarelay/schedule/scheduler.h
+++ b/include/galenarelay/schedule/scheduler.h
@@ -63,7 +63,7 @@
   double RetryShare = 0.1;                                 ///< Retries per request.
   double RetryBurst = 10;                                  ///< Retries saved up.
   double ReturnShare = 0.5; ///< Share of the drain rate that is promised to returning requests.
-  common::Duration MaxRetryAfter = std::chrono::seconds(30);
+  common::Duration MaxRetryAfter = std::chrono::seconds(120);
 
   friend bool operator==(const SchedulerOptions &, const SchedulerOptions &) = default;
 };
--- a/src/schedule/caller_ledger.cpp
+++ b/src/schedule/caller_ledger.cpp
@@ -8,14 +8,6 @@
 
 using common::Duration;
 
-namespace {
-
-/// Longest service time by which a caller can be ahead of its share. Without the bound a caller
-/// with one upload of an hour would wait behind everybody else for as long.
-constexpr Duration MaxAhead = std::chrono::seconds(10);
-
-} // namespace
-
 Duration CallerLedger::startTag(std::uint32_t Caller) const noexcept {
   const auto Found = Finish.find(Caller);
   return Found == Finish.end() ? Virtual : std::max(Virtual, Found->second);
@@ -23,14 +15,16 @@
 
 void CallerLedger::dispatched(std::uint32_t Caller, Duration Start, Duration Predicted) {
   Virtual = std::max(Virtual, Start);
-  Finish[Caller] = std::min(startTag(Caller) + Predicted, Virtual + MaxAhead);
+  Finish[Caller] = startTag(Caller) + Predicted;
   if (Finish.size() > MaxLedgerCallers)
     prune();
 }
 
-void CallerLedger::corrected(std::uint32_t Caller, Duration Difference) {
-  const Duration Tag = startTag(Caller) + Difference;
-  Finish[Caller] = std::clamp(Tag, Virtual, Virtual + MaxAhead);
+void CallerLedger::corrected(std::uint32_t Caller, Duration Difference, Duration MaxAhead) {
+  const Duration Before = startTag(Caller);
+  // The bound limits what a correction adds; what was dispatched stays charged.
+  const Duration Highest = std::max(Before, Virtual + MaxAhead);
+  Finish[Caller] = std::clamp(Before + Difference, Virtual, Highest);
   if (Finish.size() > MaxLedgerCallers)
     prune();
 }
--- a/src/schedule/return_plan.cpp
+++ b/src/schedule/return_plan.cpp
@@ -14,8 +14,9 @@
 constexpr double KeptShare = 0.98;
 /// Completions before the measured rate is used.
 constexpr double EnoughCompletions = 5;
-/// Returns are spread over this share of the planned delay.
-constexpr double JitterShare = 0.5;
+/// Returns are spread by this share of the planned delay to either side. A spread to one side only
+/// would bring them back faster than planned.
+constexpr double JitterShare = 0.25;
 
 double seconds(Duration Value) noexcept { return std::chrono::duration<double>(Value).count(); }
 
@@ -50,7 +51,7 @@
   PromisedUntil += fromSeconds(std::min(Longest, 1.0 / (Rate * ReturnShare)));
   PromisedUntil = std::min(PromisedUntil, Now + this->Longest);
   const double Delay = seconds(PromisedUntil - Now);
-  const double Jittered = Delay * (1.0 - JitterShare * common::uniformUnit(Random));
+  const double Jittered = Delay * (1 + JitterShare * (2 * common::uniformUnit(Random) - 1));
   // The header carries whole seconds. Rounding up or down by chance keeps the mean and spreads
   // requests that were rejected in the same moment.
   const double Whole = std::floor(Jittered + common::uniformUnit(Random));
--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -14,6 +14,10 @@
 /// Weight of the newest completion in the error share: about the last 20 count.
 constexpr double ErrorWeight = 0.05;
 
+/// A request that ran longer than predicted puts its caller at most this many requests ahead of its
+/// share. A straggler of 50x would otherwise shut its caller out for many rounds.
+constexpr int MaxAheadRequests = 8;
+
 double milliseconds(Duration Value) noexcept {
   return std::chrono::duration<double, std::milli>(Value).count();
 }
@@ -43,7 +47,7 @@
   Report.Slots = Options.Slots;
   Report.Busy = busySlots();
   Report.Queued = static_cast<std::uint32_t>(queued());
-  Report.QueuedWorkMs = milliseconds(Short.work() + Long.work());
+  Report.QueuedWorkMs = milliseconds(Short.Queue.work() + Long.Queue.work());
   Report.ErrorShare = ErrorShare;
   return Report;
 }
@@ -63,9 +67,9 @@
     return Next;
   }
   // A free slot beside waiting work: only stragglers wait, and the reserve holds them back.
-  if (!Long.empty()) {
+  if (!Long.Queue.empty()) {
     if (!longAged(LastEvent))
-      Consider(Long.oldestArrival() + Options.LongPatience);
+      Consider(Long.Queue.oldestArrival() + Options.LongPatience);
     if (shortExpected(LastEvent))
       Consider(LastShort + Options.ReserveHold);
     Consider(Limit.nextStep(LastEvent));
@@ -75,7 +79,8 @@
 
 void SchedulerState::onArrival(const RequestInfo &Request, TimePoint Now,
                                std::vector<Decision> &Out) {
-  if (OnSlots.contains(Request.Id) || Short.contains(Request.Id) || Long.contains(Request.Id)) {
+  if (OnSlots.contains(Request.Id) || Short.Queue.contains(Request.Id) ||
+      Long.Queue.contains(Request.Id)) {
     advance(Now, Out);
     return;
   }
@@ -93,8 +98,8 @@
     reject(Request.Id, ResultCode::RequestDeadline, Now, Out);
     return;
   }
-  FairQueue &Queue = Predicted.Long ? Long : Short;
-  Queue.push({Request, Predicted, Now}, Ledger.startTag(Request.Caller));
+  Lane &To = laneOf(Predicted);
+  To.Queue.push({Request, Predicted, Now}, To.Ledger.startTag(Request.Caller));
   if (HasDeadline)
     LatestStarts.emplace(LatestStart, Request.Id);
   dispatch(Now, Out);
@@ -131,7 +136,7 @@
     Returns.onCompleted(queued() > 0, Now);
   } else {
     const Duration Used = How == Completion::Failed ? Now - Ended.Started : Duration{};
-    Ledger.corrected(Ended.Request.Caller, Used - Ended.Predicted.Mean);
+    charge(Ended, Used);
   }
   if (How == Completion::Shed)
     Limit.onShed(Busy, Now);
@@ -141,9 +146,9 @@
 }
 
 void SchedulerState::onCancelled(RequestId Id, TimePoint Now, std::vector<Decision> &Out) {
-  std::optional<Waiting> Left = Short.remove(Id);
+  std::optional<Waiting> Left = Short.Queue.remove(Id);
   if (!Left)
-    Left = Long.remove(Id);
+    Left = Long.Queue.remove(Id);
   if (Left)
     forget(*Left);
   advance(Now, Out);
@@ -162,25 +167,26 @@
 }
 
 bool SchedulerState::shortExpected(TimePoint Now) const noexcept {
-  return !Short.empty() || (SeenShort && Now - LastShort < Options.ReserveHold);
+  return !Short.Queue.empty() || (SeenShort && Now - LastShort < Options.ReserveHold);
 }
 
 bool SchedulerState::longAged(TimePoint Now) const noexcept {
-  return !Long.empty() && Now - Long.oldestArrival() >= Options.LongPatience;
+  return !Long.Queue.empty() && Now - Long.Queue.oldestArrival() >= Options.LongPatience;
 }
 
 SchedulerState::Pick SchedulerState::pick(TimePoint Now) const noexcept {
-  if (Long.empty())
-    return Short.empty() ? Pick::None : Pick::NextShort;
+  if (Long.Queue.empty())
+    return Short.Queue.empty() ? Pick::None : Pick::NextShort;
   const std::uint32_t Stragglers = longRunning(Now);
   // An aged straggler may use one slot of the reserve, so that stragglers beyond the limit neither
   // wait without bound nor take every slot.
   if (longAged(Now) && Stragglers <= longLimit())
     return Pick::OldestLong;
   const bool LongMayRun = Stragglers < longLimit() || !shortExpected(Now);
-  if (Short.empty())
+  if (Short.Queue.empty())
     return LongMayRun ? Pick::NextLong : Pick::None;
-  return LongMayRun && Long.nextTag() < Short.nextTag() ? Pick::NextLong : Pick::NextShort;
+  return LongMayRun && Long.Queue.nextTag() < Short.Queue.nextTag() ? Pick::NextLong
+                                                                    : Pick::NextShort;
 }
 
 /// Upper bound of the wait: the work that may be served before the request. The caller's distance
@@ -190,16 +196,21 @@
   const std::uint32_t Allowed = Limit.allowed(Now);
   if (queued() == 0 && busySlots() < Allowed)
     return Duration{};
-  const FairQueue &Queue = Of.Long ? Long : Short;
-  const std::uint32_t Stragglers = longRunning(Now);
-  const std::uint32_t Servers =
-      Of.Long ? longLimit() : std::max(Allowed, Stragglers + 1) - Stragglers;
+  const FairQueue &Queue = Of.Long ? Long.Queue : Short.Queue;
+  const CallerLedger &Ledger = Of.Long ? Long.Ledger : Short.Ledger;
+  const std::uint32_t Servers = Of.Long ? longLimit() : shortServers(Now);
   const Duration Ahead = Ledger.startTag(Caller) - Ledger.now() + Queue.work(Caller);
   const auto Callers = static_cast<std::int64_t>(Queue.callers() + 1);
   const Duration Before = std::min(Queue.work(), Ahead * Callers + Of.Mean);
   return Before / Servers;
 }
 
+/// Slots that serve short work while the stragglers that run now go on.
+std::uint32_t SchedulerState::shortServers(TimePoint Now) const noexcept {
+  const std::uint32_t Stragglers = longRunning(Now);
+  return std::max(Limit.allowed(Now), Stragglers + 1) - Stragglers;
+}
+
 bool SchedulerState::overBound(const FairQueue &Queue, Duration Bound,
                                std::uint32_t Servers) const noexcept {
   // One waiting request per slot is always allowed: a bound below the duration of a single request
@@ -208,25 +219,25 @@
 }
 
 void SchedulerState::enforceBounds(TimePoint Now, std::vector<Decision> &Out) {
-  const auto Evict = [&](FairQueue &Queue) {
-    const Waiting Last = Queue.takeLast();
+  const auto Evict = [&](Lane &From) {
+    const Waiting Last = From.Queue.takeLast();
     forget(Last);
     reject(Last.Request.Id, ResultCode::RequestQueueFull, Now, Out);
   };
-  while (overBound(Short, Options.MaxQueueDelay, Limit.allowed(Now)))
+  while (overBound(Short.Queue, Options.MaxQueueDelay, shortServers(Now)))
     Evict(Short);
-  while (overBound(Long, Options.MaxLongDelay, longLimit()))
+  while (overBound(Long.Queue, Options.MaxLongDelay, longLimit()))
     Evict(Long);
   while (queued() > Options.MaxQueued)
-    Evict(Short.size() >= Long.size() ? Short : Long);
+    Evict(Short.Queue.size() >= Long.Queue.size() ? Short : Long);
 }
 
 void SchedulerState::expire(TimePoint Now, std::vector<Decision> &Out) {
   while (!LatestStarts.empty() && LatestStarts.begin()->first < Now) {
     const RequestId Id = LatestStarts.begin()->second;
     LatestStarts.erase(LatestStarts.begin());
-    if (!Short.remove(Id))
-      Long.remove(Id);
+    if (!Short.Queue.remove(Id))
+      Long.Queue.remove(Id);
     reject(Id, ResultCode::RequestDeadline, Now, Out);
   }
 }
@@ -235,13 +246,13 @@
   while (queued() > 0 && busySlots() < Limit.allowed(Now)) {
     switch (pick(Now)) {
     case Pick::NextShort:
-      start(Short.takeNext(), Now, Out);
+      start(Short, Short.Queue.takeNext(), Now, Out);
       break;
     case Pick::NextLong:
-      start(Long.takeNext(), Now, Out);
+      start(Long, Long.Queue.takeNext(), Now, Out);
       break;
     case Pick::OldestLong:
-      start(Long.takeOldest(), Now, Out);
+      start(Long, Long.Queue.takeOldest(), Now, Out);
       break;
     case Pick::None:
       return;
@@ -249,14 +260,13 @@
   }
 }
 
-void SchedulerState::start(std::pair<Waiting, FairQueue::Tag> Taken, TimePoint Now,
+void SchedulerState::start(Lane &From, std::pair<Waiting, FairQueue::Tag> Taken, TimePoint Now,
                            std::vector<Decision> &Out) {
   const Waiting &Item = Taken.first;
   const std::uint32_t Caller = Item.Request.Caller;
   forget(Item);
-  Ledger.dispatched(Caller, Taken.second, Item.Predicted.Mean);
-  Short.retag(Caller, Ledger.startTag(Caller));
-  Long.retag(Caller, Ledger.startTag(Caller));
+  From.Ledger.dispatched(Caller, Taken.second, Item.Predicted.Mean);
+  From.Queue.retag(Caller, From.Ledger.startTag(Caller));
   OnSlots.emplace(Item.Request.Id, Running{Item.Request, Item.Predicted, Now});
   Out.push_back({Item.Request.Id, true, ResultCode::Ok, Duration{}});
 }
@@ -273,10 +283,15 @@
 
 void SchedulerState::settle(const Running &Ended, Duration Used) {
   Estimates.add(Ended.Request.Class, Used);
+  charge(Ended, Used);
+}
+
+void SchedulerState::charge(const Running &Ended, Duration Used) {
+  Lane &Of = laneOf(Ended.Predicted);
   const std::uint32_t Caller = Ended.Request.Caller;
-  Ledger.corrected(Caller, Used - Ended.Predicted.Mean);
-  Short.retag(Caller, Ledger.startTag(Caller));
-  Long.retag(Caller, Ledger.startTag(Caller));
+  const Duration MaxAhead = Ended.Predicted.Mean * MaxAheadRequests;
+  Of.Ledger.corrected(Caller, Used - Ended.Predicted.Mean, MaxAhead);
+  Of.Queue.retag(Caller, Of.Ledger.startTag(Caller));
 }
 
 } // namespace galenarelay::schedule::impl
