--- /dev/null
+++ b/tests/config_history_test.cpp
@@ -0,0 +1,360 @@
+#include "config_fixture.h"
+#include "galenarelay/common/random.h"
+#include "galenarelay/config/edit_loop.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace galenarelay::tests {
+
+using namespace config;
+using common::ResultCode;
+using common::uniformBelow;
+using standins::store::Store;
+
+namespace {
+
+/// Lets one of several threads run at a time; the seeded engine picks the next one at each yield.
+class TurnTaker {
+public:
+  TurnTaker(std::size_t Count, std::uint64_t Seed) : Random(Seed) {
+    for (std::size_t I = 0; I < Count; ++I)
+      Alive.push_back(I);
+    pick();
+  }
+
+  void await(std::size_t Id) {
+    std::unique_lock Lock(Guard);
+    Changed.wait(Lock, [&] { return Current == Id; });
+  }
+
+  void yield(std::size_t Id) {
+    std::unique_lock Lock(Guard);
+    pick();
+    Changed.wait(Lock, [&] { return Current == Id; });
+  }
+
+  void leave(std::size_t Id) {
+    const std::scoped_lock Lock(Guard);
+    std::erase(Alive, Id);
+    pick();
+  }
+
+private:
+  void pick() {
+    if (!Alive.empty())
+      Current = Alive[uniformBelow(Random, Alive.size())];
+    Changed.notify_all();
+  }
+
+  std::mutex Guard;
+  std::condition_variable Changed;
+  common::Engine Random;
+  std::vector<std::size_t> Alive;
+  std::size_t Current = 0;
+};
+
+/// A store whose network loses requests and answers, delivers writes late, and has outages.
+struct FaultyNetwork {
+  Store Target{{}};
+  common::TimePoint Now{};
+  common::Engine Random;
+  bool Healthy = false;
+  std::uint64_t Calls = 0;
+  std::deque<common::HttpRequest> Late;
+  std::map<std::string, int> Faults;
+
+  explicit FaultyNetwork(std::uint64_t Seed) : Random(Seed) {}
+
+  common::Outcome<common::HttpResponse> call(const common::HttpRequest &Request) {
+    Now += std::chrono::milliseconds(1);
+    // An outage of 40 calls in every 400.
+    constexpr std::uint64_t Period = 400;
+    constexpr std::uint64_t Length = 40;
+    standins::store::Faults Active;
+    Active.Outage = !Healthy && ++Calls % Period >= Period - Length;
+    Target.setFaults(Active);
+    if (!Late.empty() && (Healthy || uniformBelow(Random, 4) == 0))
+      deliverLate();
+    const std::uint64_t Chance = Healthy ? 100 : uniformBelow(Random, 100);
+    const bool Write = Request.Method == "PUT";
+    if (Chance < 5)
+      return lose("request");
+    if (Write && Chance < 12) {
+      Late.push_back(Request);
+      return lose("late write");
+    }
+    common::HttpResponse Answer = Target.handle(Request, Now);
+    if (Chance < 22)
+      return lose(Write && Answer.Status == 200 ? "answer of a write" : "answer");
+    return {std::move(Answer), {}};
+  }
+
+  void deliverLate() {
+    static_cast<void>(Target.handle(Late.front(), Now));
+    Late.pop_front();
+  }
+
+  common::Outcome<common::HttpResponse> lose(const char *What) {
+    ++Faults[What];
+    return {std::nullopt, {ResultCode::RequestOutcomeUnknown, What}};
+  }
+};
+
+/// One operator's connection; every call is a point where another operator may run.
+struct OperatorTransport {
+  FaultyNetwork *Network;
+  TurnTaker *Turns;
+  std::size_t Id;
+
+  common::Outcome<common::HttpResponse> call(const std::string &Method, const std::string &Target,
+                                             const std::string &Body) {
+    if (Turns != nullptr)
+      Turns->yield(Id);
+    return Network->call(toRequest(Method, Target, Body));
+  }
+
+  void pause(std::uint32_t) { Network->Now += std::chrono::milliseconds(20); }
+};
+
+/// Holds the first write of the document back until the second pause, and removes an upstream's
+/// record in the meantime.
+struct HeldWriteTransport {
+  DirectTransport Direct;
+  std::optional<std::string> HeldTarget;
+  std::string HeldBody;
+  std::uint32_t Pauses = 0;
+
+  common::Outcome<common::HttpResponse> call(const std::string &Method, const std::string &Target,
+                                             const std::string &Body) {
+    const bool Holds = Method == "PUT" && !HeldTarget;
+    if (!Holds)
+      return Direct.call(Method, Target, Body);
+    HeldTarget = Target;
+    HeldBody = Body;
+    static_cast<void>(Direct.call("DELETE", "/v1/kv/members/u3?version=3", ""));
+    return {std::nullopt, {ResultCode::RequestOutcomeUnknown, "the write is late"}};
+  }
+
+  void pause(std::uint32_t) {
+    if (++Pauses == 2)
+      static_cast<void>(Direct.call("PUT", *HeldTarget, HeldBody));
+  }
+};
+
+struct Submitted {
+  Edit Wanted;
+  EditReport Report;
+};
+
+EditAction randomAction(common::Engine &Random) {
+  static const std::vector<std::string> Names{"desk", "warranty", "shop"};
+  const std::string &Name = Names[uniformBelow(Random, Names.size())];
+  const std::string &Role = Names[uniformBelow(Random, Names.size())];
+  const std::string Upstream = "u" + std::to_string(1 + uniformBelow(Random, 6));
+  const std::string Tier = "t" + std::to_string(uniformBelow(Random, 9));
+  switch (uniformBelow(Random, 8)) {
+  case 0:
+    return CreateService{Name, {{0x0a010007, 80}, "role=" + Name, std::chrono::seconds(1)}};
+  case 1:
+    return DeleteService{Name};
+  case 2:
+    return SetLabels{Upstream, {{"role", Role}}};
+  case 3:
+    return RemoveLabels{Upstream, {"tier"}};
+  case 4:
+    return SetSelector{Name, "role=" + Role + ",tier!=" + Tier};
+  case 5:
+    return UpdateService{Name, {}, {}, std::chrono::milliseconds(1 + uniformBelow(Random, 10'000))};
+  default:
+    return SetLabels{Upstream, {{"tier", Tier}}};
+  }
+}
+
+} // namespace
+
+class ConfigHistoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigHistoryTest);
+  CPPUNIT_TEST(testOperators_concurrentWithFaults_agreeWithHistory);
+  CPPUNIT_TEST(testEdit_lostAnswer_isAcceptedOnce);
+  CPPUNIT_TEST(testEdit_lateWrite_isNotReportedAsRefused);
+  CPPUNIT_TEST(testEdit_repeatedWithItsId_isAcceptedOnce);
+  CPPUNIT_TEST(testEdit_basedOnOldRevision_learnsWhatChanged);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::size_t Operators = 4;
+  static constexpr int EditsPerOperator = 100;
+
+  static StoreClient<OperatorTransport> client(FaultyNetwork &Network, TurnTaker *Turns = nullptr,
+                                               std::size_t Id = 0) {
+    return StoreClient(OperatorTransport{&Network, Turns, Id});
+  }
+
+  static std::unique_ptr<FaultyNetwork> network(std::uint64_t Seed, bool Healthy) {
+    auto Network = std::make_unique<FaultyNetwork>(Seed);
+    Network->Healthy = Healthy;
+    announce(Network->Target, Network->Now,
+             {{"u1", "a"}, {"u2", "b"}, {"u3", "a"}, {"u4", "b"}, {"u5", "c"}, {"u6", "c"}});
+    const std::string Text = toJson(deskAndWarranty()).dump();
+    static_cast<void>(
+        Network->Target.handle(toRequest("PUT", "/v1/kv/config?version=0", Text), Network->Now));
+    return Network;
+  }
+
+  static std::vector<Submitted> runOperators(FaultyNetwork &Network, std::uint64_t Seed) {
+    TurnTaker Turns(Operators, Seed);
+    std::vector<std::vector<Submitted>> Journals(Operators);
+    std::vector<std::thread> Threads;
+    for (std::size_t Id = 0; Id < Operators; ++Id)
+      Threads.emplace_back([&, Id] {
+        Turns.await(Id);
+        auto Client = client(Network, &Turns, Id);
+        common::Engine Random(Seed * 100 + Id);
+        for (int I = 0; I < EditsPerOperator; ++I) {
+          const std::string Name = "op" + std::to_string(Id);
+          const Edit Wanted{Name + "-" + std::to_string(I), Name, I, randomAction(Random)};
+          Journals[Id].push_back({Wanted, submitEdit(Client, Wanted)});
+        }
+        Turns.leave(Id);
+      });
+    for (std::thread &Thread : Threads)
+      Thread.join();
+    std::vector<Submitted> All;
+    for (const auto &Journal : Journals)
+      All.insert(All.end(), Journal.begin(), Journal.end());
+    return All;
+  }
+
+  static std::vector<AuditEntry> checkedHistory(FaultyNetwork &Network) {
+    auto Client = client(Network);
+    const auto Final = readConfiguration(Client);
+    CPPUNIT_ASSERT(Final);
+    const auto History = readHistory(Client, Final->Document, 1, Final->Document.Number);
+    CPPUNIT_ASSERT_MESSAGE(History.Failure.Detail, History);
+    nlohmann::json Replayed = toJson(deskAndWarranty());
+    Revision Expected = 0;
+    for (const AuditEntry &Entry : *History) {
+      CPPUNIT_ASSERT_EQUAL(++Expected, Entry.Accepted);
+      Replayed = Replayed.patch(Entry.Patch);
+    }
+    const nlohmann::json Document = toJson(Final->Document);
+    CPPUNIT_ASSERT(Replayed.at("services") == Document.at("services"));
+    CPPUNIT_ASSERT(Replayed.at("labels") == Document.at("labels"));
+    return *History;
+  }
+
+public:
+  // Guards against an operator who is told a wrong outcome: each acknowledged edit is in the
+  // history exactly once, each refused one never, and the revisions have no gap.
+  void testOperators_concurrentWithFaults_agreeWithHistory() {
+    for (const std::uint64_t Seed : {1U, 2U, 3U}) {
+      const auto Network = network(Seed, false);
+      std::vector<Submitted> Edits = runOperators(*Network, Seed);
+      Network->Healthy = true;
+      while (!Network->Late.empty())
+        Network->deliverLate();
+      auto Client = client(*Network);
+      std::map<ResultCode, int> Results;
+      for (Submitted &Each : Edits) {
+        ++Results[Each.Report.Result.Code];
+        if (Each.Report.Result.Code == ResultCode::StoreOutcomeUnknown)
+          Each.Report = submitEdit(Client, Each.Wanted);
+      }
+      std::map<std::string, std::vector<Revision>> RevisionsById;
+      for (const AuditEntry &Entry : checkedHistory(*Network))
+        RevisionsById[Entry.EditId].push_back(Entry.Accepted);
+      std::size_t Acknowledged = 0;
+      for (const Submitted &Each : Edits) {
+        const bool Accepted = Each.Report.Result.Code == ResultCode::Ok;
+        const std::vector<Revision> Expected =
+            Accepted ? std::vector{Each.Report.Accepted} : std::vector<Revision>{};
+        CPPUNIT_ASSERT_MESSAGE(Each.Wanted.Id + " " + Each.Report.Result.Detail,
+                               Expected == RevisionsById[Each.Wanted.Id]);
+        Acknowledged += Accepted ? 1 : 0;
+      }
+      // The run must have met what it guards against.
+      CPPUNIT_ASSERT(Acknowledged > MaxEdits);
+      CPPUNIT_ASSERT(Results[ResultCode::EditConflict] > 0);
+      CPPUNIT_ASSERT(Results[ResultCode::StoreOutcomeUnknown] > 0);
+      CPPUNIT_ASSERT(Results[ResultCode::StoreUnavailable] > 0);
+      CPPUNIT_ASSERT(Network->Faults["answer of a write"] > 0);
+      CPPUNIT_ASSERT(Network->Faults["late write"] > 0);
+    }
+  }
+
+  // Guards against an edit that is applied twice because its answer was lost.
+  void testEdit_lostAnswer_isAcceptedOnce() {
+    Store Target{{}};
+    common::TimePoint Now{};
+    announce(Target, Now, fourAnnounced());
+    standins::store::Faults Lossy;
+    Lossy.LoseAnswers = 1;
+    Target.setFaults(Lossy);
+    StoreClient Client(DirectTransport{&Target, &Now});
+    const auto Report = submitEdit(Client, {"e1", "rosa", 1, SetLabels{"u1", {{"role", "desk"}}}});
+    CPPUNIT_ASSERT(Report.Result.Code == ResultCode::Ok);
+    CPPUNIT_ASSERT(!Report.Repeated);
+    CPPUNIT_ASSERT_EQUAL(Revision{1}, readConfiguration(Client)->Document.Number);
+  }
+
+  // Guards against a refusal that is reported while a write may still take effect.
+  void testEdit_lateWrite_isNotReportedAsRefused() {
+    Store Target{{}};
+    common::TimePoint Now{};
+    announce(Target, Now, fourAnnounced());
+    StoreClient Client(HeldWriteTransport{{&Target, &Now}, {}, {}, 0});
+    const Service Shop{{0x0a010003, 80}, "id=u3", std::chrono::seconds(1)};
+    const auto Report = submitEdit(Client, {"e1", "rosa", 1, CreateService{"shop", Shop}});
+    CPPUNIT_ASSERT(Report.Result.Code == ResultCode::Ok);
+    CPPUNIT_ASSERT_EQUAL(Revision{1}, readConfiguration(Client)->Document.Number);
+  }
+
+  // Guards against a repeated command that applies its edit again, long after the entry has left
+  // the document, and against an edit ID that is used for two different edits.
+  void testEdit_repeatedWithItsId_isAcceptedOnce() {
+    const auto Network = network(1, true);
+    auto Client = client(*Network);
+    const Edit First{"e1", "rosa", 1, SetLabels{"u3", {{"tier", "gold"}}}};
+    CPPUNIT_ASSERT_EQUAL(Revision{1}, submitEdit(Client, First).Accepted);
+    for (std::size_t I = 0; I < MaxEdits + 5; ++I) {
+      const SetLabels Action{"u4", {{"tier", "t" + std::to_string(I)}}};
+      CPPUNIT_ASSERT(submitEdit(Client, {"f" + std::to_string(I), "rosa", 1, Action}).Accepted > 0);
+    }
+    const auto Again = submitEdit(Client, First);
+    CPPUNIT_ASSERT(Again.Result.Code == ResultCode::Ok && Again.Repeated);
+    CPPUNIT_ASSERT_EQUAL(Revision{1}, Again.Accepted);
+    const auto Other = submitEdit(Client, {"e1", "rosa", 1, SetLabels{"u3", {{"tier", "x"}}}});
+    CPPUNIT_ASSERT(Other.Result.Code == ResultCode::EditConflict);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1 + MaxEdits + 5}, checkedHistory(*Network).size());
+  }
+
+  // Guards against an operator who overwrites a change that the operator hasn't seen.
+  void testEdit_basedOnOldRevision_learnsWhatChanged() {
+    const auto Network = network(1, true);
+    auto Client = client(*Network);
+    const auto Submit = [&](const char *Id, EditAction Action, std::optional<Revision> Base) {
+      return submitEdit(Client, {Id, "rosa", 1, std::move(Action)}, Base);
+    };
+    CPPUNIT_ASSERT_EQUAL(Revision{1},
+                         Submit("e1", SetSelector{"desk", "role=desk,!x"}, 0).Accepted);
+    const auto Lost = Submit("e2", SetSelector{"desk", "role=desk,!y"}, 0);
+    CPPUNIT_ASSERT(Lost.Result.Code == ResultCode::EditConflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"), Lost.Conflict.at(0).EditId);
+    CPPUNIT_ASSERT_EQUAL(std::string("/services/desk/selector"),
+                         Lost.Concurrent.at(0).at("path").get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(Revision{2}, Submit("e3", SetLabels{"u3", {{"tier", "a"}}}, 0).Accepted);
+    CPPUNIT_ASSERT_EQUAL(Revision{3},
+                         Submit("e4", SetSelector{"desk", "role=desk,!y"}, 2).Accepted);
+    CPPUNIT_ASSERT(Submit("e5", SetSelector{"desk", "role=desk"}, 9).Result.Code ==
+                   ResultCode::RevisionUnknown);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigHistoryTest);
+
+} // namespace galenarelay::tests
