Give callers a credit, evict by service time used, repeat the crest three times

Cause: callers with random arrivals lost their share in each quiet second to a dealer that is always present; eviction ranked callers by clamped tags and so hit those that had used least. Change: a caller keeps up to CreditRequests of unused share; lanes carry the service time used for eviction beside the start tag for dispatch; equal tags are served in order of arrival. bench-crest repeats the swing three times and runs with and without stragglers.

--- a/bench/crest/main.cpp
+++ b/bench/crest/main.cpp
@@ -16,7 +16,8 @@
 constexpr seconds WarmUp{20};
 constexpr seconds Swing{2}; ///< From low to peak demand, and back.
 constexpr seconds Plateau{10};
-constexpr seconds After{30};
+constexpr seconds After{48}; ///< Low demand before the next swing.
+constexpr int Swings = 3;
 constexpr double Low = 0.3;
 constexpr double Peak = 3;
 constexpr double DealerShare = 0.5;
@@ -99,7 +100,26 @@
   return Result;
 }
 
-Service serviceIn(const Fleet &Run, const FleetOptions &Options, TimePoint From, TimePoint To) {
+using Window = std::pair<TimePoint, TimePoint>;
+
+/// Service time of an attempt that falls into the windows.
+double workIn(const std::vector<Window> &Windows, const Attempt &Of) {
+  double Sum = 0;
+  for (const Window &Each : Windows) {
+    const TimePoint Begin = std::max(Each.first, Of.Started);
+    const TimePoint End = std::min(Each.second, Of.Finished);
+    Sum += std::max(0.0, std::chrono::duration<double>(End - Begin).count());
+  }
+  return Sum;
+}
+
+bool within(const std::vector<Window> &Windows, TimePoint At) {
+  return std::any_of(Windows.begin(), Windows.end(),
+                     [At](const Window &Each) { return At >= Each.first && At < Each.second; });
+}
+
+Service serviceIn(const Fleet &Run, const FleetOptions &Options,
+                  const std::vector<Window> &Windows) {
   Service Result;
   // Position 0: orders; position 1: orders and stragglers.
   std::vector<double> Served[2];
@@ -114,7 +134,7 @@
   double Rejected = 0;
   for (const Attempt &Each : Run.attempts()) {
     const Order &Of = Run.orders()[Each.OrderIndex];
-    const bool Arrived = Each.Arrived >= From && Each.Arrived < To;
+    const bool Arrived = within(Windows, Each.Arrived);
     Attempts += Arrived ? 1 : 0;
     Rejected += Arrived && Each.End == Ending::Rejected ? 1 : 0;
     if (Arrived && !Of.Straggler && Each.Started != TimePoint{}) {
@@ -124,22 +144,22 @@
     }
     if (!inTime(Options, Of, Each))
       continue;
-    // Only the part of the work that falls into the window counts.
-    const TimePoint Begin = std::max(From, Each.Started);
-    const TimePoint End = std::min(To, Each.Finished);
-    const double Work = std::max(0.0, std::chrono::duration<double>(End - Begin).count());
+    const double Work = workIn(Windows, Each);
     Good += Work;
     Served[1][Of.Caller] += Work;
     Served[0][Of.Caller] += Of.Straggler ? 0 : Work;
   }
   for (const Order &Of : Run.orders()) {
-    if (Of.Fresh < From || Of.Fresh >= To)
+    if (!within(Windows, Of.Fresh))
       continue;
     const double Work = std::chrono::duration<double>(Of.Work).count();
     Demand[1][Of.Caller] += Work;
     Demand[0][Of.Caller] += Of.Straggler ? 0 : Work;
   }
-  const double Capacity = Run.capacity() * std::chrono::duration<double>(To - From).count();
+  double Length = 0;
+  for (const Window &Each : Windows)
+    Length += std::chrono::duration<double>(Each.second - Each.first).count();
+  const double Capacity = Run.capacity() * Length;
   const std::vector<double> OrderShares = shares(Served[0], Demand[0], Capacity);
   const std::vector<double> AllShares = shares(Served[1], Demand[1], Capacity);
   Result.Goodput = Good / Capacity;
@@ -173,19 +193,34 @@
   return std::chrono::duration<double>(NormalWindow).count() * static_cast<double>(Abnormal);
 }
 
-Table crest(const BenchArguments &Given, const Shape &Of) {
-  Table Result{std::string("0.3x to 3x and back, ") + Of.Name, {}};
+Table crest(const BenchArguments &Given, const Shape &Of, double Stragglers) {
+  Table Result{std::string("0.3x to 3x and back, ") + Of.Name +
+                   (Stragglers > 0 ? ", stragglers" : ", orders only"),
+               {}};
   for (const Policy Which : policies()) {
     FleetOptions Options = baseOptions(Of, Given.Seed);
-    const Duration Up = WarmUp;
-    const Duration Top = Up + Swing;
-    const Duration Down = Top + Plateau;
-    const Duration End = Down + Swing;
-    Options.Demand = {{Up, Low}, {Top, Peak}, {Down, Peak}, {End, Low}};
-    Options.Length = End + After;
+    Options.StragglerShare = Stragglers;
+    Options.Demand = {{WarmUp, Low}};
+    std::vector<Window> Plateaus;
+    std::vector<TimePoint> Ends;
+    Duration Begin = WarmUp;
+    for (int I = 0; I < Swings; ++I) {
+      const Duration Top = Begin + Swing;
+      const Duration Down = Top + Plateau;
+      const Duration End = Down + Swing;
+      Options.Demand.insert(Options.Demand.end(),
+                            {{Begin, Low}, {Top, Peak}, {Down, Peak}, {End, Low}});
+      Plateaus.emplace_back(Top, Down);
+      Ends.emplace_back(End);
+      Begin = End + After;
+    }
+    Options.Length = Begin;
     Fleet Run(Which, Options);
     Run.run();
-    const Service At = serviceIn(Run, Options, TimePoint(Top), TimePoint(Down));
+    const Service At = serviceIn(Run, Options, Plateaus);
+    double Normal = 0;
+    for (const TimePoint End : Ends)
+      Normal = std::max(Normal, timeToNormal(Run, Options, End));
     Result.Rows.push_back({{"policy", name(Which)},
                            {"goodput", At.Goodput},
                            {"order_p99_of_deadline", At.Order99},
@@ -193,7 +228,7 @@
                            {"worst_share", At.WorstShare},
                            {"worst_share_all", At.WorstAll},
                            {"dealer_share", At.DealerShare},
-                           {"normal_after_s", timeToNormal(Run, Options, TimePoint(End))}});
+                           {"normal_after_s", Normal}});
   }
   return Result;
 }
@@ -211,7 +246,7 @@
       Fleet Run(Which, Options);
       Run.run();
       const Service At =
-          serviceIn(Run, Options, TimePoint(WarmUp + Swing), TimePoint(Options.Length));
+          serviceIn(Run, Options, {{TimePoint(WarmUp + Swing), TimePoint(Options.Length)}});
       Result.Rows.push_back({{"demand", Demand},
                              {"policy", name(Which)},
                              {"goodput", At.Goodput},
@@ -228,7 +263,8 @@
 std::vector<Table> measure(const BenchArguments &Given) {
   std::vector<Table> Tables;
   for (const Shape &Of : Shapes)
-    Tables.push_back(crest(Given, Of));
+    for (const double Stragglers : {0.0, StragglerShare})
+      Tables.push_back(crest(Given, Of, Stragglers));
   for (const Shape &Of : {Shapes[0], Shapes[1]})
     Tables.push_back(overload(Given, Of));
   return Tables;
--- a/include/galenarelay/bench/fleet.h
+++ b/include/galenarelay/bench/fleet.h
@@ -73,6 +73,7 @@
   std::uint32_t Host = 0;
   std::uint32_t Number = 1;
   Ending End = Ending::Open;
+  common::ResultCode Reason = common::ResultCode::Ok; ///< Of a rejection.
   common::TimePoint Arrived{};
   common::TimePoint Started{};
   common::TimePoint Finished{};
@@ -162,7 +163,7 @@
   void apply(const FleetChange &Change);
   void apply(std::uint32_t HostIndex, const std::vector<schedule::Decision> &Decisions);
   void start(std::uint64_t AttemptIndex);
-  void reject(std::uint64_t AttemptIndex, common::Duration RetryAfter);
+  void reject(std::uint64_t AttemptIndex, common::Duration RetryAfter, common::ResultCode Reason);
   void fifoFill(std::uint32_t HostIndex);
   void account(Host &Of);
   [[nodiscard]] std::uint32_t busy(const Host &Of) const noexcept;
--- a/include/galenarelay/schedule/impl/caller_ledger.h
+++ b/include/galenarelay/schedule/impl/caller_ledger.h
@@ -19,10 +19,15 @@
   [[nodiscard]] common::Duration now() const noexcept { return Virtual; }
   /// Earliest start tag of the caller's next request.
   [[nodiscard]] common::Duration startTag(std::uint32_t Caller) const noexcept;
+  /// Service time used, on the scale of the start tags; at most Credit behind the virtual time.
+  [[nodiscard]] common::Duration usedTag(std::uint32_t Caller,
+                                         common::Duration Credit) const noexcept;
   [[nodiscard]] std::size_t callers() const noexcept { return Finish.size(); }
 
-  /// Charges predicted service time at dispatch and moves the virtual time to the start tag.
-  void dispatched(std::uint32_t Caller, common::Duration Start, common::Duration Predicted);
+  /// Charges predicted service time at dispatch and moves the virtual time to the start tag. A
+  /// caller that used less than its share is up to Credit behind the virtual time.
+  void dispatched(std::uint32_t Caller, common::Duration Start, common::Duration Predicted,
+                  common::Duration Credit);
   /// Replaces the prediction by the time used. Difference = used - predicted. The caller's tag
   /// ends at most MaxAhead after the virtual time.
   void corrected(std::uint32_t Caller, common::Duration Difference, common::Duration MaxAhead);
--- a/include/galenarelay/schedule/impl/fair_queue.h
+++ b/include/galenarelay/schedule/impl/fair_queue.h
@@ -40,34 +40,40 @@
   /// Arrival of the request that has waited longest. Precondition: not empty.
   [[nodiscard]] common::TimePoint oldestArrival() const noexcept;
 
-  /// Appends to the caller's lane; Start is the lane's tag if the lane is new.
-  void push(Waiting Item, Tag Start);
+  /// Appends to the caller's lane; the tags are set if the lane is new.
+  void push(Waiting Item, Tag Start, Tag Used);
   /// Takes the request with the lowest start tag and returns it with the tag.
   [[nodiscard]] std::pair<Waiting, Tag> takeNext();
   /// Takes the request that has waited longest.
   [[nodiscard]] std::pair<Waiting, Tag> takeOldest();
-  /// Takes the newest request of the caller with the highest finish tag.
+  /// Takes the newest request of the caller with the most service time used and waited for.
   [[nodiscard]] Waiting takeLast();
   std::optional<Waiting> remove(RequestId Id);
-  /// Sets the start tag of a caller's lane, if the caller waits.
-  void retag(std::uint32_t Caller, Tag Start);
+  /// Sets the tags of a caller's lane, if the caller waits.
+  void retag(std::uint32_t Caller, Tag Start, Tag Used);
 
 private:
   struct Lane {
     std::list<Waiting> Items;
-    Tag Start{};
+    Tag Start{}; ///< Orders dispatch between callers.
+    Tag Used{};  ///< Service time used; with the lane's work, orders eviction.
     common::Duration Work{};
   };
   using Position = std::pair<common::TimePoint, RequestId>;
+  using Place = std::pair<Tag, Position>; ///< Equal tags are served in the order of arrival.
 
-  void unlink(std::uint32_t Caller, const Lane &From);
-  void link(std::uint32_t Caller, const Lane &To);
+  static Position positionOf(const Waiting &Item) noexcept {
+    return {Item.Arrived, Item.Request.Id};
+  }
+
+  void unlink(const Lane &From);
+  void link(const Lane &To);
   Waiting take(std::uint32_t Caller, std::list<Waiting>::iterator Item);
 
   std::unordered_map<std::uint32_t, Lane> Lanes;                     ///< Never iterated.
   std::unordered_map<RequestId, std::list<Waiting>::iterator> Index; ///< Never iterated.
-  std::set<std::pair<Tag, std::uint32_t>> ByStart;
-  std::set<std::pair<Tag, std::uint32_t>> ByFinish;
+  std::set<Place> ByStart;                                           ///< Each lane's first request.
+  std::set<Place> ByFinish;                                          ///< Each lane's last request.
   std::set<Position> ByArrival;
   common::Duration Work{};
 };
--- a/include/galenarelay/schedule/impl/scheduler_state.h
+++ b/include/galenarelay/schedule/impl/scheduler_state.h
@@ -74,6 +74,8 @@
               std::vector<Decision> &Out);
   void forget(const Waiting &Item);
   void settle(const Running &Ended, common::Duration Used);
+  [[nodiscard]] common::Duration credit(const Prediction &Of) const noexcept;
+  void retag(Lane &Of, std::uint32_t Caller, const Prediction &Predicted);
   void charge(const Running &Ended, common::Duration Used);
   [[nodiscard]] Lane &laneOf(const Prediction &Of) noexcept { return Of.Long ? Long : Short; }
   [[nodiscard]] std::uint32_t shortServers(common::TimePoint Now) const noexcept;
--- a/include/galenarelay/schedule/scheduler.h
+++ b/include/galenarelay/schedule/scheduler.h
@@ -60,8 +60,9 @@
   common::Duration LongPatience = std::chrono::seconds(5); ///< Wait that lifts a straggler.
   common::Duration SlowStart = std::chrono::seconds(2);    ///< Ramp from one slot to all.
   common::Duration ShedRecovery = std::chrono::seconds(2); ///< The same after shedding.
-  double RetryShare = 0.1;                                 ///< Retries per request.
-  double RetryBurst = 10;                                  ///< Retries saved up.
+  std::uint32_t CreditRequests = 3; ///< Unused share that a caller keeps, in requests.
+  double RetryShare = 0.1;          ///< Retries per request.
+  double RetryBurst = 10;           ///< Retries saved up.
   double ReturnShare = 0.5; ///< Share of the drain rate that is promised to returning requests.
   common::Duration MaxRetryAfter = std::chrono::seconds(120);
 
--- a/src/bench/fleet.cpp
+++ b/src/bench/fleet.cpp
@@ -303,7 +303,7 @@
     return;
   }
   if (Which != Policy::NoAdmission && At.Fifo.size() >= FifoBound) {
-    reject(Id, FixedRetryAfter);
+    reject(Id, FixedRetryAfter, common::ResultCode::RequestQueueFull);
     return;
   }
   At.Fifo.push_back(Id);
@@ -324,9 +324,10 @@
   push(Now + (Fails ? FailFastTime : Orders[Started.OrderIndex].Work), Kind::Finish, AttemptIndex);
 }
 
-void Fleet::reject(std::uint64_t AttemptIndex, Duration RetryAfter) {
+void Fleet::reject(std::uint64_t AttemptIndex, Duration RetryAfter, common::ResultCode Reason) {
   Attempt &Of = Attempts[AttemptIndex];
   Of.End = Ending::Rejected;
+  Of.Reason = Reason;
   Of.Finished = Now;
   if (Of.Number < Options.MaxAttempts)
     push(Now + RetryAfter, Kind::Retry, AttemptIndex);
@@ -367,7 +368,7 @@
     if (Made.Dispatch)
       start(Made.Id);
     else
-      reject(Made.Id, Made.RetryAfter);
+      reject(Made.Id, Made.RetryAfter, Made.Reason);
   }
   account(At);
   const auto Due = At.Scheduled->nextTimer();
--- a/src/schedule/caller_ledger.cpp
+++ b/src/schedule/caller_ledger.cpp
@@ -9,22 +9,29 @@
 using common::Duration;
 
 Duration CallerLedger::startTag(std::uint32_t Caller) const noexcept {
+  return usedTag(Caller, Duration{});
+}
+
+Duration CallerLedger::usedTag(std::uint32_t Caller, Duration Credit) const noexcept {
+  const Duration Lowest = Virtual - Credit;
   const auto Found = Finish.find(Caller);
-  return Found == Finish.end() ? Virtual : std::max(Virtual, Found->second);
+  return Found == Finish.end() ? Lowest : std::max(Lowest, Found->second);
 }
 
-void CallerLedger::dispatched(std::uint32_t Caller, Duration Start, Duration Predicted) {
+void CallerLedger::dispatched(std::uint32_t Caller, Duration Start, Duration Predicted,
+                              Duration Credit) {
   Virtual = std::max(Virtual, Start);
-  Finish[Caller] = startTag(Caller) + Predicted;
+  Finish[Caller] = usedTag(Caller, Credit) + Predicted;
   if (Finish.size() > MaxLedgerCallers)
     prune();
 }
 
 void CallerLedger::corrected(std::uint32_t Caller, Duration Difference, Duration MaxAhead) {
-  const Duration Before = startTag(Caller);
+  const auto Found = Finish.find(Caller);
+  const Duration Before = Found == Finish.end() ? Virtual : Found->second;
   // The bound limits what a correction adds; what was dispatched stays charged.
   const Duration Highest = std::max(Before, Virtual + MaxAhead);
-  Finish[Caller] = std::clamp(Before + Difference, Virtual, Highest);
+  Finish[Caller] = std::min(Before + Difference, Highest);
   if (Finish.size() > MaxLedgerCallers)
     prune();
 }
@@ -32,9 +39,6 @@
 /// Forgets the half of the callers that is least ahead, so that the cost per call stays constant
 /// on average.
 void CallerLedger::prune() {
-  std::erase_if(Finish, [this](const auto &Entry) { return Entry.second <= Virtual; });
-  if (Finish.size() <= MaxLedgerCallers / 2)
-    return;
   std::vector<std::pair<Duration, std::uint32_t>> Order;
   Order.reserve(Finish.size());
   for (const auto &Entry : Finish)
--- a/src/schedule/fair_queue.cpp
+++ b/src/schedule/fair_queue.cpp
@@ -11,26 +11,29 @@
 
 common::TimePoint FairQueue::oldestArrival() const noexcept { return ByArrival.begin()->first; }
 
-void FairQueue::push(Waiting Item, Tag Start) {
+void FairQueue::push(Waiting Item, Tag Start, Tag Used) {
   const std::uint32_t Caller = Item.Request.Caller;
   const auto [Found, IsNew] = Lanes.try_emplace(Caller);
   Lane &To = Found->second;
-  if (IsNew)
+  if (IsNew) {
     To.Start = Start;
-  else
-    unlink(Caller, To);
+    To.Used = Used;
+  } else {
+    unlink(To);
+  }
   ByArrival.emplace(Item.Arrived, Item.Request.Id);
   To.Work += Item.Predicted.Mean;
   Work += Item.Predicted.Mean;
   const RequestId Id = Item.Request.Id;
   To.Items.push_back(std::move(Item));
   Index.emplace(Id, std::prev(To.Items.end()));
-  link(Caller, To);
+  link(To);
 }
 
 std::pair<Waiting, FairQueue::Tag> FairQueue::takeNext() {
-  const auto [Start, Caller] = *ByStart.begin();
-  return {take(Caller, Lanes.at(Caller).Items.begin()), Start};
+  const auto [Start, At] = *ByStart.begin();
+  const auto Item = Index.at(At.second);
+  return {take(Item->Request.Caller, Item), Start};
 }
 
 std::pair<Waiting, FairQueue::Tag> FairQueue::takeOldest() {
@@ -41,8 +44,8 @@
 }
 
 Waiting FairQueue::takeLast() {
-  const std::uint32_t Caller = ByFinish.rbegin()->second;
-  return take(Caller, std::prev(Lanes.at(Caller).Items.end()));
+  const auto Item = Index.at(ByFinish.rbegin()->second.second);
+  return take(Item->Request.Caller, Item);
 }
 
 std::optional<Waiting> FairQueue::remove(RequestId Id) {
@@ -52,29 +55,30 @@
   return take(Found->second->Request.Caller, Found->second);
 }
 
-void FairQueue::retag(std::uint32_t Caller, Tag Start) {
+void FairQueue::retag(std::uint32_t Caller, Tag Start, Tag Used) {
   const auto Found = Lanes.find(Caller);
   if (Found == Lanes.end())
     return;
-  unlink(Caller, Found->second);
+  unlink(Found->second);
   Found->second.Start = Start;
-  link(Caller, Found->second);
+  Found->second.Used = Used;
+  link(Found->second);
 }
 
-void FairQueue::unlink(std::uint32_t Caller, const Lane &From) {
-  ByStart.erase({From.Start, Caller});
-  ByFinish.erase({From.Start + From.Work, Caller});
+void FairQueue::unlink(const Lane &From) {
+  ByStart.erase({From.Start, positionOf(From.Items.front())});
+  ByFinish.erase({From.Used + From.Work, positionOf(From.Items.back())});
 }
 
-void FairQueue::link(std::uint32_t Caller, const Lane &To) {
-  ByStart.emplace(To.Start, Caller);
-  ByFinish.emplace(To.Start + To.Work, Caller);
+void FairQueue::link(const Lane &To) {
+  ByStart.emplace(To.Start, positionOf(To.Items.front()));
+  ByFinish.emplace(To.Used + To.Work, positionOf(To.Items.back()));
 }
 
 Waiting FairQueue::take(std::uint32_t Caller, std::list<Waiting>::iterator Item) {
   const auto Found = Lanes.find(Caller);
   Lane &From = Found->second;
-  unlink(Caller, From);
+  unlink(From);
   Waiting Taken = std::move(*Item);
   From.Items.erase(Item);
   From.Work -= Taken.Predicted.Mean;
@@ -84,7 +88,7 @@
   if (From.Items.empty())
     Lanes.erase(Found);
   else
-    link(Caller, From);
+    link(From);
   return Taken;
 }
 
--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -99,7 +99,8 @@
     return;
   }
   Lane &To = laneOf(Predicted);
-  To.Queue.push({Request, Predicted, Now}, To.Ledger.startTag(Request.Caller));
+  To.Queue.push({Request, Predicted, Now}, To.Ledger.startTag(Request.Caller),
+                To.Ledger.usedTag(Request.Caller, credit(Predicted)));
   if (HasDeadline)
     LatestStarts.emplace(LatestStart, Request.Id);
   dispatch(Now, Out);
@@ -265,8 +266,8 @@
   const Waiting &Item = Taken.first;
   const std::uint32_t Caller = Item.Request.Caller;
   forget(Item);
-  From.Ledger.dispatched(Caller, Taken.second, Item.Predicted.Mean);
-  From.Queue.retag(Caller, From.Ledger.startTag(Caller));
+  From.Ledger.dispatched(Caller, Taken.second, Item.Predicted.Mean, credit(Item.Predicted));
+  retag(From, Caller, Item.Predicted);
   OnSlots.emplace(Item.Request.Id, Running{Item.Request, Item.Predicted, Now});
   Out.push_back({Item.Request.Id, true, ResultCode::Ok, Duration{}});
 }
@@ -291,7 +292,15 @@
   const std::uint32_t Caller = Ended.Request.Caller;
   const Duration MaxAhead = Ended.Predicted.Mean * MaxAheadRequests;
   Of.Ledger.corrected(Caller, Used - Ended.Predicted.Mean, MaxAhead);
-  Of.Queue.retag(Caller, Of.Ledger.startTag(Caller));
+  retag(Of, Caller, Ended.Predicted);
+}
+
+Duration SchedulerState::credit(const Prediction &Of) const noexcept {
+  return Of.Mean * Options.CreditRequests;
+}
+
+void SchedulerState::retag(Lane &Of, std::uint32_t Caller, const Prediction &Predicted) {
+  Of.Queue.retag(Caller, Of.Ledger.startTag(Caller), Of.Ledger.usedTag(Caller, credit(Predicted)));
 }
 
 } // namespace galenarelay::schedule::impl
