--- a/include/galenarelay/config/edit_loop.h
+++ b/include/galenarelay/config/edit_loop.h
@@ -34,6 +34,14 @@
   nlohmann::json Concurrent;        ///< For EditConflict: JSON patch from the base to Current.
 };
 
+/// How an edit is submitted.
+struct SubmitOptions {
+  std::optional<Revision> Base; ///< Later edits of the same part conflict; default: what is read.
+  bool Resumed = false;         ///< An earlier command may have sent a write with this edit's ID.
+
+  friend bool operator==(const SubmitOptions &, const SubmitOptions &) = default;
+};
+
 /// The document with its version in the store; an absent document has revision 0.
 struct StoredConfiguration {
   std::uint64_t Version = 0;
@@ -117,9 +125,8 @@
 /// Applies one edit with compare-and-swap and resolves lost answers by the edit's ID.
 template <ConfigStore Store> class EditLoop {
 public:
-  /// An edit that the operator based on an older revision conflicts with what came after it.
-  EditLoop(Store &Target, Edit Wanted, std::optional<Revision> Base = std::nullopt)
-      : Target(Target), Wanted(std::move(Wanted)), Base(Base) {}
+  EditLoop(Store &Target, Edit Wanted, SubmitOptions Options)
+      : Target(Target), Wanted(std::move(Wanted)), Base(Options.Base), Resumed(Options.Resumed) {}
 
   [[nodiscard]] EditReport run() {
     for (std::uint32_t Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
@@ -139,6 +146,7 @@
 private:
   /// Makes one attempt; true ends the loop.
   bool tryOnce() {
+    Report = {};
     const auto Read = readConfiguration(Target);
     if (!Read)
       return retryAfter(Read.Failure);
@@ -159,25 +167,25 @@
     if (!Base)
       Base = Read.Document.Number;
     if (*Base > Read.Document.Number)
-      return refuse({common::ResultCode::RevisionUnknown,
-                     "the newest revision is " + std::to_string(Read.Document.Number)});
+      return refuse(Read, {common::ResultCode::RevisionUnknown,
+                           "the newest revision is " + std::to_string(Read.Document.Number)});
     if (*Base < Read.Document.Number) {
       const auto Since = readHistory(Target, Read.Document, *Base + 1, Read.Document.Number);
       if (!Since)
         return Since.Failure.Code == common::ResultCode::RevisionUnknown
-                   ? refuse(Since.Failure)
+                   ? refuse(Read, Since.Failure)
                    : retryAfter(Since.Failure);
       if (conflicts(*Since))
         return refuse(
-            {common::ResultCode::EditConflict,
-             "another edit changed the same part after revision " + std::to_string(*Base)});
+            Read, {common::ResultCode::EditConflict,
+                   "another edit changed the same part after revision " + std::to_string(*Base)});
     }
     const auto Members = Target.list("members/");
     if (!Members)
       return retryAfter(Members.Failure);
     const auto Edited = common::capture(
         [&] { return applyEdit(Read.Document, Wanted, impl::parseAnnounced(*Members)); });
-    return Edited ? write(Read.Version, *Edited) : refuse(Edited.Failure);
+    return Edited ? write(Read.Version, *Edited) : refuse(Read, Edited.Failure);
   }
 
   bool write(std::uint64_t Version, const EditedDocument &Edited) {
@@ -235,10 +243,17 @@
     return true;
   }
 
-  /// Ends the loop, unless an earlier write may still take effect: then the edit isn't refused yet.
-  bool refuse(const common::Error &Reason) {
+  /// Ends the loop. If an earlier write may still be on its way, the same document is written once
+  /// more before: its version changes, so the earlier write can't take effect any more.
+  bool refuse(const StoredConfiguration &Read, const common::Error &Reason) {
+    if (PendingVersion || Resumed) {
+      const auto Fenced = Target.put(StoreKey, Read.Version, toJson(Read.Document).dump());
+      if (!Fenced)
+        return retryAfter(Fenced.Failure);
+      PendingVersion.reset();
+    }
     Report.Result = Reason;
-    return !PendingVersion;
+    return true;
   }
 
   bool retryAfter(const common::Error &Reason) {
@@ -251,6 +266,7 @@
   Store &Target;
   Edit Wanted;
   std::optional<Revision> Base;
+  bool Resumed;
   std::optional<std::uint64_t> PendingVersion; ///< Version of a write whose outcome is unknown.
   bool Sent = false;
   EditReport Report;
@@ -259,8 +275,8 @@
 /// Applies one edit. Example: `submitEdit(Client, Wanted).Result.Code == ResultCode::Ok`
 template <ConfigStore Store>
 [[nodiscard]] EditReport submitEdit(Store &Target, const Edit &Wanted,
-                                    std::optional<Revision> Base = std::nullopt) {
-  return EditLoop<Store>(Target, Wanted, Base).run();
+                                    const SubmitOptions &Options = {}) {
+  return EditLoop<Store>(Target, Wanted, Options).run();
 }
 
 } // namespace galenarelay::config
--- a/programs/ctl/edit_commands.cpp
+++ b/programs/ctl/edit_commands.cpp
@@ -6,7 +6,6 @@
 
 namespace galenarelay::ctl {
 
-using common::capture;
 using common::fail;
 using common::Result;
 using common::ResultCode;
@@ -59,6 +58,8 @@
   config::Edit Wanted;
   BOOST_LEAF_ASSIGN(Wanted.Author, Given.required("author"));
   Wanted.Id = Given.option("edit-id").value_or("");
+  config::SubmitOptions Options;
+  Options.Resumed = !Wanted.Id.empty();
   if (Wanted.Id.empty()) {
     Wanted.Id = newEditId();
     // Printed first, so that the operator has it even if the command is interrupted.
@@ -66,12 +67,11 @@
   }
   Wanted.TimeMs = common::wallMilliseconds();
   Wanted.Action = std::move(Action);
-  std::optional<config::Revision> Base;
   if (Given.option("base")) {
-    BOOST_LEAF_ASSIGN(Base, Given.numberOr("base", 0));
+    BOOST_LEAF_ASSIGN(Options.Base, Given.numberOr("base", 0));
   }
   BOOST_LEAF_AUTO(Store, Given.store());
-  return reportOf(Wanted, config::submitEdit(Store, Wanted, Base));
+  return reportOf(Wanted, config::submitEdit(Store, Wanted, Options));
 }
 
 Result<common::Duration> deadline(const Invocation &Given, common::Duration Default) {
--- a/tests/config_history_test.cpp
+++ b/tests/config_history_test.cpp
@@ -122,18 +122,20 @@
   void pause(std::uint32_t) { Network->Now += std::chrono::milliseconds(20); }
 };
 
-/// Holds the first write of the document back until the second pause, and removes an upstream's
-/// record in the meantime.
+/// Holds the first write of the document back, removes an upstream's record in the meantime, and
+/// delivers the write at the given pause.
 struct HeldWriteTransport {
   DirectTransport Direct;
-  std::optional<std::string> HeldTarget;
-  std::string HeldBody;
-  std::uint32_t Pauses = 0;
+  std::uint32_t DeliverAt;
+  bool CutOff; ///< No call gets through after the write.
+  std::optional<std::string> HeldTarget{};
+  std::string HeldBody{};
 
   common::Outcome<common::HttpResponse> call(const std::string &Method, const std::string &Target,
                                              const std::string &Body) {
-    const bool Holds = Method == "PUT" && !HeldTarget;
-    if (!Holds)
+    if (HeldTarget && CutOff)
+      return {std::nullopt, {ResultCode::PeerUnreachable, "cut off"}};
+    if (Method != "PUT" || HeldTarget)
       return Direct.call(Method, Target, Body);
     HeldTarget = Target;
     HeldBody = Body;
@@ -141,10 +143,23 @@
     return {std::nullopt, {ResultCode::RequestOutcomeUnknown, "the write is late"}};
   }
 
-  void pause(std::uint32_t) {
-    if (++Pauses == 2)
-      static_cast<void>(Direct.call("PUT", *HeldTarget, HeldBody));
+  void pause(std::uint32_t Attempt) {
+    if (Attempt == DeliverAt)
+      deliver();
   }
+
+  void deliver() { static_cast<void>(Direct.call("PUT", *HeldTarget, HeldBody)); }
+};
+
+/// A reference to a transport that the test keeps.
+struct SharedTransport {
+  HeldWriteTransport *Shared;
+
+  common::Outcome<common::HttpResponse> call(const std::string &Method, const std::string &Target,
+                                             const std::string &Body) {
+    return Shared->call(Method, Target, Body);
+  }
+  void pause(std::uint32_t Attempt) { Shared->pause(Attempt); }
 };
 
 struct Submitted {
@@ -182,7 +197,7 @@
   CPPUNIT_TEST_SUITE(ConfigHistoryTest);
   CPPUNIT_TEST(testOperators_concurrentWithFaults_agreeWithHistory);
   CPPUNIT_TEST(testEdit_lostAnswer_isAcceptedOnce);
-  CPPUNIT_TEST(testEdit_lateWrite_isNotReportedAsRefused);
+  CPPUNIT_TEST(testEdit_lateWrite_agreesWithReport);
   CPPUNIT_TEST(testEdit_repeatedWithItsId_isAcceptedOnce);
   CPPUNIT_TEST(testEdit_basedOnOldRevision_learnsWhatChanged);
   CPPUNIT_TEST_SUITE_END();
@@ -263,7 +278,7 @@
       for (Submitted &Each : Edits) {
         ++Results[Each.Report.Result.Code];
         if (Each.Report.Result.Code == ResultCode::StoreOutcomeUnknown)
-          Each.Report = submitEdit(Client, Each.Wanted);
+          Each.Report = submitEdit(Client, Each.Wanted, {{}, true});
       }
       std::map<std::string, std::vector<Revision>> RevisionsById;
       for (const AuditEntry &Entry : checkedHistory(*Network))
@@ -302,16 +317,39 @@
     CPPUNIT_ASSERT_EQUAL(Revision{1}, readConfiguration(Client)->Document.Number);
   }
 
-  // Guards against a refusal that is reported while a write may still take effect.
-  void testEdit_lateWrite_isNotReportedAsRefused() {
-    Store Target{{}};
-    common::TimePoint Now{};
-    announce(Target, Now, fourAnnounced());
-    StoreClient Client(HeldWriteTransport{{&Target, &Now}, {}, {}, 0});
+  // Guards against an edit that is reported as refused, by the command that sent it or by its
+  // repetition, and takes effect afterwards because its first write arrives late.
+  void testEdit_lateWrite_agreesWithReport() {
+    constexpr std::uint32_t Never = 0;
+    struct Row {
+      std::uint32_t DeliverAt;
+      bool CutOff;
+      ResultCode First;
+      ResultCode Final;
+    };
+    const Row Rows[] = {
+        {1, false, ResultCode::Ok, ResultCode::Ok},
+        {Never, false, ResultCode::ServiceWithoutUpstream, ResultCode::ServiceWithoutUpstream},
+        {Never, true, ResultCode::StoreOutcomeUnknown, ResultCode::ServiceWithoutUpstream},
+        {2, true, ResultCode::StoreOutcomeUnknown, ResultCode::Ok},
+    };
     const Service Shop{{0x0a010003, 80}, "id=u3", std::chrono::seconds(1)};
-    const auto Report = submitEdit(Client, {"e1", "rosa", 1, CreateService{"shop", Shop}});
-    CPPUNIT_ASSERT(Report.Result.Code == ResultCode::Ok);
-    CPPUNIT_ASSERT_EQUAL(Revision{1}, readConfiguration(Client)->Document.Number);
+    const Edit Wanted{"e1", "rosa", 1, CreateService{"shop", Shop}};
+    for (const Row &Case : Rows) {
+      Store Target{{}};
+      common::TimePoint Now{};
+      announce(Target, Now, fourAnnounced());
+      HeldWriteTransport Network{{&Target, &Now}, Case.DeliverAt, Case.CutOff};
+      StoreClient Client(SharedTransport{&Network});
+      CPPUNIT_ASSERT(submitEdit(Client, Wanted).Result.Code == Case.First);
+      Network.CutOff = false;
+      if (Case.First != ResultCode::StoreOutcomeUnknown)
+        Network.deliver();
+      CPPUNIT_ASSERT(submitEdit(Client, Wanted, {{}, true}).Result.Code == Case.Final);
+      Network.deliver();
+      const bool Present = readConfiguration(Client)->Document.Services.contains("shop");
+      CPPUNIT_ASSERT_EQUAL(Case.Final == ResultCode::Ok, Present);
+    }
   }
 
   // Guards against a repeated command that applies its edit again, long after the entry has left
@@ -338,7 +376,7 @@
     const auto Network = network(1, true);
     auto Client = client(*Network);
     const auto Submit = [&](const char *Id, EditAction Action, std::optional<Revision> Base) {
-      return submitEdit(Client, {Id, "rosa", 1, std::move(Action)}, Base);
+      return submitEdit(Client, {Id, "rosa", 1, std::move(Action)}, {Base, false});
     };
     CPPUNIT_ASSERT_EQUAL(Revision{1},
                          Submit("e1", SetSelector{"desk", "role=desk,!x"}, 0).Accepted);
