List the newest audit entries with galenactl audit

The demo calls audit without a revision; it was refused. It lists the newest entries with their patches now, oldest first.

--- a/programs/ctl/history_commands.cpp
+++ b/programs/ctl/history_commands.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Edits that history and audit list unless --limit says otherwise.
+constexpr std::uint64_t DefaultLimit = 20;
+
 /// Turns the result of an I/O function into the kind that commands return.
 template <typename T> Result<T> unwrap(common::Outcome<T> Ended) {
   if (!Ended)
@@ -130,16 +133,19 @@
   return Printed;
 }
 
+/// The newest entries, oldest first.
+Result<std::vector<AuditEntry>> newestEntries(Client &Store, const Configuration &Document,
+                                              std::uint64_t Limit) {
+  const config::Revision Last = Document.Number;
+  const config::Revision First = Limit >= Last ? 1 : Last - Limit + 1;
+  return unwrap(config::readHistory(Store, Document, First, Last));
+}
+
 Result<Report> history(const Invocation &Given) {
-  constexpr std::uint64_t DefaultLimit = 20;
   BOOST_LEAF_AUTO(Limit, Given.numberOr("limit", DefaultLimit));
   BOOST_LEAF_AUTO(Store, Given.store());
   BOOST_LEAF_AUTO(Read, unwrap(config::readConfiguration(Store)));
-  const config::Revision Last = Read.Document.Number;
-  if (Last == 0)
-    return entriesReport({});
-  const config::Revision First = Limit >= Last ? 1 : Last - Limit + 1;
-  BOOST_LEAF_AUTO(Entries, unwrap(config::readHistory(Store, Read.Document, First, Last)));
+  BOOST_LEAF_AUTO(Entries, newestEntries(Store, Read.Document, Limit));
   std::reverse(Entries.begin(), Entries.end());
   return entriesReport(Entries);
 }
@@ -151,12 +157,26 @@
   return Printed;
 }
 
+/// The newest edits with their patches, oldest first, one line each.
+Report trailReport(const std::vector<AuditEntry> &Entries) {
+  Report Printed = entriesReport(Entries);
+  Printed.Rows.front().push_back("PATCH");
+  for (std::size_t I = 0; I < Entries.size(); ++I)
+    Printed.Rows[I + 1].push_back(Entries[I].Patch.dump());
+  return Printed;
+}
+
 Result<Report> audit(const Invocation &Given) {
   const auto EditId = Given.option("edit-id");
-  if (EditId.has_value() != Given.words().empty())
+  if (EditId && !Given.words().empty())
     return fail(ResultCode::Usage, "give either a revision or --edit-id");
+  BOOST_LEAF_AUTO(Limit, Given.numberOr("limit", DefaultLimit));
   BOOST_LEAF_AUTO(Store, Given.store());
   BOOST_LEAF_AUTO(Read, unwrap(config::readConfiguration(Store)));
+  if (!EditId && Given.words().empty()) {
+    BOOST_LEAF_AUTO(Entries, newestEntries(Store, Read.Document, Limit));
+    return trailReport(Entries);
+  }
   if (EditId) {
     BOOST_LEAF_AUTO(Found, unwrap(config::findEdit(Store, Read.Document, *EditId)));
     if (!Found)
