Keep closed streams and registration queues robust

A closed stream that still lingers treated a reset as a break, so that a complete transfer counted as broken when the agent had discarded the flow first. It now ignores the reset. Each change of the view queued a flow again for registration, and scanned all hand-off entries once any member had ever died. A flow is now queued once, and entries are scanned only when a member has died since the last view. Tests: the reset while lingering, a feed of more than 2^32 bytes, the size of registrations.

--- a/include/galenarelay/flow/flow_router.h
+++ b/include/galenarelay/flow/flow_router.h
@@ -148,8 +148,9 @@
 
   struct ServedFlow {
     NameId Service = 0;
-    NameId Home = 0;   ///< The home that knows of the flow, or will once RegisterQueue is empty.
-    bool Open = false; ///< The caller has acknowledged the SYN-ACK.
+    NameId Home = 0;     ///< The home that knows of the flow, or will once RegisterQueue is empty.
+    bool Open = false;   ///< The caller has acknowledged the SYN-ACK.
+    bool Queued = false; ///< In RegisterQueue, so that changes of the view don't repeat it there.
   };
 
   struct HandOff {
@@ -210,7 +211,8 @@
   bool recordHandOff(const packet::FlowKey &Key, const std::string &Owner, common::TimePoint Now);
   void forgetDeadOwners();
   void queueRegistrations(const routing::RoutingView *Previous, common::TimePoint Now);
-  void queueRegistration(const packet::FlowKey &Key, common::TimePoint Now);
+  void queueRegistration(const packet::FlowKey &Key, ServedFlow &Flow, common::TimePoint Now);
+  void appendRegistration(const packet::FlowKey &Key, common::TimePoint Now);
   void dropHalfOpen(common::TimePoint Now);
   void repeatLocates(common::TimePoint Now, std::vector<Action> &Out);
   void sendRegistrations(common::TimePoint Now, std::vector<Action> &Out);
@@ -226,6 +228,7 @@
   std::shared_ptr<const routing::RoutingView> View;
   common::TimePoint LastViewChange{};
   Names MemberNames;
+  std::vector<bool> DeadOwners; ///< By number of the member; no hand-off entry names one of these.
   Names ServiceNames;
   NameId SelfName = 0;
 
--- a/src/flow/flow_router.cpp
+++ b/src/flow/flow_router.cpp
@@ -320,13 +320,13 @@
   const FlowKey &Key = In.Header.Key;
   const NameId Service = ServiceNames.idOf(In.Route.Name);
   const std::string Home = homeOf(Key);
-  Served.emplace(Key, ServedFlow{Service, MemberNames.idOf(Home), false});
+  ServedFlow &Flow = Served.emplace(Key, ServedFlow{Service, MemberNames.idOf(Home)}).first->second;
   ++ServedByService[Service];
   HalfOpen.emplace_back(In.Now + HalfOpenTimeout, Key);
   // The home that handed the flow off has recorded it. After a recent change of the view that home
   // may not be the one that other nodes see.
   if (Home != SelfId && (In.Header.Ttl >= InitialTtl || !settled(In.Now)))
-    queueRegistration(Key, In.Now);
+    queueRegistration(Key, Flow, In.Now);
   add(Out, AcceptFlow{Key, In.Route.Name, Bytes(In.Packet.begin(), In.Packet.end())});
 }
 
@@ -557,14 +557,15 @@
 }
 
 void FlowRouter::forgetDeadOwners() {
-  std::vector<bool> Dead(MemberNames.size(), false);
-  bool AnyDead = false;
-  for (NameId Id = 0; Id < Dead.size(); ++Id) {
-    Dead[Id] = liveMember(MemberNames.nameOf(Id)) == nullptr;
-    AnyDead = AnyDead || Dead[Id];
+  DeadOwners.resize(MemberNames.size(), false);
+  bool NewlyDead = false;
+  for (NameId Id = 0; Id < DeadOwners.size(); ++Id) {
+    const bool Dead = liveMember(MemberNames.nameOf(Id)) == nullptr;
+    NewlyDead = NewlyDead || (Dead && !DeadOwners[Id]);
+    DeadOwners[Id] = Dead;
   }
-  if (AnyDead)
-    std::erase_if(HandOffs, [&](const auto &Entry) { return Dead[Entry.second.Owner]; });
+  if (NewlyDead)
+    std::erase_if(HandOffs, [&](const auto &Entry) { return DeadOwners[Entry.second.Owner]; });
 }
 
 void FlowRouter::queueRegistrations(const RoutingView *Previous, TimePoint Now) {
@@ -582,11 +583,16 @@
       continue;
     Flow.Home = HomeName;
     if (!Home.empty() && HomeName != SelfName)
-      queueRegistration(Key, Now);
+      queueRegistration(Key, Flow, Now);
   }
 }
 
-void FlowRouter::queueRegistration(const FlowKey &Key, TimePoint Now) {
+void FlowRouter::queueRegistration(const FlowKey &Key, ServedFlow &Flow, TimePoint Now) {
+  if (!std::exchange(Flow.Queued, true))
+    appendRegistration(Key, Now);
+}
+
+void FlowRouter::appendRegistration(const FlowKey &Key, TimePoint Now) {
   if (RegisterQueue.empty())
     NextRegistration = std::max(NextRegistration, Now);
   RegisterQueue.push_back(Key);
@@ -600,7 +606,7 @@
   forgetService(Ended->second.Service);
   Served.erase(Ended);
   if (HomeKnows && RegisterQueue.size() < MaxQueuedEnds)
-    queueRegistration(Key, Now);
+    appendRegistration(Key, Now);
   return {};
 }
 
@@ -659,13 +665,16 @@
   for (std::size_t I = 0; I < RegistrationsPerMessage && !RegisterQueue.empty(); ++I) {
     const FlowKey Key = RegisterQueue.front();
     RegisterQueue.pop_front();
+    const auto Here = Served.find(Key);
+    if (Here != Served.end())
+      Here->second.Queued = false;
     const std::string Home = homeOf(Key);
     if (Home.empty() || Home == SelfId)
       continue;
     auto &Message = Messages[Home];
     Message["t"] = "register";
     Message["owner"] = SelfId;
-    Message[Served.contains(Key) ? "flows" : "ended"].push_back(packet::toString(Key));
+    Message[Here != Served.end() ? "flows" : "ended"].push_back(packet::toString(Key));
   }
   for (auto &[Home, Message] : Messages)
     if (const Member *Peer = liveMember(Home))
--- a/src/flow/stream.cpp
+++ b/src/flow/stream.cpp
@@ -158,6 +158,9 @@
 }
 
 void Stream::onReset(const Packet &Received) {
+  // The peer may have discarded the stream already; everything has arrived on both sides.
+  if (State == StreamState::Closed)
+    return;
   // A reset must be in the window (RFC 5961), so that an old one can't break a newer stream.
   const bool InWindow = Received.Sequence - ReceiveNext <= receiveWindow();
   const bool RefusesSyn = State == StreamState::Opening && !TowardsCaller && Received.Bits.Ack;
--- a/tests/flow_router_test.cpp
+++ b/tests/flow_router_test.cpp
@@ -559,9 +559,11 @@
       const std::size_t Before = Registered.size();
       for (Duration Step = 0ms; Step < 1s; Step += 10ms)
         for (const Action &Each : Router.onTimer(Later + Second * 1s + Step))
-          if (const auto *Sent = std::get_if<SendControl>(&Each))
+          if (const auto *Sent = std::get_if<SendControl>(&Each)) {
+            CPPUNIT_ASSERT(nlohmann::json::to_cbor(Sent->Message).size() <= 1200);
             for (const auto &Flow : Sent->Message.at("flows"))
               Registered.insert(Flow.get<std::string>());
+          }
       CPPUNIT_ASSERT(Registered.size() - Before <= RegistrationsPerSecond);
     }
     // The home of about a fifth of the flows is still the agent itself.
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -187,6 +187,7 @@
   CPPUNIT_TEST(testSyn_duplicate_resendsSynAck);
   CPPUNIT_TEST(testReset_insideWindow_breaksPeer);
   CPPUNIT_TEST(testFin_acknowledgementLost_isAnsweredWhileLingering);
+  CPPUNIT_TEST(testFeed_beyondAllSequenceNumbers_continues);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -331,10 +332,33 @@
     const Packet Fin = callerPacket({.Ack = true, .Fin = true}, 0xfffffe00 + 11, 0xffffff00 + 12);
     Network.Service->S.onPacket(Fin, Network.Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Network.Service->S.takeOutput(Network.Now).size());
+    // An agent that has forgotten the flow may answer such a FIN with a reset.
+    Network.Service->S.onPacket(
+        callerPacket({.Ack = true, .Rst = true}, 0xfffffe00 + 12, 0xffffff00 + 12), Network.Now);
+    CPPUNIT_ASSERT(Network.Service->S.state() == StreamState::Closed);
     const auto Finished = [&] { return Network.Service->S.finished(); };
     CPPUNIT_ASSERT(Network.runUntil(Finished, Stream::LingerTime + 1s));
   }
 
+  // Guards against a feed that stalls once 2^32 bytes were sent and its numbers start again.
+  void testFeed_beyondAllSequenceNumbers_continues() {
+    Stream Caller = Stream::connect(Key, 1, {});
+    Stream Service = Stream::accept(Caller.takeOutput({}).at(0), 7, {});
+    const Bytes Data(Stream::MaxBufferedBytes);
+    std::uint64_t Read = 0;
+    for (int Idle = 0; Read < (1ULL << 32) + 4 * Data.size() && Idle < 100; ++Idle) {
+      Service.write(Data);
+      for (const Packet &Each : Service.takeOutput({}))
+        Caller.onPacket(Each, {});
+      const std::size_t Size = Caller.read().size();
+      Read += Size;
+      for (const Packet &Each : Caller.takeOutput({}))
+        Service.onPacket(Each, {});
+      Idle = Size > 0 ? 0 : Idle;
+    }
+    CPPUNIT_ASSERT(Read > (1ULL << 32) + Data.size());
+  }
+
 private:
   /// Opens both ends and keeps them open: neither program has anything to write or to finish.
   static void openedService(Pair &Network) {
