--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -59,6 +59,9 @@
 inline constexpr common::Duration SyncQuietTime = std::chrono::seconds(3);
 /// Digests in a row that must differ before the list is asked for: one stale peer isn't a reason.
 inline constexpr std::uint32_t SyncMismatches = 3;
+/// Lists that a node may ask for soon after its first one, at the probe interval: when many nodes
+/// start together, the first list lacks those that were a little later.
+inline constexpr std::uint32_t MaxEarlySyncs = 2;
 /// More members than this are refused: three times the design scale.
 inline constexpr std::size_t MaxMembers = 20000;
 /// Records of one list that are passed on; a longer list reaches the others by their own requests.
@@ -222,6 +225,7 @@
   std::uint32_t RevisionRounds = 0; ///< Rounds of pushes left for the revision.
   std::uint64_t NextNumber = 1;
   std::uint32_t Mismatches = 0;
+  std::uint32_t EarlySyncs = MaxEarlySyncs;
   double Budget = GossipBurstBytes;
   bool Joined = false;
   bool Changed = false;
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -359,14 +359,15 @@
   // A message from a member that is dead here means that a partition has healed.
   const bool Expected = Mismatches < SyncMismatches || Now - LastChange < SyncQuietTime;
   const bool Healed = Sender.Record.State == MemberState::Dead;
-  if (Now < NextSync || (Joined && Expected && !Healed))
+  const bool Early = EarlySyncs > 0;
+  if (Now < NextSync || (Expected && !Healed && !Early))
     return;
   Mismatches = 0;
+  EarlySyncs -= Early && Joined ? 1 : 0;
   const double ListBytes = static_cast<double>(Peers.size() + 1) * ListedRecordBytes;
   const auto Pause = std::chrono::duration_cast<common::Duration>(
       std::chrono::duration<double>(ListBytes / SyncBytesPerSecond));
-  // A newcomer repeats its first request soon, because it may have been lost.
-  NextSync = Now + (Joined ? std::max(SyncInterval, Pause) : ProbeInterval);
+  NextSync = Now + (Early ? ProbeInterval : std::max(SyncInterval, Pause));
   Out.emplace_back(FetchMembers{Sender.Record.Admin});
 }
 
