Count a node as joined when its view equals a peer's

The ack to a joining node carries the peer's record. With two nodes the views are equal from then on, no list is asked for, and both nodes kept contacting their seeds each second and listing the store's members with backoff. An equal digest now ends the join. The test fails without the change.

Failed configuration fetches are logged at the bounded rate of rejected input.

--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -130,7 +130,7 @@
   [[nodiscard]] const Member *member(const std::string &Id) const noexcept;
   /// Members that aren't dead, with this node.
   [[nodiscard]] std::size_t liveCount() const;
-  /// True once a peer's list was taken.
+  /// True once a peer's list was taken or found equal to the own one.
   [[nodiscard]] bool joined() const noexcept { return Joined; }
   /// Hash of the live records; equal on nodes with equal views.
   [[nodiscard]] std::uint64_t digest() const noexcept { return Digest; }
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -353,6 +353,8 @@
 void Gossip::noteDigest(const Peer &Sender, std::uint64_t Theirs, TimePoint Now) {
   if (Theirs == Digest) {
     Mismatches = 0;
+    // Equal views need no list: the second node of a system has the first one's from its ack.
+    Joined = true;
     return;
   }
   ++Mismatches;
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -378,7 +378,7 @@
       break;
     if (Found)
       offer(std::move(*Found), "peer");
-    else
+    else if (RejectLog.allow(steadyNow()))
       log(LogLevel::Warning, "configuration_fetch_failed",
           {{"peer", common::toString(Admin)}, {"detail", Found.Failure.Detail}});
   }
--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -12,6 +12,7 @@
 class GossipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GossipTest);
   CPPUNIT_TEST(testJoin_lossyNetwork_viewsConverge);
+  CPPUNIT_TEST(testJoin_twoNodes_bothJoin);
   CPPUNIT_TEST(testLeave_announced_isKnownEverywhere);
   CPPUNIT_TEST(testKill_node_isDeclaredDeadInTime);
   CPPUNIT_TEST(testPartition_healed_viewsConvergeWithoutEmptyTables);
@@ -50,6 +51,17 @@
     CPPUNIT_ASSERT(Network.runUntil(JoinLimit, [&] { return Network.converged(); }));
   }
 
+  // Guards against nodes that never count as joined, and so keep asking seeds and store, because
+  // their views were equal from the first ack.
+  void testJoin_twoNodes_bothJoin() {
+    GossipNetwork Network(20);
+    Network.add(2);
+    const auto Joined = [&] {
+      return Network.countUnless([](Gossip &Core) { return Core.joined(); }) == 0;
+    };
+    CPPUNIT_ASSERT(Network.runUntil(JoinLimit, Joined));
+  }
+
   // Guards against a leave that some members learn of too late or not at all.
   void testLeave_announced_isKnownEverywhere() {
     GossipNetwork Network(12, 0.05);
