Make the pause test fail without the pause rule

A trial without resumeAfterPause passed: no probe was open when the test paused the node. The test now waits for a sent ping, and adds a suspect whose time ran out during the pause. It fails without the rule.

--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -17,7 +17,7 @@
   CPPUNIT_TEST(testKill_node_isDeclaredDeadInTime);
   CPPUNIT_TEST(testPartition_healed_viewsConvergeWithoutEmptyTables);
   CPPUNIT_TEST(testSuspicion_false_isRefuted);
-  CPPUNIT_TEST(testPause_resumedNode_suspectsNobody);
+  CPPUNIT_TEST(testPause_resumedNode_killsNobody);
   CPPUNIT_TEST(testRevision_raised_reachesEveryNode);
   CPPUNIT_TEST(testSupersedes_table_followsPrecedence);
   CPPUNIT_TEST(testMessage_malformed_isRejectedWithoutChange);
@@ -122,16 +122,29 @@
   }
 
   // Guards against a paused process that declares its peers dead when it resumes, although their
-  // acks wait in its socket.
-  void testPause_resumedNode_suspectsNobody() {
+  // acks and refutations wait in its socket.
+  void testPause_resumedNode_killsNobody() {
     GossipNetwork Network(16);
     form(Network, 3);
     Gossip &Paused = Network.core(0);
-    const auto Probed = Paused.onTimer(Paused.nextTimer());
-    CPPUNIT_ASSERT(!Probed.empty());
+    const auto Suspicion = nlohmann::json::array({"agent-1", 1, MemberState::Suspect});
+    static_cast<void>(Paused.onMessage({{"t", "push"},
+                                        {"f", "agent-2"},
+                                        {"rev", 0},
+                                        {"d", 0},
+                                        {"u", nlohmann::json::array({Suspicion})}},
+                                       GossipNetwork::record(2).Control, Network.now()));
+    CPPUNIT_ASSERT(seesState(Paused, "agent-1", MemberState::Suspect));
+    const auto SendsPing = [](const GossipAction &Action) {
+      const auto *Sent = std::get_if<SendDatagram>(&Action);
+      return Sent != nullptr && nlohmann::json::from_cbor(Sent->Bytes).at("t") == "ping";
+    };
+    GossipActions Actions;
+    while (std::none_of(Actions.begin(), Actions.end(), SendsPing))
+      Actions = Paused.onTimer(Paused.nextTimer());
     static_cast<void>(Paused.onTimer(Paused.nextTimer() + seconds(20)));
-    for (const Member &Each : Paused.members())
-      CPPUNIT_ASSERT(Each.State == MemberState::Active);
+    CPPUNIT_ASSERT(seesState(Paused, "agent-1", MemberState::Suspect));
+    CPPUNIT_ASSERT(seesState(Paused, "agent-2", MemberState::Active));
   }
 
   // Guards against an edit that doesn't reach a node within the stated 4 s.
