Add the agent program

Cause: upstreams need the process beside them that serves flows and runs their requests. Change: Agent joins packet path, dispatcher, node, load reports, upstream monitor and life cycle (charts/upstream.json); admin endpoints for requests, flows, explain and drain; tests of dispatcher, flow connection and health judgement against the upstream stand-in.

--- a/include/galenarelay/agent/packet_path.h
+++ b/include/galenarelay/agent/packet_path.h
@@ -53,7 +53,11 @@
   void onSendControl(ControlSender Sender) { SendControl = std::move(Sender); }
   void onControl(const nlohmann::json &Message, common::Endpoint From);
   void onViewChange(const std::shared_ptr<const routing::RoutingView> &View);
-  /// Takes no new flows and ends the served ones as their requests end.
+  /// Called after a flow has ended.
+  void onFlowsChange(std::function<void()> Callback) { FlowsChanged = std::move(Callback); }
+  /// Ends the served flows as their requests end.
+  void drainFlows();
+  /// Takes no new flows for good, and drains the served ones.
   void drain();
   void stop();
 
@@ -96,6 +100,7 @@
   boost::asio::steady_timer Timer;
   std::optional<common::TimePoint> ArmedFor; ///< When Timer fires; empty if it is not set.
   ControlSender SendControl;
+  std::function<void()> FlowsChanged;
   prometheus::Counter &Received;
   prometheus::Counter &Forwarded;
   prometheus::Counter &Answered;
--- /dev/null
+++ b/src/agent/admin_routes.cpp
@@ -0,0 +1,83 @@
+#include "galenarelay/agent/admin_routes.h"
+
+namespace galenarelay::agent {
+
+using common::HttpRequest;
+using common::HttpResponse;
+
+namespace {
+
+HttpResponse jsonResponse(unsigned Status, const nlohmann::json &Body) {
+  HttpResponse Made;
+  Made.Status = Status;
+  Made.Body = Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  return Made;
+}
+
+HttpResponse errorResponse(unsigned Status, const std::string &Text) {
+  return jsonResponse(Status, {{"error", Text}});
+}
+
+std::string queryValue(const HttpRequest &Request, const std::string &Name) {
+  const auto Found = Request.Query.find(Name);
+  return Found == Request.Query.end() ? std::string() : Found->second;
+}
+
+HttpResponse requestsById(const Dispatcher &Requests, const HttpRequest &Request) {
+  const auto Records = Requests.ledger().find(queryValue(Request, "id"));
+  if (Records.empty())
+    return errorResponse(404, "no request with this ID is known here");
+  nlohmann::json List = nlohmann::json::array();
+  for (const request::RequestRecord &Record : Records)
+    List.push_back(toJson(Record));
+  return jsonResponse(200, {{"requests", List}});
+}
+
+HttpResponse explainFlow(const PacketPath &Packets, const HttpRequest &Request) {
+  const auto Key =
+      common::capture([&] { return packet::parseFlowKey(queryValue(Request, "flow")); });
+  if (!Key)
+    return errorResponse(400, Key.Failure.Detail);
+  return jsonResponse(200, Packets.explain(*Key));
+}
+
+/// Wraps a plain function as a handler.
+template <typename Function> common::HttpHandler handler(Function Handle) {
+  return [Handle](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+    co_return Handle(Request);
+  };
+}
+
+} // namespace
+
+nlohmann::json toJson(const request::RequestRecord &Record) {
+  nlohmann::json Document{
+      {"id", Record.Facts.TextId},       {"flow", Record.Facts.Flow},
+      {"service", Record.Facts.Service}, {"method", Record.Facts.Method},
+      {"target", Record.Facts.Target},   {"state", request::name(Record.State)},
+      {"dispatches", Record.Dispatches}, {"may_have_run", Record.MayHaveRun},
+      {"status", Record.Status},         {"reason", common::name(Record.Reason)},
+      {"detail", Record.Detail},         {"arrived_us", Record.Arrived.time_since_epoch().count()}};
+  if (Record.Ended != common::TimePoint{})
+    Document["ended_us"] = Record.Ended.time_since_epoch().count();
+  return Document;
+}
+
+void addAdminRoutes(node::Node &Node, const Dispatcher &Requests, const PacketPath &Packets,
+                    Lifecycle &Life) {
+  Node.addRoute("GET", "/v1/requests", handler([&Requests](const HttpRequest &Request) {
+                  return requestsById(Requests, Request);
+                }));
+  Node.addRoute("GET", "/v1/flows", handler([&Packets](const HttpRequest &) {
+                  return jsonResponse(200, Packets.describeFlows(MaxListedFlows));
+                }));
+  Node.addRoute("GET", "/v1/explain", handler([&Packets](const HttpRequest &Request) {
+                  return explainFlow(Packets, Request);
+                }));
+  Node.addRoute("POST", "/v1/drain", handler([&Life, &Packets](const HttpRequest &) {
+                  Life.drain();
+                  return jsonResponse(200, {{"draining", true}, {"flows", Packets.servedFlows()}});
+                }));
+}
+
+} // namespace galenarelay::agent
--- /dev/null
+++ b/src/agent/load_reporter.cpp
@@ -0,0 +1,61 @@
+#include "galenarelay/agent/load_reporter.h"
+
+#include "galenarelay/agent/load_message.h"
+
+namespace galenarelay::agent {
+
+using common::steadyNow;
+using common::TimePoint;
+
+LoadReporter::LoadReporter(boost::asio::io_context &Io, node::Node &Node,
+                           const Dispatcher &Requests, std::uint64_t Seed)
+    : Node(Node), Requests(Requests), View(Seed), Timer(Io),
+      Sequence(static_cast<std::uint64_t>(common::wallMilliseconds())) {
+  Node.onControl("load",
+                 [this](const nlohmann::json &Message, common::Endpoint) { onMessage(Message); });
+}
+
+std::optional<std::size_t> LoadReporter::choose(const routing::ServiceRoute &Route,
+                                                const std::string &Self, TimePoint Now) {
+  View.onReport(nextReport(), Now);
+  return View.choose(Route, Self, Now);
+}
+
+schedule::LoadReport LoadReporter::nextReport() {
+  schedule::LoadReport Report = Requests.loadReport();
+  Report.Sequence = ++Sequence;
+  return Report;
+}
+
+void LoadReporter::start() { tick(); }
+
+void LoadReporter::stop() { Timer.cancel(); }
+
+void LoadReporter::onMessage(const nlohmann::json &Message) {
+  const auto Report = common::capture([&] { return loadFromMessage(Message); });
+  if (Report)
+    View.onReport(*Report, steadyNow());
+  else if (MalformedLog.allow(steadyNow()))
+    common::log(common::LogLevel::Warning, "load_report_malformed",
+                {{"detail", Report.Failure.Detail}});
+}
+
+void LoadReporter::tick() {
+  schedule::LoadReport Report = Requests.loadReport();
+  Report.Sequence = Last.Sequence;
+  if (Changed || Report != Last) {
+    Report.Sequence = ++Sequence;
+    Last = Report;
+    Changed = false;
+    const nlohmann::json Message = toMessage(Report);
+    for (const common::Endpoint &Peer : reportTargets(*Node.view(), Node.self().Id))
+      Node.sendControl(Peer, Message);
+  }
+  Timer.expires_after(schedule::ReportInterval);
+  Timer.async_wait([this](const auto &Failure) {
+    if (!Failure)
+      tick();
+  });
+}
+
+} // namespace galenarelay::agent
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -69,6 +69,10 @@
 void PacketPath::drain() {
   Draining = true;
   Router.refuseNewFlows();
+  drainFlows();
+}
+
+void PacketPath::drainFlows() {
   for (const auto &[Key, Known] : Flows) {
     Known.Connection->drain();
     touch(Key);
@@ -187,6 +191,8 @@
   Flows.erase(Known);
   Open.Set(static_cast<double>(Flows.size()));
   apply(Router.onFlowEnded(Key, steadyNow()));
+  if (FlowsChanged)
+    FlowsChanged();
 }
 
 void PacketPath::armTimer() {
@@ -218,6 +224,9 @@
     advance(Key);
   }
   apply(Router.onTimer(Now));
+  // Their callers never acknowledged them: another agent may serve these flows.
+  for (const FlowKey &Key : Router.takeExpired())
+    remove(Key);
 }
 
 } // namespace galenarelay::agent
