Claim idempotency keys before a keyed request is queued

Cause: an agent remembers the keys of its own requests only, so a resend that reaches another agent is not recognised.

--- /dev/null
+++ b/include/galenarelay/agent/claim_desk.h
@@ -0,0 +1,45 @@
+#ifndef GALENARELAY_AGENT_CLAIM_DESK_H
+#define GALENARELAY_AGENT_CLAIM_DESK_H
+
+#include "galenarelay/agent/dispatcher.h"
+#include "galenarelay/node/node.h"
+#include "galenarelay/request/key_claims.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace galenarelay::agent {
+
+/// Joins the claims of idempotency keys with the dispatcher, the control messages and a timer.
+class ClaimDesk {
+public:
+  /// Takes over the dispatcher's claim hooks and the node's claim messages.
+  ClaimDesk(boost::asio::io_context &Io, node::Node &Node, Dispatcher &Requests);
+
+  /// True while the end of a request still has to reach a replica.
+  [[nodiscard]] bool busy() const noexcept { return Claims.busy(); }
+
+  void onViewChange(std::shared_ptr<const routing::RoutingView> View);
+  void stop();
+
+private:
+  void apply(const std::vector<request::ClaimAction> &Actions);
+  void apply(const flow::SendControl &Action);
+  void apply(const request::ClaimGranted &Action);
+  void apply(const request::ClaimDenied &Action);
+  void apply(const request::ClaimFailed &Action);
+  [[nodiscard]] ClaimHooks hooks();
+  void armTimer();
+
+  node::Node &Node;
+  Dispatcher &Requests;
+  request::KeyClaims Claims;
+  boost::asio::steady_timer Timer;
+};
+
+} // namespace galenarelay::agent
+
+#endif // GALENARELAY_AGENT_CLAIM_DESK_H
--- a/include/galenarelay/agent/dispatcher.h
+++ b/include/galenarelay/agent/dispatcher.h
@@ -4,6 +4,7 @@
 #include "galenarelay/agent/upstream_call.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/packet/packet.h"
+#include "galenarelay/request/key_claims.h"
 #include "galenarelay/request/ledger.h"
 #include "galenarelay/request/message.h"
 #include "galenarelay/schedule/scheduler.h"
@@ -46,6 +47,17 @@
   std::function<void()> OnBodySent;
 };
 
+/// How the dispatcher claims idempotency keys among the agents of a service.
+struct ClaimHooks {
+  /// Answered, now or later, by onClaimGranted, onClaimDenied or onClaimFailed.
+  std::function<void(request::RequestId Id, request::ClaimKey Key, std::uint64_t Fingerprint)>
+      Claim;
+  std::function<void(request::RequestId Id, request::ClaimState State, unsigned Status,
+                     std::string ContentType, std::string Body)>
+      Settle;
+  std::function<void(request::RequestId Id)> Release;
+};
+
 /// Runs the requests of all flows on the upstream: ledger, scheduler and upstream calls.
 class Dispatcher {
 public:
@@ -64,6 +76,11 @@
   [[nodiscard]] std::size_t bodyBacklog(request::RequestId Id) const noexcept;
 
   void onResult(ResultListener Listener) { Listen = std::move(Listener); }
+  /// Without hooks a key is remembered by this agent only.
+  void setClaims(ClaimHooks Hooks) { Claims = std::move(Hooks); }
+  void onClaimGranted(request::RequestId Id);
+  void onClaimDenied(request::RequestId Id, const request::Claim &Holder);
+  void onClaimFailed(request::RequestId Id);
   request::RequestId submit(NewRequest Request, ExchangeEvents Events);
   void sendBody(request::RequestId Id, std::string Bytes, bool Last);
   void pauseResponse(request::RequestId Id);
@@ -86,6 +103,7 @@
     std::shared_ptr<boost::asio::steady_timer> RetryTimer;
     std::string LaterBody; ///< Body parts that came before the dispatch.
     bool LaterLast = false;
+    bool Claimed = false;                ///< The key is claimed, or a claim is under way.
     std::optional<request::Answer> Kept; ///< The response so far, for a resend with its key.
     unsigned Status = 0;                 ///< Of the upstream's response.
     std::uint32_t Dispatches = 0;
@@ -110,6 +128,11 @@
                                          const std::string &Detail);
   /// Drops an exchange and its call; frees its place in the scheduler.
   void release(request::RequestId Id, schedule::Completion How);
+  void claimOrEnqueue(request::RequestId Id, const std::string &Key, std::uint64_t Fingerprint);
+  void settleClaim(request::RequestId Id, const Exchange &Ended, request::RequestState Final);
+  /// Ends a request that was not dispatched with the answer.
+  void refuse(request::RequestId Id, common::ResultCode Reason, const std::string &Detail,
+              request::Answer Whole);
   void answerLater(ExchangeEvents Events, request::Answer Whole);
   void armTimer();
 
@@ -123,6 +146,7 @@
   std::unordered_map<request::RequestId, Exchange> Exchanges;
   request::RequestId LastId = 0;
   ResultListener Listen;
+  ClaimHooks Claims;
   common::Metrics &Metrics;
 };
 
--- a/include/galenarelay/agent/lifecycle.h
+++ b/include/galenarelay/agent/lifecycle.h
@@ -28,7 +28,8 @@
 class Lifecycle {
 public:
   Lifecycle(boost::asio::io_context &Io, std::shared_ptr<const statechart::ChartTable> Chart,
-            node::Node &Node, PacketPath &Packets, std::function<void()> Left);
+            node::Node &Node, PacketPath &Packets, std::function<bool()> Busy,
+            std::function<void()> Left);
 
   [[nodiscard]] statechart::UpstreamChart::State state() const noexcept { return Machine.state(); }
 
@@ -54,6 +55,7 @@
   statechart::Machine<Chart> Machine;
   node::Node &Node;
   PacketPath &Packets;
+  std::function<bool()> Busy; ///< True while something other than a flow holds the agent.
   std::function<void()> Left;
   boost::asio::steady_timer Timer;
   membership::MemberState Announced = membership::MemberState::Joining;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/agent/agent.h"
 
 #include "galenarelay/agent/admin_routes.h"
+#include "galenarelay/agent/claim_desk.h"
 #include "galenarelay/agent/dispatcher.h"
 #include "galenarelay/agent/lifecycle.h"
 #include "galenarelay/agent/load_reporter.h"
@@ -68,8 +69,10 @@
                    common::TimePoint Now) { return Reports.choose(Route, Self, Now); },
             Metrics),
         Node(Io, nodeOptions(Options, Packets.local(), Seed), Metrics),
-        Reports(Io, Node, Requests, Seed),
-        Life(Io, Options.LifecycleChart, Node, Packets, [this] { onLeft(); }),
+        Reports(Io, Node, Requests, Seed), Claims(Io, Node, Requests),
+        Life(
+            Io, Options.LifecycleChart, Node, Packets, [this] { return Claims.busy(); },
+            [this] { onLeft(); }),
         Monitor(Io, Options.Upstream, [this](UpstreamState Judged) { Life.onUpstream(Judged); }) {
     connectControl();
     addAdminRoutes(Node, Requests, Packets, Life);
@@ -85,6 +88,7 @@
       });
     Node.onViewChange([this] {
       Packets.onViewChange(Node.view());
+      Claims.onViewChange(Node.view());
       Reports.onViewChange();
       Life.refreshResidual();
     });
@@ -99,6 +103,7 @@
   void onLeft() {
     Monitor.stop();
     Reports.stop();
+    Claims.stop();
     Packets.stop();
     Requests.stop();
     Node.stop();
@@ -110,6 +115,7 @@
   PacketPath Packets;
   node::Node Node;
   LoadReporter Reports;
+  ClaimDesk Claims;
   Lifecycle Life;
   UpstreamMonitor Monitor;
   std::function<void()> Left;
@@ -125,6 +131,7 @@
 void Agent::start() {
   Impl->Node.start();
   Impl->Packets.onViewChange(Impl->Node.view());
+  Impl->Claims.onViewChange(Impl->Node.view());
   Impl->Reports.start();
   Impl->Monitor.start();
 }
--- /dev/null
+++ b/src/agent/claim_desk.cpp
@@ -0,0 +1,72 @@
+#include "galenarelay/agent/claim_desk.h"
+
+#include <utility>
+
+namespace galenarelay::agent {
+
+namespace asio = boost::asio;
+using common::steadyNow;
+using request::RequestId;
+
+ClaimDesk::ClaimDesk(asio::io_context &Io, node::Node &Node, Dispatcher &Requests)
+    : Node(Node), Requests(Requests), Claims(Node.self().Id, Node.self().Incarnation), Timer(Io) {
+  for (const char *Type : {"claim", "claimed", "settle", "settled", "claims"})
+    Node.onControl(Type, [this](const nlohmann::json &Message, common::Endpoint From) {
+      apply(Claims.onControl(Message, From, steadyNow()));
+    });
+  Requests.setClaims(hooks());
+}
+
+ClaimHooks ClaimDesk::hooks() {
+  ClaimHooks Made;
+  Made.Claim = [this](RequestId Id, request::ClaimKey Key, std::uint64_t Fingerprint) {
+    apply(Claims.claim(Id, std::move(Key), Fingerprint, steadyNow()));
+  };
+  Made.Settle = [this](RequestId Id, request::ClaimState State, unsigned Status,
+                       std::string ContentType, std::string Body) {
+    apply(Claims.settle(Id, State, Status, std::move(ContentType), std::move(Body), steadyNow()));
+  };
+  Made.Release = [this](RequestId Id) { apply(Claims.release(Id, steadyNow())); };
+  return Made;
+}
+
+void ClaimDesk::onViewChange(std::shared_ptr<const routing::RoutingView> View) {
+  apply(Claims.onViewChange(std::move(View), steadyNow()));
+}
+
+void ClaimDesk::stop() { Timer.cancel(); }
+
+void ClaimDesk::apply(const std::vector<request::ClaimAction> &Actions) {
+  for (const request::ClaimAction &Made : Actions)
+    std::visit([this](const auto &Known) { apply(Known); }, Made);
+  armTimer();
+}
+
+void ClaimDesk::apply(const flow::SendControl &Action) {
+  Node.sendControl(Action.Control, Action.Message);
+}
+
+void ClaimDesk::apply(const request::ClaimGranted &Action) {
+  Requests.onClaimGranted(Action.Request);
+}
+
+void ClaimDesk::apply(const request::ClaimDenied &Action) {
+  Requests.onClaimDenied(Action.Request, Action.Holder);
+}
+
+void ClaimDesk::apply(const request::ClaimFailed &Action) {
+  Requests.onClaimFailed(Action.Request);
+}
+
+void ClaimDesk::armTimer() {
+  const auto Next = Claims.nextTimer();
+  if (!Next)
+    return;
+  Timer.expires_at(std::chrono::steady_clock::time_point(Next->time_since_epoch()));
+  Timer.async_wait([this](const auto &Failure) {
+    if (!Failure)
+      apply(Claims.onTimer(steadyNow()));
+  });
+}
+
+} // namespace galenarelay::agent
--- a/src/agent/dispatcher.cpp
+++ b/src/agent/dispatcher.cpp
@@ -52,6 +52,25 @@
   return Usable ? std::chrono::seconds(Seconds) : DefaultRetryAfter;
 }
 
+/// What a request is told whose key is held by another one.
+Answer answerForHolder(const request::Claim &Holder, std::uint64_t Fingerprint) {
+  if (Holder.Fingerprint != Fingerprint)
+    return request::malformedAnswer("the Idempotency-Key was used for a different request");
+  if (Holder.State == request::ClaimState::Running)
+    return request::conflictAnswer("a request with this Idempotency-Key is running");
+  if (Holder.State == request::ClaimState::Unknown)
+    return request::unknownAnswer("the request with this Idempotency-Key has an unknown outcome");
+  // A claim without a body had none or one that is too large to keep; only the first may be sent.
+  if (Holder.Body.empty() && Holder.Status != 204)
+    return request::conflictAnswer(
+        "the request with this Idempotency-Key was answered with status " +
+        std::to_string(Holder.Status) + "; its answer is not kept");
+  Answer Made{Holder.Status, {}, Holder.Body};
+  if (!Holder.ContentType.empty())
+    Made.Headers.emplace_back("Content-Type", Holder.ContentType);
+  return Made;
+}
+
 Completion completionOf(CallResult How) noexcept {
   switch (How) {
   case CallResult::Completed:
@@ -128,9 +147,10 @@
   setHeader(Request.Head.Headers, "X-Forwarded-For",
             common::addressToString(Request.Flow.Caller.Address));
   const std::string Key(request::headerValue(Request.Head.Headers, request::IdempotencyKeyHeader));
+  const std::uint64_t Fingerprint = fingerprintOf(Request);
   auto Known = Book.enter(Id,
                           {TextId, packet::toString(Request.Flow), Request.Service,
-                           Request.Head.Method, Request.Head.Target, Key, fingerprintOf(Request)},
+                           Request.Head.Method, Request.Head.Target, Key, Fingerprint},
                           Now);
   if (Known) {
     answerLater(std::move(Events), std::move(*Known));
@@ -147,10 +167,69 @@
   if (!Key.empty())
     Opened.Kept.emplace();
   Exchanges.emplace(Id, std::move(Opened));
-  enqueue(Id);
+  claimOrEnqueue(Id, Key, Fingerprint);
   return Id;
 }
 
+// Only a request that must not run twice is worth the claim's messages.
+void Dispatcher::claimOrEnqueue(RequestId Id, const std::string &Key, std::uint64_t Fingerprint) {
+  Exchange &Open = *find(Id);
+  Open.Claimed = Claims.Claim && !Key.empty() && !request::isIdempotent(Open.Request.Head.Method);
+  if (Open.Claimed)
+    Claims.Claim(Id, {Open.Request.Service, Key}, Fingerprint);
+  else
+    enqueue(Id);
+}
+
+void Dispatcher::onClaimGranted(RequestId Id) {
+  if (find(Id) != nullptr)
+    enqueue(Id);
+}
+
+void Dispatcher::onClaimDenied(RequestId Id, const request::Claim &Holder) {
+  Exchange *Open = find(Id);
+  if (Open == nullptr)
+    return;
+  Open->Claimed = false;
+  refuse(Id, ResultCode::RequestInProgress, "the Idempotency-Key is held by " + Holder.Claimant,
+         answerForHolder(Holder, fingerprintOf(Open->Request)));
+}
+
+void Dispatcher::onClaimFailed(RequestId Id) {
+  Exchange *Open = find(Id);
+  if (Open == nullptr)
+    return;
+  Open->Claimed = false;
+  const std::string Detail = "the Idempotency-Key could not be claimed in time";
+  refuse(Id, ResultCode::RequestNotRun, Detail,
+         request::notRunAnswer(ResultCode::RequestNotRun, DefaultRetryAfter, Detail));
+}
+
+void Dispatcher::refuse(RequestId Id, ResultCode Reason, const std::string &Detail, Answer Whole) {
+  (void)conclude(Id, std::nullopt, Reason, DefaultRetryAfter, Detail);
+  Book.noteStatus(Id, Whole.Status);
+  auto Node = Exchanges.extract(Id);
+  answerLater(std::move(Node.mapped().Events), std::move(Whole));
+}
+
+void Dispatcher::settleClaim(RequestId Id, const Exchange &Ended, RequestState Final) {
+  if (!Ended.Claimed)
+    return;
+  if (Final == RequestState::NotRun) {
+    Claims.Release(Id);
+    return;
+  }
+  if (Final == RequestState::Unknown || !Ended.Kept) {
+    const bool Answered = Final == RequestState::Answered;
+    Claims.Settle(Id, Answered ? request::ClaimState::Answered : request::ClaimState::Unknown,
+                  Ended.Status, {}, {});
+    return;
+  }
+  const auto Type = request::headerValue(Ended.Kept->Headers, "Content-Type");
+  Claims.Settle(Id, request::ClaimState::Answered, Ended.Status, std::string(Type),
+                Ended.Kept->Body);
+}
+
 void Dispatcher::enqueue(RequestId Id) {
   const Exchange &Open = *find(Id);
   apply(Queue.onArrival({Id, Open.Request.Flow.Caller.Address, Open.Class, Open.Deadline},
@@ -257,6 +336,7 @@
   const auto Node = Exchanges.extract(Id);
   const Exchange &Open = Node.mapped();
   Book.answered(Id, Open.Kept, steadyNow());
+  settleClaim(Id, Open, RequestState::Answered);
   const bool Good = Open.Status < 500;
   const Completion How = Good ? Completion::Succeeded : Completion::Failed;
   Metrics.counter("requests_total", "Requests by outcome", {{"outcome", "answered"}}).Increment();
--- a/src/agent/lifecycle.cpp
+++ b/src/agent/lifecycle.cpp
@@ -14,9 +14,10 @@
 using membership::MemberState;
 
 Lifecycle::Lifecycle(asio::io_context &Io, std::shared_ptr<const statechart::ChartTable> Chart,
-                     node::Node &Node, PacketPath &Packets, std::function<void()> Left)
-    : Io(Io), Machine(std::move(Chart)), Node(Node), Packets(Packets), Left(std::move(Left)),
-      Timer(Io) {}
+                     node::Node &Node, PacketPath &Packets, std::function<bool()> Busy,
+                     std::function<void()> Left)
+    : Io(Io), Machine(std::move(Chart)), Node(Node), Packets(Packets), Busy(std::move(Busy)),
+      Left(std::move(Left)), Timer(Io) {}
 
 void Lifecycle::onUpstream(UpstreamState State) {
   if (State == UpstreamState::Unreachable)
@@ -90,7 +91,7 @@
 
 asio::awaitable<void> Lifecycle::leaveWhenEmpty() {
   const auto Earliest = steadyNow() + MinStopTime;
-  while (Packets.servedFlows() > 0 || steadyNow() < Earliest) {
+  while (Packets.servedFlows() > 0 || Busy() || steadyNow() < Earliest) {
     Timer.expires_after(StopPollInterval);
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
