Free or settle a claimed key when its request does not run to an answer

Cause: a request that was refused, shed or broken after its claim left the key taken as running. Change: the dispatcher releases or settles the claim wherever it concludes a request; a new flow with a known key drops the old one's timer. Conclusion: a table of claim outcomes covers grant, denial, failure and release.

--- a/include/galenarelay/agent/packet_path.h
+++ b/include/galenarelay/agent/packet_path.h
@@ -82,6 +82,9 @@
   void advanceTouched();
   void advance(const packet::FlowKey &Key);
   void updateTimer(const packet::FlowKey &Key, Entry &Known);
+  /// Drops a flow and its timer; false if it is not known.
+  bool forget(const packet::FlowKey &Key);
+  /// Drops a flow and tells the router.
   void remove(const packet::FlowKey &Key);
   void armTimer();
   void onTimer();
--- a/src/agent/dispatcher.cpp
+++ b/src/agent/dispatcher.cpp
@@ -397,10 +397,12 @@
     Made = request::timeoutAnswer(Detail);
   else
     Made = request::unknownAnswer(Detail);
-  if (const Exchange *Open = find(Id))
+  if (const Exchange *Open = find(Id)) {
     setHeader(
         Made.Headers, request::RequestIdHeader,
         std::string(request::headerValue(Open->Request.Head.Headers, request::RequestIdHeader)));
+    settleClaim(Id, *Open, Final);
+  }
   Book.noteStatus(Id, Made.Status);
   Metrics
       .counter("requests_total", "Requests by outcome",
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -100,7 +100,8 @@
   Opened.Connection = std::make_shared<FlowConnection>(Context, Action.Service, std::move(Stream));
   if (Draining)
     Opened.Connection->drain();
-  Flows.insert_or_assign(Action.Key, std::move(Opened));
+  forget(Action.Key);
+  Flows.emplace(Action.Key, std::move(Opened));
   Accepted.Increment();
   Open.Set(static_cast<double>(Flows.size()));
   touch(Action.Key);
@@ -181,15 +182,21 @@
     Timers.emplace(*Next, Key);
 }
 
-void PacketPath::remove(const FlowKey &Key) {
+bool PacketPath::forget(const FlowKey &Key) {
   const auto Known = Flows.find(Key);
   if (Known == Flows.end())
-    return;
+    return false;
   if (Known->second.Timer)
     Timers.erase({*Known->second.Timer, Key});
   Known->second.Connection->discard();
   Flows.erase(Known);
   Open.Set(static_cast<double>(Flows.size()));
+  return true;
+}
+
+void PacketPath::remove(const FlowKey &Key) {
+  if (!forget(Key))
+    return;
   apply(Router.onFlowEnded(Key, steadyNow()));
   if (FlowsChanged)
     FlowsChanged();
@@ -220,7 +227,10 @@
     Flows.at(Due.back()).Timer.reset();
   }
   for (const FlowKey &Key : Due) {
-    Flows.at(Key).Connection->onTimer(Now);
+    const auto Known = Flows.find(Key);
+    if (Known == Flows.end())
+      continue;
+    Known->second.Connection->onTimer(Now);
     advance(Key);
   }
   apply(Router.onTimer(Now));
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(testOrder_upstreamFaults_tellCallerTheTruth);
   CPPUNIT_TEST(testOrder_shedOnce_isRetriedAndRunsOnce);
   CPPUNIT_TEST(testOrder_resentWithKey_runsOnce);
+  CPPUNIT_TEST(testOrder_keyClaim_decidesBeforeAnyRun);
   CPPUNIT_TEST(testCancel_runningOrder_closesUpstreamAndFreesSlot);
   CPPUNIT_TEST(testCancel_queuedOrder_neverRuns);
   CPPUNIT_TEST(testQueue_full_answersNotRun);
@@ -219,6 +220,69 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Under.Server->runs().count("r"));
   }
 
+  // Guards against an order that runs before its key is granted, or although it is held elsewhere,
+  // and against a key that stays taken by a request that did not run.
+  void testOrder_keyClaim_decidesBeforeAnyRun() {
+    using request::Claim;
+    using request::ClaimState;
+    Rig Under;
+    std::vector<std::string> Calls;
+    request::RequestId Asked = 0;
+    std::uint64_t Fingerprint = 0;
+    Under.Requests->setClaims(
+        {[&](request::RequestId Id, const request::ClaimKey &, std::uint64_t Hash) {
+           Asked = Id;
+           Fingerprint = Hash;
+         },
+         [&](request::RequestId, ClaimState State, unsigned Status, const std::string &,
+             const std::string &) {
+           Calls.push_back((State == ClaimState::Answered ? "answered " : "unknown ") +
+                           std::to_string(Status));
+         },
+         [&](request::RequestId) { Calls.emplace_back("released"); }});
+    struct Row {
+      std::function<void()> Decide;
+      unsigned Status;
+      std::vector<std::string> Calls;
+    };
+    const auto Deny = [&](Claim Holder) {
+      return [&, Holder]() mutable {
+        Holder.Fingerprint += Fingerprint;
+        Under.Requests->onClaimDenied(Asked, Holder);
+      };
+    };
+    const Row Rows[] = {
+        {Deny({"b#1#1", 0, ClaimState::Running}), 409, {}},
+        {Deny({"b#1#1", 0, ClaimState::Unknown}), 502, {}},
+        {Deny({"b#1#1", 0, ClaimState::Answered, 201, "text/plain", "made"}), 201, {}},
+        {Deny({"b#1#1", 0, ClaimState::Answered, 201, "", ""}), 409, {}},
+        {Deny({"b#1#1", 1, ClaimState::Answered, 201, "", "made"}), 400, {}},
+        {[&] { Under.Requests->onClaimFailed(Asked); }, 503, {}},
+        {[&] { Under.Requests->onClaimGranted(Asked); }, 200, {"answered 200"}},
+        {[&] {
+           Under.Server->close();
+           Under.Requests->onClaimGranted(Asked);
+         },
+         503,
+         {"released"}},
+    };
+    for (const Row &Case : Rows) {
+      Calls.clear();
+      const std::size_t Before = Under.Server->runs().runs().size();
+      NewRequest Made = Rig::order("/orders", "r");
+      Made.Head.Headers.emplace_back(request::IdempotencyKeyHeader,
+                                     "k" + std::to_string(&Case - Rows));
+      Outcome Seen;
+      (void)Under.Requests->submit(std::move(Made), Rig::record(Seen));
+      Case.Decide();
+      Under.runUntil([&] { return Seen.ended(); });
+      CPPUNIT_ASSERT_EQUAL(Case.Status, Seen.status());
+      CPPUNIT_ASSERT(Case.Calls == Calls);
+      const std::size_t Runs = Case.Status == 200 ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL(Before + Runs, Under.Server->runs().runs().size());
+    }
+  }
+
   // Guards against abandoned work that goes on and keeps its slot.
   void testCancel_runningOrder_closesUpstreamAndFreesSlot() {
     Rig Under;
