--- a/include/galenarelay/agent/packet_path.h
+++ b/include/galenarelay/agent/packet_path.h
@@ -53,7 +53,11 @@
   void onSendControl(ControlSender Sender) { SendControl = std::move(Sender); }
   void onControl(const nlohmann::json &Message, common::Endpoint From);
   void onViewChange(const std::shared_ptr<const routing::RoutingView> &View);
-  /// Takes no new flows and ends the served ones as their requests end.
+  /// Called after a flow has ended.
+  void onFlowsChange(std::function<void()> Callback) { FlowsChanged = std::move(Callback); }
+  /// Ends the served flows as their requests end.
+  void drainFlows();
+  /// Takes no new flows for good, and drains the served ones.
   void drain();
   void stop();
 
@@ -78,6 +82,9 @@
   void advanceTouched();
   void advance(const packet::FlowKey &Key);
   void updateTimer(const packet::FlowKey &Key, Entry &Known);
+  /// Drops a flow and its timer; false if it is not known.
+  bool forget(const packet::FlowKey &Key);
+  /// Drops a flow and tells the router.
   void remove(const packet::FlowKey &Key);
   void armTimer();
   void onTimer();
@@ -96,6 +103,7 @@
   boost::asio::steady_timer Timer;
   std::optional<common::TimePoint> ArmedFor; ///< When Timer fires; empty if it is not set.
   ControlSender SendControl;
+  std::function<void()> FlowsChanged;
   prometheus::Counter &Received;
   prometheus::Counter &Forwarded;
   prometheus::Counter &Answered;
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -69,6 +69,10 @@
 void PacketPath::drain() {
   Draining = true;
   Router.refuseNewFlows();
+  drainFlows();
+}
+
+void PacketPath::drainFlows() {
   for (const auto &[Key, Known] : Flows) {
     Known.Connection->drain();
     touch(Key);
@@ -96,7 +100,8 @@
   Opened.Connection = std::make_shared<FlowConnection>(Context, Action.Service, std::move(Stream));
   if (Draining)
     Opened.Connection->drain();
-  Flows.insert_or_assign(Action.Key, std::move(Opened));
+  forget(Action.Key);
+  Flows.emplace(Action.Key, std::move(Opened));
   Accepted.Increment();
   Open.Set(static_cast<double>(Flows.size()));
   touch(Action.Key);
@@ -177,16 +182,24 @@
     Timers.emplace(*Next, Key);
 }
 
-void PacketPath::remove(const FlowKey &Key) {
+bool PacketPath::forget(const FlowKey &Key) {
   const auto Known = Flows.find(Key);
   if (Known == Flows.end())
-    return;
+    return false;
   if (Known->second.Timer)
     Timers.erase({*Known->second.Timer, Key});
   Known->second.Connection->discard();
   Flows.erase(Known);
   Open.Set(static_cast<double>(Flows.size()));
+  return true;
+}
+
+void PacketPath::remove(const FlowKey &Key) {
+  if (!forget(Key))
+    return;
   apply(Router.onFlowEnded(Key, steadyNow()));
+  if (FlowsChanged)
+    FlowsChanged();
 }
 
 void PacketPath::armTimer() {
@@ -214,10 +227,16 @@
     Flows.at(Due.back()).Timer.reset();
   }
   for (const FlowKey &Key : Due) {
-    Flows.at(Key).Connection->onTimer(Now);
+    const auto Known = Flows.find(Key);
+    if (Known == Flows.end())
+      continue;
+    Known->second.Connection->onTimer(Now);
     advance(Key);
   }
   apply(Router.onTimer(Now));
+  // Their callers never acknowledged them: another agent may serve these flows.
+  for (const FlowKey &Key : Router.takeExpired())
+    remove(Key);
 }
 
 } // namespace galenarelay::agent
