Age stragglers by the last start of one, plan fewer returns, lower the credit

Cause: in a backlog of stragglers each had waited longer than LongPatience, so they used a slot of the reserve all the time; returns and new orders together overloaded the rest after a crest.

--- a/include/galenarelay/bench/fleet.h
+++ b/include/galenarelay/bench/fleet.h
@@ -86,8 +86,8 @@
 };
 
 [[nodiscard]] std::string_view name(Policy Which) noexcept;
-/// All policies, ours first.
-[[nodiscard]] const std::vector<Policy> &policies();
+/// The policy of a name, or all of them if the name is empty, ours first.
+[[nodiscard]] std::vector<Policy> policies(std::string_view Only);
 
 /// Event-driven simulation of one service's fleet. The arrivals depend on the options and the seed
 /// only, so that policies meet the same demand.
--- a/include/galenarelay/bench/report.h
+++ b/include/galenarelay/bench/report.h
@@ -22,7 +22,8 @@
 /// What a benchmark gets from its command line.
 struct BenchArguments {
   std::uint64_t Seed = 1;
-  double Scale = 1; ///< Multiplies simulated lengths and repetitions.
+  double Scale = 1;   ///< Multiplies simulated lengths and repetitions.
+  std::string Policy; ///< Only this policy; empty for all.
 };
 
 /// Value that the given share of the values doesn't exceed; 0 without values.
--- a/include/galenarelay/schedule/impl/scheduler_state.h
+++ b/include/galenarelay/schedule/impl/scheduler_state.h
@@ -58,6 +58,7 @@
 
   [[nodiscard]] std::uint32_t longLimit() const noexcept;
   [[nodiscard]] bool shortExpected(common::TimePoint Now) const noexcept;
+  [[nodiscard]] common::TimePoint longDue() const noexcept;
   [[nodiscard]] bool longAged(common::TimePoint Now) const noexcept;
   [[nodiscard]] Pick pick(common::TimePoint Now) const noexcept;
   [[nodiscard]] common::Duration predictedWait(const Prediction &Of, std::uint32_t Caller,
@@ -91,6 +92,7 @@
   std::set<std::pair<common::TimePoint, RequestId>> LatestStarts; ///< Of waiting requests.
   common::TimePoint LastShort{};                                  ///< Newest arrival of short work.
   bool SeenShort = false;
+  common::TimePoint LastLongStart{};
   double ErrorShare = 0;
   common::TimePoint LastEvent{};
 };
--- a/include/galenarelay/schedule/scheduler.h
+++ b/include/galenarelay/schedule/scheduler.h
@@ -57,13 +57,13 @@
   double LongFactor = 8;      ///< Work is a straggler above this multiple of the median.
   double ReservedShare = 0.6; ///< Of the slots, kept free of stragglers for short work.
   common::Duration ReserveHold = std::chrono::seconds(1); ///< Reserve after the last short arrival.
-  common::Duration LongPatience = std::chrono::seconds(5); ///< Wait that lifts a straggler.
+  common::Duration LongPatience = std::chrono::seconds(5); ///< Time without a straggler started.
   common::Duration SlowStart = std::chrono::seconds(2);    ///< Ramp from one slot to all.
   common::Duration ShedRecovery = std::chrono::seconds(2); ///< The same after shedding.
-  std::uint32_t CreditRequests = 3; ///< Unused share that a caller keeps, in requests.
+  std::uint32_t CreditRequests = 2; ///< Unused share that a caller keeps, in requests.
   double RetryShare = 0.1;          ///< Retries per request.
   double RetryBurst = 10;           ///< Retries saved up.
-  double ReturnShare = 0.5; ///< Share of the drain rate that is promised to returning requests.
+  double ReturnShare = 0.3; ///< Share of the drain rate that is promised to returning requests.
   common::Duration MaxRetryAfter = std::chrono::seconds(120);
 
   friend bool operator==(const SchedulerOptions &, const SchedulerOptions &) = default;
--- a/src/bench/fleet.cpp
+++ b/src/bench/fleet.cpp
@@ -50,10 +50,12 @@
   return "unknown";
 }
 
-const std::vector<Policy> &policies() {
-  static const std::vector<Policy> All{Policy::Galenarelay, Policy::RoundRobin, Policy::Random,
-                                       Policy::TwoChoices, Policy::NoAdmission};
-  return All;
+std::vector<Policy> policies(std::string_view Only) {
+  std::vector<Policy> Chosen{Policy::Galenarelay, Policy::RoundRobin, Policy::Random,
+                             Policy::TwoChoices, Policy::NoAdmission};
+  if (!Only.empty())
+    std::erase_if(Chosen, [Only](Policy Each) { return name(Each) != Only; });
+  return Chosen;
 }
 
 Fleet::Fleet(Policy Which, FleetOptions Wanted, std::vector<FleetChange> Planned)
--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -69,7 +69,7 @@
   // A free slot beside waiting work: only stragglers wait, and the reserve holds them back.
   if (!Long.Queue.empty()) {
     if (!longAged(LastEvent))
-      Consider(Long.Queue.oldestArrival() + Options.LongPatience);
+      Consider(longDue());
     if (shortExpected(LastEvent))
       Consider(LastShort + Options.ReserveHold);
     Consider(Limit.nextStep(LastEvent));
@@ -171,8 +171,14 @@
   return !Short.Queue.empty() || (SeenShort && Now - LastShort < Options.ReserveHold);
 }
 
+/// When stragglers have waited long enough to use the reserve. It counts from the last start of
+/// one: in a backlog each has waited long, and would take a slot more than the limit all the time.
+TimePoint SchedulerState::longDue() const noexcept {
+  return std::max(Long.Queue.oldestArrival(), LastLongStart) + Options.LongPatience;
+}
+
 bool SchedulerState::longAged(TimePoint Now) const noexcept {
-  return !Long.Queue.empty() && Now - Long.Queue.oldestArrival() >= Options.LongPatience;
+  return !Long.Queue.empty() && Now >= longDue();
 }
 
 SchedulerState::Pick SchedulerState::pick(TimePoint Now) const noexcept {
@@ -265,6 +271,8 @@
                            std::vector<Decision> &Out) {
   const Waiting &Item = Taken.first;
   const std::uint32_t Caller = Item.Request.Caller;
+  if (Item.Predicted.Long)
+    LastLongStart = Now;
   forget(Item);
   From.Ledger.dispatched(Caller, Taken.second, Item.Predicted.Mean, credit(Item.Predicted));
   retag(From, Caller, Item.Predicted);
