Let reports fade into the recent load and weigh hand-offs smoothly

Cause: at high load homes handed flows to the few members that a report of up to 250 ms showed with a free slot, all at once; the home's own average was sampled after quiet times and came out low. Change: a report fades within 100 ms into the load of the last second; averages are sampled at regular reports only; a hand-off from a full home needs a peer that is lower by a margin; members below the average are preferred, failing ones get the fourth power of their good share.

--- a/include/galenarelay/schedule/load_view.h
+++ b/include/galenarelay/schedule/load_view.h
@@ -19,11 +19,13 @@
 
 /// Knobs of the choice of upstream; docs/tuning.md describes each for operators.
 struct LoadViewOptions {
-  common::Duration HalfLife = std::chrono::milliseconds(750); ///< Of a report's weight.
-  common::Duration Smoothing = std::chrono::seconds(5);       ///< Window of the average load.
-  common::Duration JoinRamp = std::chrono::seconds(5);        ///< Of an upstream that joins.
-  double HandOffMargin = 0.25; ///< Busy share by which a peer must be lower when none is free.
-  double ErrorWeight = 4;      ///< Busy share that an error share of 1 counts as.
+  common::Duration HalfLife = std::chrono::milliseconds(100); ///< Of the last report's weight.
+  common::Duration RecentWindow = std::chrono::seconds(1);    ///< Of the load it fades into.
+  common::Duration SilenceHalfLife = std::chrono::milliseconds(750); ///< Of a silent member's load.
+  common::Duration Smoothing = std::chrono::seconds(5); ///< Window of the average load.
+  common::Duration JoinRamp = std::chrono::seconds(5);  ///< Of an upstream that joins.
+  double HandOffMargin = 0.1; ///< Busy share by which a peer must be lower when none is free.
+  double ErrorWeight = 4;     ///< Busy share that an error share of 1 counts as.
 
   friend bool operator==(const LoadViewOptions &, const LoadViewOptions &) = default;
 };
@@ -51,7 +53,9 @@
   struct Peer {
     LoadReport Last;
     common::TimePoint Received{};
+    common::TimePoint Sampled{}; ///< Last regular report.
     common::TimePoint FirstSeen{};
+    double Recent = 0;   ///< Busy and queued share over the recent window.
     double Average = 0;  ///< Busy share over the smoothing window.
     double Assigned = 0; ///< Own assignments that the last report doesn't show yet.
     bool Reported = false;
@@ -59,14 +63,16 @@
   /// One candidate's figures for a choice.
   struct Candidate {
     double Load = 0;    ///< Expected busy and queued share.
+    double Recent = 0;  ///< Busy and queued share over the recent window.
     double Average = 0; ///< Smoothed busy share.
     double Slots = 1;
-    double Ramp = 1; ///< Share of its work that it may get.
+    double Ramp = 1;   ///< Share of its work that it may get.
+    double Health = 1; ///< Share of good completions.
     bool Usable = true;
   };
 
   [[nodiscard]] double ramp(const Peer &Of, common::TimePoint Now) const noexcept;
-  [[nodiscard]] double reportedLoad(const Peer &Of) const noexcept;
+  [[nodiscard]] double reportedLoad(const Peer &Of, common::TimePoint Now) const noexcept;
   [[nodiscard]] std::vector<Candidate> assess(const routing::ServiceRoute &Route,
                                               common::TimePoint Now);
   [[nodiscard]] std::size_t pick(const std::vector<Candidate> &From, std::size_t Home);
