--- a/include/galenarelay/schedule/scheduler.h
+++ b/include/galenarelay/schedule/scheduler.h
@@ -88,7 +88,6 @@
   double QueuedWorkMs = 0; ///< Predicted service time of the queue.
   double ErrorShare = 0;   ///< Recent share of failed or shed requests.
   std::uint64_t Sequence = 0;
-  std::uint32_t LongRunning = 0; ///< Busy slots held by stragglers.
 
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/src/schedule/load_view.cpp
+++ b/src/schedule/load_view.cpp
@@ -33,8 +33,6 @@
 constexpr double LeastFree = 0.1;
 /// Power of the share of good completions in a weight: 1 failure in 2 leaves a sixteenth.
 constexpr double HealthPower = 4;
-/// Slots that count as moving when stragglers hold all.
-constexpr double LeastMoving = 0.5;
 /// Bounds of the preference for members below the average load.
 constexpr double LeastPreference = 0.1;
 constexpr double MostPreference = 3.0;
@@ -46,17 +44,6 @@
 
 double slotsOf(const LoadReport &Report) noexcept { return std::max(1U, Report.Slots); }
 
-/// Slots that may become free soon: those that no straggler holds.
-double movingSlots(const LoadReport &Report) noexcept {
-  return Report.Slots > Report.LongRunning ? Report.Slots - Report.LongRunning : LeastMoving;
-}
-
-double occupied(const LoadReport &Report) noexcept {
-  const std::uint32_t Moving = Report.Busy - std::min(Report.Busy, Report.LongRunning);
-  const bool AllHeld = Report.Slots <= Report.LongRunning;
-  return (Moving + Report.Queued + (AllHeld ? 1 : 0)) / movingSlots(Report);
-}
-
 } // namespace
 
 LoadView::LoadView(std::uint64_t Seed, LoadViewOptions Options) : Options(Options), Random(Seed) {}
@@ -70,10 +57,11 @@
 /// The last report fades into the recent average: most of what a report shows has ended when the
 /// next one comes, what stays is in the average.
 double LoadView::reportedLoad(const Peer &Of, TimePoint Now) const noexcept {
-  const double Slots = movingSlots(Of.Last);
+  const double Slots = slotsOf(Of.Last);
   const Duration Age = std::max(Duration{}, Now - Of.Received);
   const double Weight = std::exp2(-ratio(Age, Options.HalfLife));
-  return Weight * occupied(Of.Last) + (1 - Weight) * Of.Recent + Of.Assigned / Slots +
+  const double Last = (Of.Last.Busy + Of.Last.Queued) / Slots;
+  return Weight * Last + (1 - Weight) * Of.Recent + Of.Assigned / Slots +
          Options.ErrorWeight * Of.Last.ErrorShare;
 }
 
@@ -100,6 +88,7 @@
   if (Late && Now - Known.Received < RestartAfter)
     return;
   const double Busy = Report.Busy / slotsOf(Report);
+  const double Occupied = Busy + Report.Queued / slotsOf(Report);
   const auto Smooth = [&](double Before, double Value, Duration Window) {
     const double Kept = Known.Reported ? std::exp(-ratio(Now - Known.Sampled, Window)) : 0;
     return Before * Kept + Value * (1 - Kept);
@@ -109,7 +98,7 @@
   const bool Regular = !Known.Reported || Report.Sequence != Known.Last.Sequence;
   if (Regular) {
     Known.Average = Smooth(Known.Average, Busy, Options.Smoothing);
-    Known.Recent = Smooth(Known.Recent, occupied(Report), Options.RecentWindow);
+    Known.Recent = Smooth(Known.Recent, Occupied, Options.RecentWindow);
     Known.Sampled = Now;
   }
   if (Regular)
--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -42,14 +42,13 @@
       }));
 }
 
-LoadReport SchedulerState::report(TimePoint Now) const {
+LoadReport SchedulerState::report(TimePoint /*Now*/) const {
   LoadReport Report;
   Report.Slots = Options.Slots;
   Report.Busy = busySlots();
   Report.Queued = static_cast<std::uint32_t>(queued());
   Report.QueuedWorkMs = milliseconds(Short.Queue.work() + Long.Queue.work());
   Report.ErrorShare = ErrorShare;
-  Report.LongRunning = longRunning(Now);
   return Report;
 }
 
