--- a/tests/schedule_scheduler_test.cpp
+++ b/tests/schedule_scheduler_test.cpp
@@ -1,3 +1,4 @@
+#include "galenarelay/schedule/impl/duration_estimates.h"
 #include "galenarelay/schedule/scheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -22,6 +23,8 @@
 const WorkClass Photo{"desk", "POST", "photos", 5};
 constexpr Duration OrderTime = milliseconds(40);
 constexpr Duration PhotoTime = milliseconds(2000);
+/// Its use of the upstream counts against it, so tests of fairness use others.
+constexpr std::uint32_t WarmUpCaller = 1000;
 
 /// Drives one scheduler and keeps what happened to each request.
 class Driver {
@@ -53,7 +56,7 @@
     History.clear();
   }
   void run(const WorkClass &Class, Duration Taken) {
-    const RequestId Id = arrive(1, Class);
+    const RequestId Id = arrive(WarmUpCaller, Class);
     while (!dispatched(Id))
       fireTimer();
     Now += Taken;
@@ -90,6 +93,14 @@
   CPPUNIT_TEST(testFinish_largeAndSmallCaller_alternate);
   CPPUNIT_TEST(testArrival_fullQueue_evictsLargestCaller);
   CPPUNIT_TEST(testFinish_shed_lowersLimitForAWhile);
+  CPPUNIT_TEST(testFinish_unreachable_startsSlowly);
+  CPPUNIT_TEST(testFeed_started_freesItsSlot);
+  CPPUNIT_TEST(testTimer_queuedPastLatestStart_isRejected);
+  CPPUNIT_TEST(testArrival_manyRejections_spreadReturns);
+  CPPUNIT_TEST(testOverload_anyMixOfCallers_servesEachItsShare);
+  CPPUNIT_TEST(testStraggler_sameCaller_doesNotDelayItsOrders);
+  CPPUNIT_TEST(testFinish_fastFailures_doNotLowerEstimates);
+  CPPUNIT_TEST(testEstimates_manyClasses_areBounded);
   CPPUNIT_TEST(testRetry_budgetSpent_isRefused);
   CPPUNIT_TEST(testEvents_random_keepInvariants);
   CPPUNIT_TEST_SUITE_END();
@@ -202,6 +213,130 @@
     CPPUNIT_ASSERT_EQUAL(5U, D.Subject.busySlots());
   }
 
+  // Guards against a restarted upstream that gets its full load at once.
+  void testFinish_unreachable_startsSlowly() {
+    Driver D({});
+    D.warmUp();
+    std::vector<RequestId> Ids;
+    for (int I = 0; I < 20; ++I)
+      Ids.push_back(D.arrive(1, Order));
+    for (int I = 0; I < 5; ++I)
+      D.finish(Ids[I], Completion::NotSent);
+    CPPUNIT_ASSERT_EQUAL(1U, D.Subject.busySlots());
+    D.Now += SchedulerOptions{}.SlowStart;
+    D.take(D.Subject.onTimer(D.Now));
+    CPPUNIT_ASSERT_EQUAL(5U, D.Subject.busySlots());
+  }
+
+  // Guards against feeds, which last for hours, that use up the slots.
+  void testFeed_started_freesItsSlot() {
+    Driver D({.Slots = 1});
+    const RequestId Feed = D.arrive(1, Order);
+    const RequestId Next = D.arrive(1, Order);
+    D.take(D.Subject.onFeedStarted(Feed, D.Now));
+    CPPUNIT_ASSERT(D.dispatched(Next));
+    D.finish(Feed);
+    CPPUNIT_ASSERT_EQUAL(1U, D.Subject.busySlots());
+  }
+
+  // Guards against a caller that learns only after its deadline that its request was not run.
+  void testTimer_queuedPastLatestStart_isRejected() {
+    Driver D({.Slots = 1});
+    D.warmUp();
+    static_cast<void>(D.arrive(1, Order));
+    const TimePoint Deadline = D.Now + milliseconds(300);
+    const RequestId Waits = D.arrive(2, Order, milliseconds(300));
+    D.fireTimer();
+    const auto Made = D.decision(Waits);
+    CPPUNIT_ASSERT(Made && Made->Reason == ResultCode::RequestDeadline);
+    CPPUNIT_ASSERT(D.Now + OrderTime / 2 < Deadline);
+  }
+
+  // Guards against rejected clients that all come back in the same second.
+  void testArrival_manyRejections_spreadReturns() {
+    Driver D({});
+    D.warmUp();
+    std::map<Duration, int> Returns;
+    for (std::uint32_t I = 0; I < 2000; ++I)
+      static_cast<void>(D.arrive(I % 50, Order));
+    for (const Decision &Made : D.History)
+      if (!Made.Dispatch)
+        ++Returns[Made.RetryAfter];
+    int Most = 0;
+    for (const auto &Second : Returns)
+      Most = std::max(Most, Second.second);
+    // Five slots run 125 orders per second.
+    CPPUNIT_ASSERT(Returns.size() >= 10);
+    CPPUNIT_ASSERT(Most <= 125);
+  }
+
+  // Guards against callers that are starved or favoured by the rate at which they send.
+  void testOverload_anyMixOfCallers_servesEachItsShare() {
+    const std::vector<std::vector<int>> Mixes{
+        {10, 1, 1, 1}, {1, 1, 1, 1}, {50, 50, 1, 1, 1, 1}, {100, 2, 2}};
+    for (const std::vector<int> &PerRound : Mixes) {
+      Driver D({.Slots = 1});
+      D.warmUp();
+      std::map<RequestId, std::uint32_t> Sender;
+      std::vector<int> Served(PerRound.size());
+      RequestId Running = D.arrive(99, Order);
+      for (int Step = 0; Step < 400; ++Step) {
+        // Each caller sends at least one request per round of all callers.
+        if (Step % static_cast<int>(PerRound.size()) == 0)
+          for (std::uint32_t C = 0; C < PerRound.size(); ++C)
+            for (int I = 0; I < PerRound[C]; ++I)
+              Sender[D.arrive(C, Order, milliseconds(900))] = C;
+        D.Now += OrderTime;
+        D.History.clear();
+        D.finish(Running);
+        for (const Decision &Made : D.History)
+          if (Made.Dispatch)
+            Running = Made.Id;
+        ++Served[Sender.at(Running)];
+      }
+      const double Mean = 400.0 / static_cast<double>(PerRound.size());
+      CPPUNIT_ASSERT(*std::min_element(Served.begin(), Served.end()) >= 0.8 * Mean);
+    }
+  }
+
+  // Guards against an upload that delays the orders of the caller that sent it.
+  void testStraggler_sameCaller_doesNotDelayItsOrders() {
+    Driver D({.Slots = 3});
+    D.warmUp();
+    static_cast<void>(D.arrive(3, Photo));
+    const RequestId First = D.arrive(2, Order);
+    static_cast<void>(D.arrive(2, Order));
+    const RequestId Own = D.arrive(3, Order);
+    const RequestId Other = D.arrive(2, Order);
+    D.finish(First);
+    CPPUNIT_ASSERT(D.dispatched(Own));
+    CPPUNIT_ASSERT(!D.dispatched(Other));
+  }
+
+  // Guards against an upstream that fails fast and so appears quick.
+  void testFinish_fastFailures_doNotLowerEstimates() {
+    Driver D({.Slots = 1});
+    D.warmUp();
+    for (int I = 0; I < 100; ++I)
+      D.finish(D.arrive(1, Order), Completion::Failed);
+    static_cast<void>(D.arrive(1, Order));
+    static_cast<void>(D.arrive(2, Order));
+    const LoadReport Report = D.Subject.report(D.Now);
+    CPPUNIT_ASSERT(Report.QueuedWorkMs >= 39 && Report.QueuedWorkMs <= 41);
+    CPPUNIT_ASSERT(Report.ErrorShare > 0.9);
+  }
+
+  // Guards against memory that grows with the routes that callers invent.
+  void testEstimates_manyClasses_areBounded() {
+    impl::DurationEstimates Estimates(milliseconds(100), 8);
+    for (int I = 0; I < 10000; ++I) {
+      Estimates.add({"desk", "GET", std::to_string(I), 0}, OrderTime);
+      Estimates.add(Order, OrderTime);
+    }
+    CPPUNIT_ASSERT_EQUAL(impl::MaxClasses, Estimates.classes());
+    CPPUNIT_ASSERT(Estimates.predict(Order).Mean == OrderTime);
+  }
+
   // Guards against retries that multiply an overload.
   void testRetry_budgetSpent_isRefused() {
     Driver D({.RetryBurst = 1});
