--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,3 +1,5 @@
+#include "galenarelay/common/log.h"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -10,6 +12,7 @@
 
 /// Runs all tests, or only one fixture (for example "SettingsTest").
 int main(int ArgumentCount, char **Arguments) {
+  galenarelay::common::configureLog("galenarelay-tests", galenarelay::common::LogLevel::Error);
   CppUnit::TestResult Controller;
   CppUnit::TestResultCollector Collector;
   CppUnit::BriefTestProgressListener Progress;
