--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -196,20 +196,23 @@
                                                                     : Pick::NextShort;
 }
 
-/// Upper bound of the wait: the work that may be served before the request. The caller's distance
-/// ahead of the virtual time is served to every other waiting caller first.
+/// The work that is likely served before the request: none if its tag is the lowest; otherwise a
+/// request of each waiting caller, and of each as much as this caller is ahead of its share.
 Duration SchedulerState::predictedWait(const Prediction &Of, std::uint32_t Caller,
                                        TimePoint Now) const noexcept {
-  const std::uint32_t Allowed = Limit.allowed(Now);
-  if (queued() == 0 && busySlots() < Allowed)
-    return Duration{};
   const FairQueue &Queue = Of.Long ? Long.Queue : Short.Queue;
   const CallerLedger &Ledger = Of.Long ? Long.Ledger : Short.Ledger;
-  const std::uint32_t Servers = Of.Long ? longLimit() : shortServers(Now);
-  const Duration Ahead = Ledger.startTag(Caller) - Ledger.now() + Queue.work(Caller);
-  const auto Callers = static_cast<std::int64_t>(Queue.callers() + 1);
-  const Duration Before = std::min(Queue.work(), Ahead * Callers + Of.Mean);
-  return Before / Servers;
+  const bool SlotFree = queued() == 0 && busySlots() < Limit.allowed(Now);
+  if (SlotFree || Queue.empty())
+    return Duration{};
+  const Duration Start = Ledger.startTag(Caller);
+  const Duration Own = Queue.work(Caller);
+  if (Own == Duration{} && Start < Queue.nextTag())
+    return Duration{};
+  const Duration Ahead = Start - Ledger.now() + Own + Of.Mean;
+  const Duration Before =
+      std::min(Queue.work(), Ahead * static_cast<std::int64_t>(Queue.callers()));
+  return Before / (Of.Long ? longLimit() : shortServers(Now));
 }
 
 /// Slots that serve short work while the stragglers that run now go on.
