Limit the slots held by uploads whose body still arrives

Cause: an upload larger than the buffer is dispatched while its caller still sends, so slow callers held every slot of an upstream. Change: UploadGate admits as many such uploads as the scheduler leaves to long work (2 of 5 slots, 1 of 3); the others wait with their callers slowed down, and a body that is complete passes them. Conclusion: short orders no longer wait behind slow bodies.

--- a/include/galenarelay/agent/dispatcher.h
+++ b/include/galenarelay/agent/dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_AGENT_DISPATCHER_H
 #define GALENARELAY_AGENT_DISPATCHER_H
 
+#include "galenarelay/agent/upload_gate.h"
 #include "galenarelay/agent/upstream_call.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/packet/packet.h"
@@ -110,6 +111,8 @@
     bool Relayed = false; ///< The head of the response went to the caller.
   };
 
+  using ExchangeMap = std::unordered_map<request::RequestId, Exchange>;
+
   [[nodiscard]] Exchange *find(request::RequestId Id) noexcept;
   void enqueue(request::RequestId Id);
   void apply(const std::vector<schedule::Decision> &Decisions);
@@ -128,7 +131,12 @@
                                          const std::string &Detail);
   /// Drops an exchange and its call; frees its place in the scheduler.
   void release(request::RequestId Id, schedule::Completion How);
-  void claimOrEnqueue(request::RequestId Id, const std::string &Key, std::uint64_t Fingerprint);
+  /// Lets a request ask for a slot, now or when its upload's turn has come.
+  void admit(request::RequestId Id);
+  /// Removes an exchange, and its place among the uploads.
+  [[nodiscard]] ExchangeMap::node_type take(request::RequestId Id);
+  void leaveGate(request::RequestId Id);
+  void claimOrEnqueue(request::RequestId Id);
   void settleClaim(request::RequestId Id, const Exchange &Ended, request::RequestState Final);
   /// Ends a request that was not dispatched with the answer.
   void refuse(request::RequestId Id, common::ResultCode Reason, const std::string &Detail,
@@ -142,8 +150,9 @@
   std::uint64_t Epoch; ///< Makes generated request IDs differ between starts of one agent.
   request::Ledger Book;
   schedule::Scheduler Queue;
+  UploadGate Uploads;
   boost::asio::steady_timer Timer;
-  std::unordered_map<request::RequestId, Exchange> Exchanges;
+  ExchangeMap Exchanges;
   request::RequestId LastId = 0;
   ResultListener Listen;
   ClaimHooks Claims;
--- a/src/agent/dispatcher.cpp
+++ b/src/agent/dispatcher.cpp
@@ -27,6 +27,8 @@
 
 /// Retry-After when neither the scheduler nor the upstream names one.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
+/// Retry-After when too many uploads wait; they take minutes rather than seconds.
+constexpr Duration UploadRetryAfter = std::chrono::seconds(30);
 
 std::uint64_t fingerprintOf(const NewRequest &Request) {
   const std::uint64_t Line = common::hash64(Request.Head.Method + " " + Request.Head.Target);
@@ -113,8 +115,8 @@
 Dispatcher::Dispatcher(asio::io_context &Io, common::Endpoint Upstream, std::string AgentId,
                        schedule::SchedulerOptions Options, common::Metrics &Metrics)
     : Io(Io), Upstream(Upstream), AgentId(std::move(AgentId)),
-      Epoch(static_cast<std::uint64_t>(common::wallMilliseconds())), Queue(Options), Timer(Io),
-      Metrics(Metrics) {}
+      Epoch(static_cast<std::uint64_t>(common::wallMilliseconds())), Queue(Options),
+      Uploads(Options), Timer(Io), Metrics(Metrics) {}
 
 Dispatcher::~Dispatcher() { stop(); }
 
@@ -167,16 +169,48 @@
   if (!Key.empty())
     Opened.Kept.emplace();
   Exchanges.emplace(Id, std::move(Opened));
-  claimOrEnqueue(Id, Key, Fingerprint);
+  admit(Id);
   return Id;
 }
 
+void Dispatcher::admit(RequestId Id) {
+  const bool Complete = find(Id)->Request.Complete;
+  if (!Complete && Uploads.full()) {
+    const std::string Detail = "too many uploads wait";
+    refuse(Id, ResultCode::RequestQueueFull, Detail,
+           request::notRunAnswer(ResultCode::RequestQueueFull, UploadRetryAfter, Detail));
+    return;
+  }
+  if (Complete || Uploads.enter(Id))
+    claimOrEnqueue(Id);
+}
+
+Dispatcher::ExchangeMap::node_type Dispatcher::take(RequestId Id) {
+  leaveGate(Id);
+  return Exchanges.extract(Id);
+}
+
+void Dispatcher::leaveGate(RequestId Id) {
+  const auto Next = Uploads.leave(Id);
+  if (!Next)
+    return;
+  asio::post(Io, [this, Admitted = *Next] {
+    if (find(Admitted) != nullptr)
+      claimOrEnqueue(Admitted);
+  });
+}
+
 // Only a request that must not run twice is worth the claim's messages.
-void Dispatcher::claimOrEnqueue(RequestId Id, const std::string &Key, std::uint64_t Fingerprint) {
+void Dispatcher::claimOrEnqueue(RequestId Id) {
   Exchange &Open = *find(Id);
+  const std::string Key(
+      request::headerValue(Open.Request.Head.Headers, request::IdempotencyKeyHeader));
+  // The time that an upload waited for its turn is not the upstream's.
+  if (!Open.Request.Complete)
+    Open.Deadline = steadyNow() + Open.Allowance;
   Open.Claimed = Claims.Claim && !Key.empty() && !request::isIdempotent(Open.Request.Head.Method);
   if (Open.Claimed)
-    Claims.Claim(Id, {Open.Request.Service, Key}, Fingerprint);
+    Claims.Claim(Id, {Open.Request.Service, Key}, fingerprintOf(Open.Request));
   else
     enqueue(Id);
 }
@@ -208,7 +242,7 @@
 void Dispatcher::refuse(RequestId Id, ResultCode Reason, const std::string &Detail, Answer Whole) {
   (void)conclude(Id, std::nullopt, Reason, DefaultRetryAfter, Detail);
   Book.noteStatus(Id, Whole.Status);
-  auto Node = Exchanges.extract(Id);
+  auto Node = take(Id);
   answerLater(std::move(Node.mapped().Events), std::move(Whole));
 }
 
@@ -247,8 +281,8 @@
     }
     Answer Refusal = conclude(Made.Id, std::nullopt, Made.Reason, Made.RetryAfter,
                               "the request was not accepted by the queue");
-    answerLater(std::move(Open->Events), std::move(Refusal));
-    Exchanges.erase(Made.Id);
+    auto Node = take(Made.Id);
+    answerLater(std::move(Node.mapped().Events), std::move(Refusal));
   }
   armTimer();
 }
@@ -333,7 +367,7 @@
 }
 
 void Dispatcher::onCompleted(RequestId Id) {
-  const auto Node = Exchanges.extract(Id);
+  const auto Node = take(Id);
   const Exchange &Open = Node.mapped();
   Book.answered(Id, Open.Kept, steadyNow());
   settleClaim(Id, Open, RequestState::Answered);
@@ -364,7 +398,7 @@
         Failure == DispatchFailure::Shed ? retryAfterFrom(Detail) : DefaultRetryAfter;
     const std::string Text = Failure == DispatchFailure::Shed ? "the upstream sheds load" : Detail;
     Answer Final = conclude(Id, Failure, reasonOf(Failure), RetryAfter, Text);
-    const auto Node = Exchanges.extract(Id);
+    const auto Node = take(Id);
     if (Node.mapped().Relayed)
       Node.mapped().Events.OnAborted();
     else
@@ -417,10 +451,17 @@
     return;
   if (Open->Call) {
     Open->Call->sendBody(std::move(Bytes), Last);
-    return;
+  } else {
+    Open->LaterBody += Bytes;
+    Open->LaterLast = Last;
   }
-  Open->LaterBody += Bytes;
-  Open->LaterLast = Last;
+  if (!Last)
+    return;
+  // A complete upload waits for its caller no more, so it may ask for a slot like any request.
+  const bool Waited = Uploads.waits(Id);
+  leaveGate(Id);
+  if (Waited)
+    claimOrEnqueue(Id);
 }
 
 void Dispatcher::pauseResponse(RequestId Id) {
@@ -455,7 +496,7 @@
 }
 
 void Dispatcher::release(RequestId Id, Completion How) {
-  const auto Node = Exchanges.extract(Id);
+  const auto Node = take(Id);
   if (Node.mapped().Call)
     Node.mapped().Call->cancel();
   const TimePoint Now = steadyNow();
--- /dev/null
+++ b/src/agent/upload_gate.cpp
@@ -0,0 +1,40 @@
+#include "galenarelay/agent/upload_gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenarelay::agent {
+
+using request::RequestId;
+
+// The same share of slots as the scheduler leaves to work that it knows to be long.
+UploadGate::UploadGate(const schedule::SchedulerOptions &Options) noexcept {
+  const auto Reserved =
+      static_cast<std::uint32_t>(std::lround(Options.ReservedShare * Options.Slots));
+  Limit = Reserved >= Options.Slots ? 1 : Options.Slots - Reserved;
+}
+
+bool UploadGate::waits(RequestId Id) const noexcept {
+  return std::find(Waiting.begin(), Waiting.end(), Id) != Waiting.end();
+}
+
+bool UploadGate::enter(RequestId Id) {
+  if (Inside.size() < Limit) {
+    Inside.insert(Id);
+    return true;
+  }
+  Waiting.push_back(Id);
+  return false;
+}
+
+std::optional<RequestId> UploadGate::leave(RequestId Id) {
+  std::erase(Waiting, Id);
+  if (Inside.erase(Id) == 0 || Waiting.empty())
+    return std::nullopt;
+  const RequestId Next = Waiting.front();
+  Waiting.pop_front();
+  Inside.insert(Next);
+  return Next;
+}
+
+} // namespace galenarelay::agent
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(testQueue_full_answersNotRun);
   CPPUNIT_TEST(testFeed_started_freesSlotAndIsRelayedAsItComes);
   CPPUNIT_TEST(testUpload_streamed_arrivesWhole);
+  CPPUNIT_TEST(testUpload_slowBodies_leaveSlotsForOrders);
   CPPUNIT_TEST(testUpload_brokenOff_isNotAnsweredAsComplete);
   CPPUNIT_TEST(testResponse_ambiguous503_losesRetryAfter);
   CPPUNIT_TEST_SUITE_END();
@@ -374,6 +375,33 @@
     }
   }
 
+  // Guards against callers that send their bodies slowly and so hold every slot: an order waited
+  // 8 s behind three uploads on three slots.
+  void testUpload_slowBodies_leaveSlotsForOrders() {
+    Rig Under(3);
+    std::array<Outcome, 4> Seen;
+    std::array<request::RequestId, 4> Ids{};
+    for (std::size_t I = 0; I < Ids.size(); ++I) {
+      NewRequest Upload = Rig::order("/uploads", std::to_string(I));
+      Upload.Head.Length = 9;
+      Upload.Complete = false;
+      Ids[I] = Under.Requests->submit(std::move(Upload), Rig::record(Seen[I]));
+    }
+    Under.runUntil([&] { return Under.Server->runs().count("0") == 1; });
+    CPPUNIT_ASSERT_EQUAL(200U, Under.call(Rig::order("/orders", "o")).status());
+    CPPUNIT_ASSERT_EQUAL(1U, Under.Requests->loadReport().Busy);
+    // A complete body passes the one that still arrives; the others go on when it has ended.
+    Under.Requests->sendBody(Ids[2], "tail", true);
+    Under.runUntil([&] { return Seen[2].ended(); });
+    Under.Requests->cancel(Ids[1]);
+    Under.Requests->sendBody(Ids[0], "tail", true);
+    Under.Requests->sendBody(Ids[3], "tail", true);
+    Under.runUntil([&] { return Seen[0].ended() && Seen[3].ended(); });
+    for (const std::size_t I : {0U, 2U, 3U})
+      CPPUNIT_ASSERT_EQUAL(200U, Seen[I].status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Under.Server->runs().count("1"));
+  }
+
   // Guards against a truncated upload that the upstream takes as whole.
   void testUpload_brokenOff_isNotAnsweredAsComplete() {
     Rig Under;
