Give each start of an agent its own claimant name

Cause: the claim desk read the member's incarnation before the node had started, when it is 0, so that a restarted agent reused its predecessor's claimant names and would have been granted its keys. A claimant that refuted a false suspicion raised its incarnation and its running claims were taken for lost. Change: the claimant name carries the start time; only a dead claimant's claims count as unknown. Before and after: with equal names the resend after a restart is granted; now it is denied. Conclusion: covered by testClaim_restartedClaimant_isDenied.

--- a/include/galenarelay/request/key_claims.h
+++ b/include/galenarelay/request/key_claims.h
@@ -46,7 +46,7 @@
 
 /// Who holds a key and how its request ended.
 struct Claim {
-  std::string Claimant; ///< Agent ID, incarnation and request ID.
+  std::string Claimant; ///< Agent ID, life and request ID.
   std::uint64_t Fingerprint = 0;
   ClaimState State = ClaimState::Running;
   unsigned Status = 0;
@@ -84,7 +84,9 @@
 /// another agent does not run the request again. Both roles: claimant and replica.
 class KeyClaims {
 public:
-  KeyClaims(std::string SelfId, std::uint64_t Incarnation);
+  /// Life must differ between two starts of an agent: request IDs begin again at each start, and an
+  /// equal claimant would be granted its predecessor's key.
+  KeyClaims(std::string SelfId, std::uint64_t Life);
 
   /// Claims kept here as a replica.
   [[nodiscard]] std::size_t kept() const noexcept { return Kept.size(); }
@@ -173,7 +175,7 @@
   dispatchControl(const nlohmann::json &Message, common::Endpoint From, common::TimePoint Now);
 
   std::string SelfId;
-  std::uint64_t Incarnation;
+  std::uint64_t Life;
   std::shared_ptr<const routing::RoutingView> View;
   std::map<ClaimKey, KeptClaim> Kept;
   std::map<std::uint64_t, WaitingClaim> Waiting;
--- a/src/agent/claim_desk.cpp
+++ b/src/agent/claim_desk.cpp
@@ -9,7 +9,8 @@
 using request::RequestId;
 
 ClaimDesk::ClaimDesk(asio::io_context &Io, node::Node &Node, Dispatcher &Requests)
-    : Node(Node), Requests(Requests), Claims(Node.self().Id, Node.self().Incarnation), Timer(Io) {
+    : Node(Node), Requests(Requests),
+      Claims(Node.self().Id, static_cast<std::uint64_t>(common::wallMilliseconds())), Timer(Io) {
   for (const char *Type : {"claim", "claimed", "settle", "settled", "claims"})
     Node.onControl(Type, [this](const nlohmann::json &Message, common::Endpoint From) {
       apply(Claims.onControl(Message, From, steadyNow()));
--- a/src/request/key_claims.cpp
+++ b/src/request/key_claims.cpp
@@ -61,23 +61,17 @@
   return Value;
 }
 
-/// The agent ID in a claimant's name, which ends with "#incarnation#request".
+/// The agent ID in a claimant's name, which ends with "#life#request".
 std::string agentOf(const std::string &Claimant) {
   const auto Last = Claimant.rfind('#');
   const auto Middle = Last == std::string::npos || Last == 0 ? Last : Claimant.rfind('#', Last - 1);
   return Middle == std::string::npos ? Claimant : Claimant.substr(0, Middle);
 }
 
-std::uint64_t incarnationOf(const std::string &Claimant) {
-  const auto Last = Claimant.rfind('#');
-  const auto Middle = Last == std::string::npos || Last == 0 ? Last : Claimant.rfind('#', Last - 1);
-  return Middle == std::string::npos ? 0 : std::strtoull(&Claimant[Middle + 1], nullptr, 10);
-}
-
 } // namespace
 
-KeyClaims::KeyClaims(std::string SelfId, std::uint64_t Incarnation)
-    : SelfId(std::move(SelfId)), Incarnation(Incarnation) {}
+KeyClaims::KeyClaims(std::string SelfId, std::uint64_t Life)
+    : SelfId(std::move(SelfId)), Life(Life) {}
 
 std::optional<TimePoint> KeyClaims::nextTimer() const noexcept {
   std::optional<TimePoint> Next;
@@ -97,7 +91,7 @@
 }
 
 std::string KeyClaims::claimantName(std::uint64_t Request) const {
-  return SelfId + "#" + std::to_string(Incarnation) + "#" + std::to_string(Request);
+  return SelfId + "#" + std::to_string(Life) + "#" + std::to_string(Request);
 }
 
 std::vector<KeyClaims::Replica> KeyClaims::replicasOf(const routing::RoutingView *View,
@@ -344,14 +338,13 @@
   for (const auto &Entry : Kept) {
     const Claim &Value = Entry.second.Value;
     const Member *Claimant = View->member(agentOf(Value.Claimant));
-    const bool Gone =
-        Claimant != nullptr && (Claimant->State == MemberState::Dead ||
-                                Claimant->Incarnation > incarnationOf(Value.Claimant));
+    const bool Gone = Claimant != nullptr && Claimant->State == MemberState::Dead;
     if (Value.State == ClaimState::Running && Gone)
       Unknown.push_back(Entry.first);
     planHandover(Previous.get(), Entry.first);
   }
-  // A dead or restarted claimant can't tell how its request ended.
+  // A dead claimant can't tell how its request ended. If it was only unreachable, its settle
+  // message corrects the state.
   for (const ClaimKey &Key : Unknown) {
     Claim Value = Kept.at(Key).Value;
     Value.State = ClaimState::Unknown;
--- a/tests/request_key_claims_test.cpp
+++ b/tests/request_key_claims_test.cpp
@@ -48,6 +48,12 @@
     Agents[I].reset();
   }
 
+  void restart(std::size_t I) {
+    ++Members[I].Incarnation;
+    Agents[I] = std::make_unique<KeyClaims>(Members[I].Id, Members[I].Incarnation);
+    changeView();
+  }
+
   void changeView() {
     config::Configuration Document;
     Document.Number = 1;
@@ -138,6 +144,7 @@
   CPPUNIT_TEST(testClaim_claimantDied_isDeniedNotRun);
   CPPUNIT_TEST(testClaim_concurrentResends_grantAtMostOne);
   CPPUNIT_TEST(testClaim_twoReplicasReplaced_isStillKnown);
+  CPPUNIT_TEST(testClaim_restartedClaimant_isDenied);
   CPPUNIT_TEST(testView_unrelatedChange_sendsNothing);
   CPPUNIT_TEST(testControl_malformedMessage_isIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -231,6 +238,19 @@
     }
   }
 
+  // Guards against a restarted agent that is taken for its predecessor, whose request IDs it
+  // reuses.
+  void testClaim_restartedClaimant_isDenied() {
+    ClaimGroup Group(5, 0, 6);
+    Group.claim(0, 1, "k");
+    Group.run(seconds(1));
+    Group.restart(0);
+    Group.Results.clear();
+    Group.claim(0, 1, "k");
+    Group.run(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::string("denied:"), Group.Results[1]);
+  }
+
   // Guards against handing over every claim whenever any member of the fleet changes.
   void testView_unrelatedChange_sendsNothing() {
     ClaimGroup Group(5, 0, 5);
