--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(testLeave_announced_isKnownEverywhere);
   CPPUNIT_TEST(testKill_node_isDeclaredDeadInTime);
   CPPUNIT_TEST(testPartition_healed_viewsConvergeWithoutEmptyTables);
+  CPPUNIT_TEST(testPartition_longerThanRetention_healsThroughSeeds);
   CPPUNIT_TEST(testSuspicion_false_isRefuted);
   CPPUNIT_TEST(testPause_resumedNode_killsNobody);
   CPPUNIT_TEST(testRevision_raised_reachesEveryNode);
@@ -103,6 +104,23 @@
     CPPUNIT_ASSERT(Network.runUntil(seconds(60), Converged));
   }
 
+  // Guards against dead records that are kept forever, and against halves that never meet again
+  // because each has forgotten the other.
+  void testPartition_longerThanRetention_healsThroughSeeds() {
+    constexpr std::size_t Few = 8;
+    GossipNetwork Network(24);
+    form(Network, Few);
+    const auto Side = [](std::size_t I) { return I < Few / 2; };
+    Network.setReachable([&](std::size_t From, std::size_t To) { return Side(From) == Side(To); });
+    const auto Forgotten = [&] {
+      return Network.countUnless([](Gossip &Core) { return Core.members().size() == Few / 2; }) ==
+             0;
+    };
+    CPPUNIT_ASSERT(Network.runUntil(DeadRetention + seconds(60), Forgotten));
+    Network.setReachable(nullptr);
+    CPPUNIT_ASSERT(Network.runUntil(SeedInterval + JoinLimit, [&] { return Network.converged(); }));
+  }
+
   // Guards against a live member that stays dead or suspect because its denial is ignored.
   void testSuspicion_false_isRefuted() {
     GossipNetwork Network(15);
