--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -136,10 +136,13 @@
 }
 
 /// Rates are per node and second of simulated time. cpu_us_s is host time spent in the core and the
-/// simulated network; B_change are the bytes that a node sends for one change beyond the idle rate.
+/// simulated network; zone_s is the time until all know that a fifth of them has failed; B_change
+/// are the bytes that a node sends for one change beyond the idle rate.
 json gossipRow(std::size_t Count, double Loss, std::uint64_t Seed) {
   constexpr int Trials = 10;
   constexpr std::chrono::seconds Settle{30};
+  /// Until the records of the joins have been sent as often as they are sent at all.
+  constexpr std::chrono::seconds JoinSettle{120};
   constexpr std::chrono::seconds Measured{60};
   const double HeapBefore = heapMegabytes();
   GossipNetwork Network(Seed, Loss);
@@ -148,7 +151,7 @@
   const bool Converged =
       Network.runUntil(std::chrono::seconds(120), [&] { return Network.converged(); });
   const double Join = std::chrono::duration<double>(Network.now() - Formed).count();
-  Network.run(Settle);
+  Network.run(JoinSettle);
   const double Heap = heapMegabytes() - HeapBefore;
   const auto Sum = [&](std::uint64_t GossipNetwork::Node::*Field) {
     std::uint64_t Total = 0;
@@ -192,6 +195,15 @@
     Network.perform(Origin, Network.core(Origin).announce(MemberState::Active, {}, Network.now()));
     Network.run(Settle);
   }
+  // One of five availability zones fails.
+  const auto ReceivedAtFailure = Sum(&GossipNetwork::Node::ReceivedBytes);
+  for (std::size_t I = 0; I < Count; I += 5)
+    Network.kill(I);
+  const auto FailedAt = Network.now();
+  Network.runUntil(std::chrono::seconds(120), [&] { return Network.converged(); });
+  const double Zone = std::chrono::duration<double>(Network.now() - FailedAt).count();
+  const double ZoneBytes =
+      double(Sum(&GossipNetwork::Node::ReceivedBytes) - ReceivedAtFailure) / (double(Count) * 0.8);
   const Spread Edit = spread(Edits);
   const Spread Leave = spread(Leaves);
   const double Round = std::chrono::duration<double>(membership::PushInterval).count();
@@ -210,6 +222,8 @@
           {"leave_s_p50", Leave.Median},
           {"leave_s_max", Leave.Maximum},
           {"leave_rounds", Leave.Maximum / Round},
+          {"zone_s", Zone},
+          {"zone_recv_B", ZoneBytes},
           {"B_change", spread(ChangeBytes).Median}};
 }
 
