Don't take reordering for loss

A fabric that sprays packets reorders them all the time. Three duplicate acknowledgements started a recovery each time, which repeated segments needlessly and kept the congestion window at its minimum. The late segment now gets a reordering window (a quarter of the round trip or four times its variance) before it is repeated, and a recovery that an acknowledgement of the original ends is undone.

The new test fails without the change.

--- a/include/galenarelay/flow/stream.h
+++ b/include/galenarelay/flow/stream.h
@@ -107,7 +107,9 @@
   void onSynchronise(const packet::Packet &Received, common::TimePoint Now);
   void onAcknowledgement(const packet::Packet &Received, common::TimePoint Now);
   void onNewlyAcknowledged(std::uint32_t Acknowledged, common::TimePoint Now);
-  void onDuplicateAcknowledgement() noexcept;
+  void onDuplicateAcknowledgement(common::TimePoint Now) noexcept;
+  [[nodiscard]] common::Duration reorderWindow() const noexcept;
+  void startRecovery(common::TimePoint Now) noexcept;
   void onPayload(const packet::Packet &Received);
   void onTimeout(common::TimePoint Now);
   void storeSegment(std::uint32_t Sequence, std::span<const std::uint8_t> Bytes);
@@ -135,6 +137,7 @@
   bool ResetDue = false;
   bool Lingered = false;
   bool Recovering = false;
+  bool RecoveryArmed = false; ///< Recovery starts at RecoveryAt unless bytes are acknowledged.
   bool Sampling = false;
   bool Probing = false;
   bool Retransmitting = false; ///< TimerAt is the retransmission timeout.
@@ -150,6 +153,7 @@
   std::uint32_t CongestionWindow = 0;
   std::uint32_t SlowStartLimit = 0;
   std::uint32_t RecoverUntil = 0;
+  std::uint32_t WindowBeforeRecovery = 0;
   std::uint32_t SampleSequence = 0;
   std::uint32_t SendHead = 0;
   std::vector<std::uint8_t> SendBuffer;
@@ -168,8 +172,9 @@
   common::Duration Timeout = InitialTimeout;
   common::TimePoint SampleStart{};
   common::TimePoint LastHeard{};
-  common::TimePoint WaitStart{}; ///< First unanswered transmission or probe.
-  common::TimePoint TimerAt{};   ///< Retransmission, probe or end of lingering.
+  common::TimePoint WaitStart{};  ///< First unanswered transmission or probe.
+  common::TimePoint RecoveryAt{}; ///< When the recovery starts or started.
+  common::TimePoint TimerAt{};    ///< Retransmission, probe or end of lingering.
 };
 
 } // namespace galenarelay::flow
--- a/src/flow/stream.cpp
+++ b/src/flow/stream.cpp
@@ -109,7 +109,7 @@
 std::optional<TimePoint> Stream::nextTimer() const noexcept {
   if (finished())
     return std::nullopt;
-  return TimerAt;
+  return RecoveryArmed ? std::min(TimerAt, RecoveryAt) : TimerAt;
 }
 
 std::uint32_t Stream::buffered() const noexcept {
@@ -204,7 +204,7 @@
   if (Acknowledged > 0)
     onNewlyAcknowledged(Acknowledged, Now);
   else if (Duplicate)
-    onDuplicateAcknowledgement();
+    onDuplicateAcknowledgement(Now);
 }
 
 void Stream::onNewlyAcknowledged(std::uint32_t Acknowledged, TimePoint Now) {
@@ -217,6 +217,13 @@
   }
   discardAcknowledged(Acknowledged);
   DuplicateAcks = 0;
+  RecoveryArmed = false;
+  // An acknowledgement this early answers the original, which was late and not lost (the idea of
+  // the Eifel detection, RFC 3522).
+  if (Recovering && Now - RecoveryAt < SmoothedRoundTrip / 2) {
+    Recovering = false;
+    CongestionWindow = SlowStartLimit = WindowBeforeRecovery;
+  }
   if (before(SendNext, SendUnacked))
     SendNext = SendUnacked;
   if (Recovering && before(Newest, RecoverUntil)) {
@@ -233,11 +240,25 @@
   restartTimer(Now);
 }
 
-void Stream::onDuplicateAcknowledgement() noexcept {
-  if (Recovering || ++DuplicateAcks < FastRetransmitThreshold)
+// Spraying over balancers reorders packets all the time, so that three duplicate acknowledgements
+// alone prove no loss. As in RACK (RFC 8985) the late segment gets some time to arrive.
+void Stream::onDuplicateAcknowledgement(TimePoint Now) noexcept {
+  if (Recovering || RecoveryArmed || ++DuplicateAcks < FastRetransmitThreshold)
     return;
+  RecoveryArmed = true;
+  RecoveryAt = Now + reorderWindow();
+}
+
+Duration Stream::reorderWindow() const noexcept {
+  return std::min(std::max(SmoothedRoundTrip / 4, 4 * RoundTripVariance), Timeout);
+}
+
+void Stream::startRecovery(TimePoint Now) noexcept {
+  RecoveryArmed = false;
   DuplicateAcks = 0;
   Recovering = true;
+  RecoveryAt = Now;
+  WindowBeforeRecovery = CongestionWindow;
   RecoverUntil = SendMax;
   RetransmitDue = true;
   Sampling = false;
@@ -347,6 +368,8 @@
 }
 
 void Stream::onTimer(TimePoint Now) {
+  if (RecoveryArmed && RecoveryAt <= Now)
+    startRecovery(Now);
   if (finished() || Now < TimerAt)
     return;
   if (State == StreamState::Closed) {
@@ -381,6 +404,7 @@
   TimerAt = Now + Timeout;
   Sampling = false;
   Recovering = false;
+  RecoveryArmed = false;
   DuplicateAcks = 0;
   if (State == StreamState::Opening) {
     SynDue = true;
@@ -424,7 +448,7 @@
 
 void Stream::breakStream() noexcept {
   State = StreamState::Broken;
-  AckDue = SynDue = RetransmitDue = ProbeDue = false;
+  AckDue = SynDue = RetransmitDue = ProbeDue = RecoveryArmed = false;
   std::vector<std::uint8_t>().swap(SendBuffer);
   SendHead = 0;
   std::vector<Segment>().swap(Reordered);
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -178,6 +178,7 @@
 class StreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StreamTest);
   CPPUNIT_TEST(testTransfer_faultyNetwork_bothSidesGetAllBytesInOrder);
+  CPPUNIT_TEST(testTransfer_reorderedWithoutLoss_repeatsFewPackets);
   CPPUNIT_TEST(testHalfClose_callerFinished_serviceStillSends);
   CPPUNIT_TEST(testIdle_hours_staysOpenWithoutBuffers);
   CPPUNIT_TEST(testPeer_silentAfterWrite_breaksAfterSixtySeconds);
@@ -210,6 +211,19 @@
     }
   }
 
+  // Guards against taking the reordering of a spraying fabric for loss: two of five segments were
+  // repeated and the congestion window stayed at its minimum.
+  void testTransfer_reorderedWithoutLoss_repeatsFewPackets() {
+    constexpr std::size_t Segments = 2000;
+    for (const Duration Jitter : {2ms, 10ms}) {
+      Pair Network(1, {0, 0, Jitter});
+      Network.write(Segments * packet::MaxPayloadBytes, 0);
+      CPPUNIT_ASSERT(Network.runUntilClosed(60s));
+      // Each segment has at most one acknowledgement.
+      CPPUNIT_ASSERT(Network.Sent < 2 * Segments + Segments / 10);
+    }
+  }
+
   // Guards against a response cut off because the caller had finished its request.
   void testHalfClose_callerFinished_serviceStillSends() {
     Pair Network(1, {});
