Correct the table's uneven home shares, warm up long flows in the imbalance benchmark

Cause: rendezvous tables of 1,021 slots give 70 members home shares that differ by up to 28%; correcting them from measured load is noisy. Flows of 200 requests had not reached their number in the benchmark's warm-up.

--- a/bench/imbalance/main.cpp
+++ b/bench/imbalance/main.cpp
@@ -10,7 +10,7 @@
 using common::TimePoint;
 using std::chrono::seconds;
 
-constexpr Duration WarmUp = seconds(20);
+constexpr seconds WarmUp{20};
 constexpr Duration Settle = seconds(10); ///< Within this time after a change.
 constexpr Duration Window = seconds(20);
 
@@ -35,6 +35,12 @@
   return Options;
 }
 
+/// Flows of many requests last long; the demand is steady after twice their mean time.
+seconds warmUp(std::uint32_t RequestsPerFlow) {
+  const Duration FlowTime = FleetOptions().RequestGap * RequestsPerFlow;
+  return WarmUp + std::chrono::duration_cast<seconds>(2 * FlowTime);
+}
+
 /// Mean over consecutive windows of one second of max/mean.
 double shortTerm(const Fleet &Run, TimePoint From, TimePoint To) {
   double Sum = 0;
@@ -51,10 +57,11 @@
       FleetOptions Options = baseOptions(Of, RequestsPerFlow, Given.Seed);
       const auto Length =
           std::chrono::duration_cast<seconds>(std::chrono::duration<double>(60 * Given.Scale));
-      Options.Length = WarmUp + Length;
+      const seconds Begin = warmUp(RequestsPerFlow);
+      Options.Length = Begin + Length;
       Fleet Run(Which, Options);
       Run.run();
-      const TimePoint From{WarmUp};
+      const TimePoint From{Begin};
       const TimePoint To = From + Length;
       const Imbalance Whole = Run.imbalance(From, To);
       Result.Rows.push_back({{"fleet", Of.Name},
@@ -74,14 +81,15 @@
   Table Result{Title, {}};
   for (const Policy Which : policies(Given.Policy)) {
     FleetOptions Options = baseOptions(Shapes[0], RequestsPerFlow, Given.Seed);
-    Options.Length = WarmUp + Settle + Window;
+    const seconds Begin = warmUp(RequestsPerFlow);
+    Options.Length = Begin + Settle + Window;
     FleetChange Change;
-    Change.At = TimePoint(WarmUp);
+    Change.At = TimePoint(Begin);
     Change.Leaves = std::string_view(What) == "join" ? -1 : 2;
     Change.Joins = std::string_view(What) == "leave" ? 0 : 1;
     Fleet Run(Which, Options, {Change});
     Run.run();
-    const TimePoint At{WarmUp};
+    const TimePoint At{Begin};
     const Imbalance During = Run.imbalance(At + Duration(1), At + Settle);
     const Imbalance After = Run.imbalance(At + Settle, At + Settle + Window);
     Result.Rows.push_back({{"policy", name(Which)},
--- a/include/galenarelay/schedule/load_view.h
+++ b/include/galenarelay/schedule/load_view.h
@@ -66,8 +66,9 @@
     double Recent = 0;  ///< Busy and queued share over the recent window.
     double Average = 0; ///< Smoothed busy share.
     double Slots = 1;
-    double Ramp = 1;   ///< Share of its work that it may get.
-    double Health = 1; ///< Share of good completions.
+    double Ramp = 1;      ///< Share of its work that it may get.
+    double Health = 1;    ///< Share of good completions.
+    double HomeShare = 0; ///< Share of the flows whose home it is.
     bool Usable = true;
   };
 
@@ -76,6 +77,10 @@
   [[nodiscard]] std::vector<Candidate> assess(const routing::ServiceRoute &Route,
                                               common::TimePoint Now);
   [[nodiscard]] std::size_t pick(const std::vector<Candidate> &From, std::size_t Home);
+  /// Moves the part of the home's flows that is beyond its share of the slots.
+  [[nodiscard]] std::optional<std::size_t> pickByShare(const std::vector<Candidate> &From,
+                                                       std::size_t Home);
+  void learnShares(const routing::ServiceTable &Table);
   [[nodiscard]] std::size_t weighted(const std::vector<double> &Weights, std::size_t Otherwise);
   void forgetOthers(const routing::ServiceRoute &Route, common::TimePoint Now);
 
@@ -83,6 +88,8 @@
   common::Engine Random;
   std::map<std::string, Peer> Peers; ///< Bounded: members that neither report nor are candidates
                                      ///< are forgotten.
+  std::vector<std::string> ShareMembers; ///< Members that HomeShares is of.
+  std::vector<double> HomeShares;
   std::optional<common::TimePoint> Began;
   common::TimePoint LastSweep{};
 };
--- a/src/schedule/load_view.cpp
+++ b/src/schedule/load_view.cpp
@@ -110,6 +110,8 @@
 
 std::vector<LoadView::Candidate> LoadView::assess(const routing::ServiceRoute &Route,
                                                   TimePoint Now) {
+  learnShares(Route.Table);
+  HomeShares.resize(Route.Candidates.size());
   std::vector<Candidate> Assessed;
   std::vector<double> Weights;
   double Sum = 0;
@@ -128,6 +130,7 @@
     Weights.push_back(Weight);
     Sum += Weight * Next.Load;
     Total += Weight;
+    Next.HomeShare = HomeShares[Assessed.size()];
     Assessed.push_back(Next);
   }
   const double Mean = Total > 0 ? Sum / Total : 0;
@@ -151,6 +154,35 @@
   return Otherwise;
 }
 
+void LoadView::learnShares(const routing::ServiceTable &Table) {
+  if (ShareMembers == Table.members())
+    return;
+  ShareMembers = Table.members();
+  HomeShares.assign(ShareMembers.size(), 0);
+  for (std::uint64_t Slot = 0; Slot < routing::TableSlots && !ShareMembers.empty(); ++Slot)
+    HomeShares[Table.choose(Slot).First] += 1.0 / routing::TableSlots;
+}
+
+/// The table's shares are known, so this part of the balance needs no measurement: what the homes
+/// above their share move is what those below it lack.
+std::optional<std::size_t> LoadView::pickByShare(const std::vector<Candidate> &From,
+                                                 std::size_t Home) {
+  double Slots = 0;
+  for (const Candidate &Each : From)
+    Slots += Each.Usable ? Each.Slots * Each.Ramp : 0;
+  const auto Fair = [Slots](const Candidate &Of) {
+    return Of.Usable && Slots > 0 ? Of.Slots * Of.Ramp / Slots : 0;
+  };
+  const Candidate &Own = From[Home];
+  if (Own.HomeShare <= 0 || common::uniformUnit(Random) >= 1 - Fair(Own) / Own.HomeShare)
+    return std::nullopt;
+  std::vector<double> Lacks;
+  for (const Candidate &Each : From)
+    Lacks.push_back(std::max(0.0, Fair(Each) - Each.HomeShare) *
+                    std::pow(Each.Health, HealthPower));
+  return weighted(Lacks, Home);
+}
+
 std::size_t LoadView::pick(const std::vector<Candidate> &From, std::size_t Home) {
   const std::size_t None = From.size();
   double Sum = 0;
@@ -166,8 +198,9 @@
     const Candidate &Own = From[Home];
     const double Above = Own.Average - Mean * (1 + BalanceSlack);
     const double Excess = Own.Average > 0 ? BalanceGain * Above / Own.Average : 0;
-    const double Moved = std::max(Excess, 1 - Own.Ramp);
-    if (common::uniformUnit(Random) >= Moved)
+    if (const auto Moved = pickByShare(From, Home))
+      return *Moved;
+    if (common::uniformUnit(Random) >= Excess)
       return Home;
   }
   // Homes choose at the same time from reports of the same age. A choice by weight spreads their
--- a/tests/schedule_load_view_test.cpp
+++ b/tests/schedule_load_view_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(testChoose_joiningPeer_rampsUp);
   CPPUNIT_TEST(testChoose_ownAssignments_countBeforeTheNextReport);
   CPPUNIT_TEST(testChoose_ownAssignmentsAtHome_doNotFillIt);
+  CPPUNIT_TEST(testChoose_unevenTable_movesTheExcessOnly);
   CPPUNIT_TEST(testReport_olderSequence_isIgnored);
   CPPUNIT_TEST(testReport_restartedMember_isHeard);
   CPPUNIT_TEST(testChoose_sameSeed_sameChoices);
@@ -135,6 +136,24 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *View.choose(Route, "a", Now));
   }
 
+  // Guards against homes that carry the unevenness of the table, which is up to 28% for 70 members.
+  void testChoose_unevenTable_movesTheExcessOnly() {
+    routing::ServiceRoute Route = makeRoute();
+    Route.Table = routing::ServiceTable("desk", {Ids.begin(), Ids.end()});
+    std::array<double, 3> Flows{};
+    for (std::size_t Home = 0; Home < Ids.size(); ++Home) {
+      LoadView View(Home + 1);
+      for (std::uint64_t Hash = 0; Hash < 20 * routing::TableSlots; ++Hash) {
+        for (const char *Id : Ids)
+          View.onReport(makeReport(Id, 2, Hash), Now);
+        if (Route.Table.choose(Hash).First == Home)
+          Flows.at(*View.choose(Route, Ids.at(Home), Now)) += 1.0 / (20 * routing::TableSlots);
+      }
+    }
+    for (const double Share : Flows)
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3, Share, 0.01);
+  }
+
   // Guards against a late datagram that brings back an old load.
   void testReport_olderSequence_isIgnored() {
     LoadView View(1);
