Move idle flows to other agents on a drain, a stop or a relabel

Cause: a keep-alive flow stayed with the agent that opened it. After a relabel its requests still ran on the upstream, which by then carried another service; during a drain the flow was closed while a request could be on its way. Change: an agent that is no candidate of a flow's service gives the flow away as soon as it is idle. Requests and bodies already being read are finished first; a request that comes with others on such a flow gets 'not run'. Weighed: closing idle flows (a request in flight is lost) and 503 for each new request (a visible failure for a planned change).

--- a/include/galenarelay/agent/flow_connection.h
+++ b/include/galenarelay/agent/flow_connection.h
@@ -52,6 +52,15 @@
   void onTimer(common::TimePoint Now);
   /// The next answer is the last one; a flow without a request closes after DrainIdleTime.
   void drain() noexcept;
+  /// Whether this agent should give the flow to another one as soon as it is idle. Requests whose
+  /// first byte has not been read when this begins don't run here.
+  void setMoving(bool Wanted) noexcept;
+  /// The stream to give away; empty while the flow isn't idle or need not move.
+  [[nodiscard]] std::optional<flow::IdleStream> streamToMove() const;
+  [[nodiscard]] bool sameOrigin(const flow::IdleStream &Other) const noexcept {
+    return Stream.sameOrigin(Other);
+  }
+  [[nodiscard]] const std::string &service() const noexcept { return Service; }
   /// Moves bytes between stream, session and dispatcher; returns the packets to send.
   [[nodiscard]] std::vector<packet::Packet> advance(common::TimePoint Now);
   /// Cancels the request in progress, if any. Nothing is sent to the caller.
@@ -60,6 +69,7 @@
 private:
   [[nodiscard]] ExchangeEvents exchangeEvents();
   [[nodiscard]] bool readsCaller() const noexcept;
+  [[nodiscard]] bool idle() const noexcept;
   void readCaller();
   void handle(const request::RequestReady &Event);
   void handle(const request::BodyPart &Event);
@@ -80,6 +90,8 @@
   std::uint64_t Served = 0;
   bool Paused = false;
   bool Draining = false;
+  bool Moving = false;
+  bool FirstMayRun = false; ///< The next request was being read when Moving was set.
   bool FinSent = false;
   bool Aborted = false;
   std::optional<common::TimePoint> CloseAt; ///< End of the idle time of a drain, or of closing.
--- a/include/galenarelay/agent/packet_path.h
+++ b/include/galenarelay/agent/packet_path.h
@@ -2,6 +2,7 @@
 #define GALENARELAY_AGENT_PACKET_PATH_H
 
 #include "galenarelay/agent/flow_connection.h"
+#include "galenarelay/agent/flow_mover.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/common/random.h"
 #include "galenarelay/common/udp_socket.h"
@@ -55,7 +56,8 @@
   void onViewChange(const std::shared_ptr<const routing::RoutingView> &View);
   /// Called after a flow has ended.
   void onFlowsChange(std::function<void()> Callback) { FlowsChanged = std::move(Callback); }
-  /// Ends the served flows as their requests end.
+  /// Moves the served flows to other agents, or ends them where there are none, as their requests
+  /// end.
   void drainFlows();
   /// Takes no new flows for good, and drains the served ones.
   void drain();
@@ -78,6 +80,15 @@
   void apply(const flow::CountDrop &Action);
   void deliver(const packet::FlowKey &Key, std::span<const std::uint8_t> Bytes);
   void send(const packet::Packet &Packet);
+  /// Decides for each served flow whether it has to move to another agent.
+  void refreshMoves();
+  void refreshMove(FlowConnection &Connection);
+  void tryMove(const packet::FlowKey &Key, FlowConnection &Connection);
+  void onOffer(const nlohmann::json &Message, common::Endpoint From);
+  void onOfferAnswer(const nlohmann::json &Message);
+  [[nodiscard]] bool adopt(const FlowOffer &Offer);
+  void addFlow(const packet::FlowKey &Key, const config::ServiceName &Service, flow::Stream Stream);
+  void runMoves(common::TimePoint Now);
   void touch(const packet::FlowKey &Key);
   void advanceTouched();
   void advance(const packet::FlowKey &Key);
@@ -95,11 +106,13 @@
   common::Engine Random;
   common::UdpSocket Socket;
   flow::FlowRouter Router;
+  FlowMover Mover;
   std::unordered_map<packet::FlowKey, Entry, packet::FlowKeyHash> Flows;
   std::set<std::pair<common::TimePoint, packet::FlowKey>> Timers;
   std::set<packet::FlowKey> Touched;
   bool AdvanceScheduled = false;
   bool Draining = false;
+  bool Leaving = false; ///< Flows that can't move end after their requests.
   boost::asio::steady_timer Timer;
   std::optional<common::TimePoint> ArmedFor; ///< When Timer fires; empty if it is not set.
   ControlSender SendControl;
@@ -108,6 +121,8 @@
   prometheus::Counter &Forwarded;
   prometheus::Counter &Answered;
   prometheus::Counter &Accepted;
+  prometheus::Counter &MovedAway;
+  prometheus::Counter &Adopted;
   prometheus::Gauge &Open;
   common::Metrics &Metrics;
 };
--- a/include/galenarelay/flow/flow_router.h
+++ b/include/galenarelay/flow/flow_router.h
@@ -124,6 +124,16 @@
                                                  common::TimePoint Now);
   /// The flow served here has ended.
   [[nodiscard]] std::vector<Action> onFlowEnded(const packet::FlowKey &Key, common::TimePoint Now);
+  /// True if this agent is a candidate for the service and takes new flows.
+  [[nodiscard]] bool mayServe(const config::ServiceName &Service) const;
+  /// Another agent of the service to which a flow may move; null if there is none.
+  [[nodiscard]] const membership::Member *moveTarget(const config::ServiceName &Service,
+                                                     common::TimePoint Now);
+  /// Takes an open flow that a peer gives up; false if it can't be served here.
+  [[nodiscard]] bool adoptFlow(const packet::FlowKey &Key, const config::ServiceName &Service,
+                               common::TimePoint Now);
+  /// The flow served here now lives at a peer, to which its packets are forwarded from now on.
+  void moveFlow(const packet::FlowKey &Key, const std::string &Owner, common::TimePoint Now);
   /// Stops taking new flows, for a drain.
   void refuseNewFlows() noexcept;
   [[nodiscard]] std::vector<Action> onTimer(common::TimePoint Now);
@@ -191,7 +201,8 @@
   void routeToOtherChoice(const Arrival &In, std::vector<Action> &Out);
   void acceptFlow(const Arrival &In, std::vector<Action> &Out);
   void redirectFlow(const Arrival &In, const membership::Member &Target, std::vector<Action> &Out);
-  [[nodiscard]] const membership::Member *chooseOther(const Arrival &In);
+  [[nodiscard]] const membership::Member *chooseOther(const routing::ServiceRoute &Route,
+                                                      common::TimePoint Now);
   void forward(std::span<const std::uint8_t> Packet, std::uint8_t Ttl,
                const membership::Member &Target, std::vector<Action> &Out) const;
 
--- a/include/galenarelay/flow/stream.h
+++ b/include/galenarelay/flow/stream.h
@@ -20,6 +20,20 @@
   Broken,      ///< Reset, or given up on after too many retransmissions.
 };
 
+/// An established stream with nothing in flight, as one agent gives it to another.
+struct IdleStream {
+  packet::FlowKey Key;
+  std::uint32_t InitialSend = 0;
+  std::uint32_t SendNext = 0;
+  std::uint32_t InitialReceive = 0;
+  std::uint32_t ReceiveNext = 0;
+  std::uint32_t PeerWindow = 0; ///< Bytes.
+  bool LongLived = false;       ///< Sent so much that InitialSend is out of range.
+  std::vector<std::uint8_t> Unread;
+
+  friend bool operator==(const IdleStream &, const IdleStream &) = default;
+};
+
 /// One end of a reliable byte stream over packets, a subset of TCP (RFC 9293).
 /// Example: `Stream S = Stream::accept(Syn, Isn, Now); send(S.takeOutput(Now));`
 class Stream {
@@ -37,6 +51,8 @@
   static constexpr common::Duration ProbeRetryInterval = std::chrono::seconds(10);
   /// A peer that answers nothing to retransmissions or probes for this time breaks the stream.
   static constexpr common::Duration DeadPeerTimeout = std::chrono::seconds(60);
+  /// Unread bytes that may move with an idle stream; with them a move fits a control datagram.
+  static constexpr std::size_t MaxMovedBytes = 512;
   /// A closed stream still acknowledges a repeated FIN for this time.
   static constexpr common::Duration LingerTime = std::chrono::seconds(5);
 
@@ -47,6 +63,9 @@
   [[nodiscard]] static Stream accept(const packet::Packet &Syn, std::uint32_t InitialSequence,
                                      common::TimePoint Now);
 
+  /// Goes on with a service-side stream that idle() returned; the first output acknowledges.
+  [[nodiscard]] static Stream resume(const IdleStream &Moved, common::TimePoint Now);
+
   [[nodiscard]] StreamState state() const noexcept;
   [[nodiscard]] const packet::FlowKey &key() const noexcept;
   /// True once the peer has sent FIN and all bytes before it were read.
@@ -58,6 +77,12 @@
   [[nodiscard]] bool fits(const packet::RouteView &Route) const noexcept;
   /// Bytes that write() accepts now.
   [[nodiscard]] std::size_t writable() const noexcept;
+  /// True if idle() returns a value once the peer has acknowledged everything.
+  [[nodiscard]] bool movable() const noexcept;
+  /// The stream's numbers if nothing is in flight and neither side has sent FIN.
+  [[nodiscard]] std::optional<IdleStream> idle() const;
+  /// True if this stream began with the same initial sequence numbers.
+  [[nodiscard]] bool sameOrigin(const IdleStream &Other) const noexcept;
   /// Bytes written that the peer has not acknowledged.
   [[nodiscard]] std::size_t unacknowledged() const noexcept;
   /// Bytes of memory that this stream's buffers hold.
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -82,7 +82,8 @@
   void connectControl() {
     Packets.onSendControl(
         [this](Endpoint To, const nlohmann::json &Message) { Node.sendControl(To, Message); });
-    for (const char *Type : {"locate", "found", "notfound", "register"})
+    for (const char *Type :
+         {"locate", "found", "notfound", "register", "adopt", "adopted", "declined"})
       Node.onControl(Type, [this](const nlohmann::json &Message, Endpoint From) {
         Packets.onControl(Message, From);
       });
--- a/src/agent/flow_connection.cpp
+++ b/src/agent/flow_connection.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// When to repeat a request that came with others on a flow that moves away.
+constexpr common::Duration MovedRetryAfter = std::chrono::seconds(1);
 constexpr std::array<std::string_view, 5> StateNames{"opening", "established", "closing", "closed",
                                                      "broken"};
 
@@ -41,6 +43,7 @@
           {"request_in_progress", Current != 0},
           {"answer_started", Session.answerStarted()},
           {"draining", Draining},
+          {"moving", Moving},
           {"memory_bytes", Stream.memoryBytes() + Session.memoryBytes()}};
 }
 
@@ -66,6 +69,20 @@
   Session.closeAfterAnswer();
 }
 
+void FlowConnection::setMoving(bool Wanted) noexcept {
+  if (Wanted && !Moving)
+    FirstMayRun = !Session.idle() && !Session.answerDue();
+  Moving = Wanted;
+}
+
+std::optional<flow::IdleStream> FlowConnection::streamToMove() const {
+  return Moving && idle() ? Stream.idle() : std::nullopt;
+}
+
+bool FlowConnection::idle() const noexcept {
+  return Current == 0 && Session.idle() && Session.pendingOutput() == 0 && !FinSent && !Aborted;
+}
+
 std::vector<packet::Packet> FlowConnection::advance(TimePoint Now) {
   if (Aborted && Stream.state() != StreamState::Broken)
     Stream.reset();
@@ -90,6 +107,9 @@
 bool FlowConnection::readsCaller() const noexcept {
   if (Session.finished())
     return true;
+  // The next request belongs to the agent to which the flow moves; its bytes go along.
+  if (Moving && Session.idle() && Stream.movable())
+    return false;
   const bool Backlog = Current != 0 && Context.Requests.bodyBacklog(Current) >= MaxBodyBacklog;
   return Session.wantsBytes() && !Backlog && Session.pendingOutput() < MaxPendingOutput;
 }
@@ -115,6 +135,12 @@
 }
 
 void FlowConnection::handle(const request::RequestReady &Event) {
+  if (Moving && !std::exchange(FirstMayRun, false)) {
+    Session.closeAfterAnswer();
+    Session.answer(request::notRunAnswer(common::ResultCode::RequestNotRun, MovedRetryAfter,
+                                         "this upstream takes no new requests of the service"));
+    return;
+  }
   NewRequest Request;
   Request.Flow = Stream.key();
   Request.Service = Service;
--- /dev/null
+++ b/src/agent/flow_mover.cpp
@@ -0,0 +1,147 @@
+#include "galenarelay/agent/flow_mover.h"
+
+#include <algorithm>
+
+namespace galenarelay::agent {
+
+using common::ResultCode;
+using common::TimePoint;
+using membership::MemberState;
+using nlohmann::json;
+using packet::FlowKey;
+
+namespace {
+
+/// Moves that may begin at once.
+constexpr double MoveBurst = MovesPerSecond / 10;
+
+common::Result<FlowOffer> readOffer(const json &Message) {
+  FlowOffer Read;
+  Read.Service = Message.at("service").get<std::string>();
+  flow::IdleStream &Stream = Read.Stream;
+  BOOST_LEAF_ASSIGN(Stream.Key, packet::parseFlowKey(Message.at("flow").get<std::string>()));
+  const auto Numbers = Message.at("numbers").get<std::vector<std::uint32_t>>();
+  constexpr std::size_t NumberCount = 5;
+  if (Numbers.size() != NumberCount)
+    return common::fail(ResultCode::MessageMalformed, "an offer has five numbers");
+  Stream.InitialSend = Numbers[0];
+  Stream.SendNext = Numbers[1];
+  Stream.InitialReceive = Numbers[2];
+  Stream.ReceiveNext = Numbers[3];
+  Stream.PeerWindow = Numbers[4];
+  Stream.LongLived = Message.at("long_lived").get<bool>();
+  Stream.Unread = Message.at("unread").get_binary();
+  if (Stream.Unread.size() > flow::Stream::MaxMovedBytes)
+    return common::fail(ResultCode::MessageTooLong, "too many unread bytes");
+  return Read;
+}
+
+} // namespace
+
+json toMessage(const FlowOffer &Offer) {
+  const flow::IdleStream &Stream = Offer.Stream;
+  return {{"t", "adopt"},
+          {"service", Offer.Service},
+          {"flow", packet::toString(Stream.Key)},
+          {"numbers",
+           {Stream.InitialSend, Stream.SendNext, Stream.InitialReceive, Stream.ReceiveNext,
+            Stream.PeerWindow}},
+          {"long_lived", Stream.LongLived},
+          {"unread", json::binary(Stream.Unread)}};
+}
+
+common::Result<FlowOffer> offerFromMessage(const json &Message) {
+  try {
+    return readOffer(Message);
+  } catch (const json::exception &Problem) {
+    return common::fail(ResultCode::MessageMalformed, Problem.what());
+  }
+}
+
+json offerAnswer(const FlowKey &Key, const std::string &SelfId, bool Adopted) {
+  return {
+      {"t", Adopted ? "adopted" : "declined"}, {"flow", packet::toString(Key)}, {"owner", SelfId}};
+}
+
+std::optional<TimePoint> FlowMover::nextTimer() const noexcept {
+  std::optional<TimePoint> Next;
+  const auto Consider = [&Next](TimePoint At) {
+    if (!Next || At < *Next)
+      Next = At;
+  };
+  for (const auto &Entry : Moves)
+    Consider(Entry.second.NextSend);
+  for (const auto &Entry : Postponed)
+    Consider(Entry.second);
+  return Next;
+}
+
+bool FlowMover::takeMove(const FlowKey &Key, TimePoint Now) {
+  if (moving(Key) || Postponed.contains(Key))
+    return false;
+  const std::chrono::duration<double> Passed = Now - TokensAt;
+  Tokens = std::min(MoveBurst, Tokens + Passed.count() * MovesPerSecond);
+  TokensAt = Now;
+  if (Tokens < 1) {
+    // Flows that wait for the rate are spread over the time that they need.
+    const double Ahead = static_cast<double>(Postponed.size() + 1) / MovesPerSecond;
+    Postponed[Key] =
+        Now + std::chrono::duration_cast<common::Duration>(std::chrono::duration<double>(Ahead));
+    return false;
+  }
+  Tokens -= 1;
+  return true;
+}
+
+flow::SendControl FlowMover::begin(FlowOffer Offer, const membership::Member &Target,
+                                   TimePoint Now) {
+  const FlowKey Key = Offer.Stream.Key;
+  flow::SendControl Message{Target.Control, toMessage(Offer)};
+  Moves.insert_or_assign(Key, Move{Target.Id, Message, Now + MoveResend});
+  return Message;
+}
+
+bool FlowMover::end(const FlowKey &Key, const std::string &Owner) {
+  const auto Known = Moves.find(Key);
+  if (Known == Moves.end() || Known->second.TargetId != Owner)
+    return false;
+  Moves.erase(Known);
+  return true;
+}
+
+void FlowMover::postpone(const FlowKey &Key, TimePoint Now) { Postponed[Key] = Now + MoveRetry; }
+
+std::vector<FlowKey> FlowMover::takeAbandoned(const routing::RoutingView &View) {
+  std::vector<FlowKey> Abandoned;
+  for (const auto &Entry : Moves) {
+    const membership::Member *Target = View.member(Entry.second.TargetId);
+    if (Target == nullptr || Target->State == MemberState::Dead)
+      Abandoned.push_back(Entry.first);
+  }
+  for (const FlowKey &Key : Abandoned)
+    Moves.erase(Key);
+  return Abandoned;
+}
+
+std::vector<flow::SendControl> FlowMover::onTimer(TimePoint Now) {
+  std::vector<flow::SendControl> Messages;
+  for (auto &Entry : Moves) {
+    if (Entry.second.NextSend > Now)
+      continue;
+    Entry.second.NextSend = Now + MoveResend;
+    Messages.push_back(Entry.second.Offer);
+  }
+  return Messages;
+}
+
+std::vector<FlowKey> FlowMover::takeDue(TimePoint Now) {
+  std::vector<FlowKey> Due;
+  for (const auto &Entry : Postponed)
+    if (Entry.second <= Now)
+      Due.push_back(Entry.first);
+  for (const FlowKey &Key : Due)
+    Postponed.erase(Key);
+  return Due;
+}
+
+} // namespace galenarelay::agent
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -24,6 +24,8 @@
       Forwarded(Metrics.counter("packets_total", "Packets", {{"path", "forwarded"}})),
       Answered(Metrics.counter("packets_total", "Packets", {{"path", "to_caller"}})),
       Accepted(Metrics.counter("flows_accepted_total", "Flows opened here")),
+      MovedAway(Metrics.counter("flows_moved_total", "Flows given to another agent")),
+      Adopted(Metrics.counter("flows_adopted_total", "Flows taken from another agent")),
       Open(Metrics.gauge("flows_open", "Flows served here")), Metrics(Metrics) {
   Context.Touch = [this](const FlowKey &Key) { touch(Key); };
 }
@@ -59,11 +61,20 @@
 }
 
 void PacketPath::onControl(const nlohmann::json &Message, Endpoint From) {
+  const auto Type = Message.value("t", std::string());
+  if (Type == "adopt")
+    return onOffer(Message, From);
+  if (Type == "adopted" || Type == "declined")
+    return onOfferAnswer(Message);
   apply(Router.onControl(Message, From, steadyNow()));
 }
 
 void PacketPath::onViewChange(const std::shared_ptr<const routing::RoutingView> &View) {
   apply(Router.onViewChange(View, steadyNow()));
+  // A flow whose move can't have been taken up is served here again.
+  for (const FlowKey &Key : Mover.takeAbandoned(*View))
+    touch(Key);
+  refreshMoves();
 }
 
 void PacketPath::drain() {
@@ -73,12 +84,87 @@
 }
 
 void PacketPath::drainFlows() {
+  Leaving = true;
+  refreshMoves();
+}
+
+void PacketPath::refreshMoves() {
   for (const auto &[Key, Known] : Flows) {
-    Known.Connection->drain();
+    refreshMove(*Known.Connection);
     touch(Key);
   }
 }
 
+// An agent that is no candidate of a service, because it leaves, was relabelled or lost its
+// upstream, keeps what runs and gives idle flows away: a request that has not begun runs elsewhere.
+void PacketPath::refreshMove(FlowConnection &Connection) {
+  const std::string &Service = Connection.service();
+  const bool MayServe = Router.mayServe(Service);
+  const bool Movable = !MayServe && Router.moveTarget(Service, steadyNow()) != nullptr;
+  Connection.setMoving(Movable);
+  if (!MayServe && !Movable && Leaving)
+    Connection.drain();
+}
+
+void PacketPath::tryMove(const FlowKey &Key, FlowConnection &Connection) {
+  auto Stream = Connection.streamToMove();
+  const TimePoint Now = steadyNow();
+  if (!Stream || !Mover.takeMove(Key, Now))
+    return;
+  const membership::Member *Target = Router.moveTarget(Connection.service(), Now);
+  if (Target == nullptr)
+    return Mover.postpone(Key, Now);
+  apply(Mover.begin({Connection.service(), std::move(*Stream)}, *Target, Now));
+}
+
+void PacketPath::onOffer(const nlohmann::json &Message, Endpoint From) {
+  const auto Offer = common::capture([&] { return offerFromMessage(Message); });
+  if (!Offer)
+    return apply(flow::CountDrop{Offer.Failure.Code});
+  const bool Taken = adopt(*Offer);
+  apply(flow::SendControl{From, offerAnswer(Offer->Stream.Key, Options.SelfId, Taken)});
+}
+
+bool PacketPath::adopt(const FlowOffer &Offer) {
+  const FlowKey &Key = Offer.Stream.Key;
+  const auto Known = Flows.find(Key);
+  // A repeated offer: the first answer was lost.
+  if (Known != Flows.end())
+    return Known->second.Connection->sameOrigin(Offer.Stream);
+  const TimePoint Now = steadyNow();
+  if (!Router.adoptFlow(Key, Offer.Service, Now))
+    return false;
+  addFlow(Key, Offer.Service, flow::Stream::resume(Offer.Stream, Now));
+  Adopted.Increment();
+  armTimer();
+  return true;
+}
+
+void PacketPath::onOfferAnswer(const nlohmann::json &Message) {
+  const auto Flow =
+      common::capture([&] { return packet::parseFlowKey(Message.value("flow", std::string())); });
+  if (!Flow)
+    return apply(flow::CountDrop{common::ResultCode::MessageMalformed});
+  const auto Owner = Message.value("owner", std::string());
+  if (!Mover.end(*Flow, Owner))
+    return;
+  if (Message.value("t", std::string()) == "declined") {
+    Mover.postpone(*Flow, steadyNow());
+    return touch(*Flow);
+  }
+  Router.moveFlow(*Flow, Owner, steadyNow());
+  MovedAway.Increment();
+  if (forget(*Flow) && FlowsChanged)
+    FlowsChanged();
+}
+
+void PacketPath::runMoves(TimePoint Now) {
+  for (const flow::SendControl &Message : Mover.onTimer(Now))
+    apply(Message);
+  for (const FlowKey &Key : Mover.takeDue(Now))
+    touch(Key);
+}
+
 void PacketPath::stop() {
   Timer.cancel();
   Socket.close();
@@ -95,16 +181,20 @@
   const auto Syn = common::capture([&] { return packet::parseFromCaller(Action.Packet); });
   if (!Syn)
     return;
-  auto Stream = flow::Stream::accept(*Syn, static_cast<std::uint32_t>(Random()), steadyNow());
-  Entry Opened;
-  Opened.Connection = std::make_shared<FlowConnection>(Context, Action.Service, std::move(Stream));
-  if (Draining)
-    Opened.Connection->drain();
-  forget(Action.Key);
-  Flows.emplace(Action.Key, std::move(Opened));
+  addFlow(Action.Key, Action.Service,
+          flow::Stream::accept(*Syn, static_cast<std::uint32_t>(Random()), steadyNow()));
   Accepted.Increment();
+}
+
+void PacketPath::addFlow(const FlowKey &Key, const config::ServiceName &Service,
+                         flow::Stream Stream) {
+  Entry Opened;
+  Opened.Connection = std::make_shared<FlowConnection>(Context, Service, std::move(Stream));
+  refreshMove(*Opened.Connection);
+  forget(Key);
+  Flows.emplace(Key, std::move(Opened));
   Open.Set(static_cast<double>(Flows.size()));
-  touch(Action.Key);
+  touch(Key);
 }
 
 void PacketPath::apply(const flow::DeliverPacket &Action) { deliver(Action.Key, Action.Packet); }
@@ -112,7 +202,7 @@
 void PacketPath::deliver(const FlowKey &Key, std::span<const std::uint8_t> Bytes) {
   const auto Known = Flows.find(Key);
   const auto Parsed = common::capture([&] { return packet::parseFromCaller(Bytes); });
-  if (Known == Flows.end() || !Parsed)
+  if (Known == Flows.end() || !Parsed || Mover.moving(Key))
     return;
   Known->second.Connection->onPacket(*Parsed, steadyNow());
   touch(Key);
@@ -160,15 +250,15 @@
 
 void PacketPath::advance(const FlowKey &Key) {
   const auto Known = Flows.find(Key);
-  if (Known == Flows.end())
+  if (Known == Flows.end() || Mover.moving(Key))
     return;
   const auto Connection = Known->second.Connection;
   for (const packet::Packet &Packet : Connection->advance(steadyNow()))
     send(Packet);
   if (Connection->finished())
-    remove(Key);
-  else
-    updateTimer(Key, Known->second);
+    return remove(Key);
+  updateTimer(Key, Known->second);
+  tryMove(Key, *Connection);
 }
 
 void PacketPath::updateTimer(const FlowKey &Key, Entry &Known) {
@@ -206,6 +296,9 @@
   auto Next = Router.nextTimer();
   if (!Timers.empty() && (!Next || Timers.begin()->first < *Next))
     Next = Timers.begin()->first;
+  const auto NextMove = Mover.nextTimer();
+  if (NextMove && (!Next || *NextMove < *Next))
+    Next = NextMove;
   // A timer that is set too early only looks again, which is cheaper than setting it per packet.
   if (!Next || (ArmedFor && *ArmedFor <= *Next))
     return;
@@ -228,12 +321,13 @@
   }
   for (const FlowKey &Key : Due) {
     const auto Known = Flows.find(Key);
-    if (Known == Flows.end())
+    if (Known == Flows.end() || Mover.moving(Key))
       continue;
     Known->second.Connection->onTimer(Now);
     advance(Key);
   }
   apply(Router.onTimer(Now));
+  runMoves(Now);
   // Their callers never acknowledged them: another agent may serve these flows.
   for (const FlowKey &Key : Router.takeExpired())
     remove(Key);
--- a/src/flow/flow_router.cpp
+++ b/src/flow/flow_router.cpp
@@ -292,15 +292,15 @@
       redirectFlow(In, Target, Out);
     return;
   }
-  if (const Member *Other = chooseOther(In))
+  if (const Member *Other = chooseOther(In.Route, In.Now))
     redirectFlow(In, *Other, Out);
   else
     drop(Out, isCandidate(In.Route) ? ResultCode::NoUpstream : ResultCode::PacketWrongService);
 }
 
-const Member *FlowRouter::chooseOther(const Arrival &In) {
-  const auto &Candidates = In.Route.Candidates;
-  const auto Chosen = Choose(In.Route, SelfId, In.Now);
+const Member *FlowRouter::chooseOther(const ServiceRoute &Route, TimePoint Now) {
+  const auto &Candidates = Route.Candidates;
+  const auto Chosen = Choose(Route, SelfId, Now);
   if (Chosen && *Chosen < Candidates.size() && Candidates[*Chosen].Id != SelfId)
     return &Candidates[*Chosen];
   const std::size_t Start = common::uniformBelow(Random, Candidates.size());
@@ -610,6 +610,42 @@
   return {};
 }
 
+bool FlowRouter::mayServe(const config::ServiceName &Service) const {
+  const ServiceRoute *Route = View->service(Service);
+  return Route != nullptr && takesNewFlow(*Route);
+}
+
+const Member *FlowRouter::moveTarget(const config::ServiceName &Service, TimePoint Now) {
+  const ServiceRoute *Route = View->service(Service);
+  return Route == nullptr ? nullptr : chooseOther(*Route, Now);
+}
+
+bool FlowRouter::adoptFlow(const FlowKey &Key, const config::ServiceName &Service, TimePoint Now) {
+  const ServiceRoute *Route = View->serviceAt(Key.Service);
+  const bool Allowed = Route != nullptr && Route->Name == Service && takesNewFlow(*Route);
+  if (!Allowed || Served.size() >= MaxServedFlows || Served.contains(Key))
+    return false;
+  const NameId Known = ServiceNames.idOf(Service);
+  const std::string Home = homeOf(Key);
+  ServedFlow &Flow = Served.emplace(Key, ServedFlow{Known, MemberNames.idOf(Home)}).first->second;
+  Flow.Open = true;
+  ++ServedByService[Known];
+  HandOffs.erase(Key);
+  if (Home != SelfId)
+    queueRegistration(Key, Flow, Now);
+  return true;
+}
+
+void FlowRouter::moveFlow(const FlowKey &Key, const std::string &Owner, TimePoint Now) {
+  const auto Moved = Served.find(Key);
+  if (Moved == Served.end())
+    return;
+  forgetService(Moved->second.Service);
+  Served.erase(Moved);
+  // Without room for the entry, packets of the flow go by locate.
+  static_cast<void>(recordHandOff(Key, Owner, Now));
+}
+
 void FlowRouter::forgetService(NameId Service) {
   const auto Count = ServedByService.find(Service);
   if (Count != ServedByService.end() && --Count->second == 0)
--- a/src/flow/stream.cpp
+++ b/src/flow/stream.cpp
@@ -63,8 +63,44 @@
   return Opened;
 }
 
+Stream Stream::resume(const IdleStream &Moved, TimePoint Now) {
+  Stream Resumed = connect(Moved.Key, Moved.InitialSend, Now);
+  Resumed.State = StreamState::Established;
+  Resumed.TowardsCaller = true;
+  Resumed.SynDue = false;
+  Resumed.Sampling = false;
+  Resumed.SendUnacked = Moved.SendNext;
+  Resumed.SendNext = Moved.SendNext;
+  Resumed.SendMax = Moved.SendNext;
+  Resumed.InitialReceive = Moved.InitialReceive;
+  Resumed.ReceiveNext = Moved.ReceiveNext;
+  Resumed.PeerWindow = Moved.PeerWindow;
+  Resumed.LongLived = Moved.LongLived;
+  Resumed.ReadBuffer = Moved.Unread;
+  Resumed.AckDue = true;
+  Resumed.restartTimer(Now);
+  return Resumed;
+}
+
 StreamState Stream::state() const noexcept { return State; }
 
+bool Stream::movable() const noexcept {
+  return State == StreamState::Established && !FinQueued && !PeerFinKnown &&
+         ReadBuffer.size() <= MaxMovedBytes;
+}
+
+std::optional<IdleStream> Stream::idle() const {
+  // Segments that wait for an earlier one are dropped by the move; the caller retransmits them.
+  if (!movable() || inFlight() > 0 || buffered() > 0)
+    return std::nullopt;
+  return IdleStream{Key,         InitialSend, SendNext,  InitialReceive,
+                    ReceiveNext, PeerWindow,  LongLived, ReadBuffer};
+}
+
+bool Stream::sameOrigin(const IdleStream &Other) const noexcept {
+  return InitialSend == Other.InitialSend && InitialReceive == Other.InitialReceive;
+}
+
 const packet::FlowKey &Stream::key() const noexcept { return Key; }
 
 bool Stream::peerFinished() const noexcept { return PeerFinReceived && ReadBuffer.empty(); }
