Pick an upstream also when all fail, ignore error shares out of range

Cause: with an error share of 1 everywhere, or with suspected members only, choose returned nothing to a home that isn't a candidate; a report with NaN would have spoilt all weights. Change: the share of good completions has a floor of 0.01; if no candidate is active all are used; onReport ignores an error share outside 0 to 1.

--- a/src/schedule/load_view.cpp
+++ b/src/schedule/load_view.cpp
@@ -33,6 +33,8 @@
 constexpr double LeastFree = 0.1;
 /// Power of the share of good completions in a weight: 1 failure in 2 leaves a sixteenth.
 constexpr double HealthPower = 4;
+/// When every member fails, a flow still goes to one of them.
+constexpr double LeastHealth = 0.01;
 /// Bounds of the preference for members below the average load.
 constexpr double LeastPreference = 0.1;
 constexpr double MostPreference = 3.0;
@@ -73,6 +75,9 @@
 }
 
 void LoadView::onReport(const LoadReport &Report, TimePoint Now) {
+  // A share that is no share, NaN included, would spoil every weight.
+  if (!(Report.ErrorShare >= 0 && Report.ErrorShare <= 1))
+    return;
   if (!Began)
     Began = Now;
   const auto Found = Peers.find(Report.MemberId);
@@ -124,7 +129,7 @@
     Next.Usable = Member.State == membership::MemberState::Active;
     Next.Load = Known.Reported ? reportedLoad(Known, Now) : Known.Assigned / Next.Slots;
     Next.Average = Known.Average;
-    Next.Health = std::clamp(1 - Known.Last.ErrorShare, 0.0, 1.0);
+    Next.Health = std::clamp(1 - Known.Last.ErrorShare, LeastHealth, 1.0);
     const Duration Silent = std::max(Duration{}, Now - Known.Received - ReportInterval);
     const double Weight = Known.Reported ? std::exp2(-ratio(Silent, Options.SilenceHalfLife)) : 0;
     Weights.push_back(Weight);
@@ -134,6 +139,10 @@
     Assessed.push_back(Next);
   }
   const double Mean = Total > 0 ? Sum / Total : 0;
+  const bool NoneActive = std::none_of(Assessed.begin(), Assessed.end(),
+                                       [](const Candidate &Each) { return Each.Usable; });
+  for (Candidate &Each : Assessed)
+    Each.Usable = Each.Usable || NoneActive;
   for (std::size_t I = 0; I < Assessed.size(); ++I)
     Assessed[I].Load = Weights[I] * Assessed[I].Load + (1 - Weights[I]) * Mean;
   return Assessed;
--- a/tests/schedule_load_view_test.cpp
+++ b/tests/schedule_load_view_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <limits>
 
 namespace galenarelay::tests {
 
@@ -49,6 +50,8 @@
 class LoadViewTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LoadViewTest);
   CPPUNIT_TEST(testChoose_noCandidate_isEmpty);
+  CPPUNIT_TEST(testChoose_noHealthyCandidate_stillPicksOne);
+  CPPUNIT_TEST(testReport_errorShareOutOfRange_isIgnored);
   CPPUNIT_TEST(testChoose_balancedPeers_keepsFlowAtHome);
   CPPUNIT_TEST(testChoose_fullHome_spreadsOverFreePeers);
   CPPUNIT_TEST(testChoose_failingPeer_getsNoWork);
@@ -70,6 +73,32 @@
     CPPUNIT_ASSERT(!View.choose({}, "a", TimePoint{}));
   }
 
+  // Guards against refusing flows when all upstreams fail or are suspected at the same time.
+  void testChoose_noHealthyCandidate_stillPicksOne() {
+    for (const auto State : {membership::MemberState::Active, membership::MemberState::Suspect}) {
+      LoadView View(1);
+      routing::ServiceRoute Route = makeRoute();
+      for (membership::Member &Member : Route.Candidates) {
+        Member.State = State;
+        LoadReport Report = makeReport(Member.Id, 5);
+        Report.ErrorShare = 1;
+        View.onReport(Report, Now);
+      }
+      CPPUNIT_ASSERT(View.choose(Route, "not a candidate", Now).has_value());
+    }
+  }
+
+  // Guards against a malformed report that makes every weight NaN.
+  void testReport_errorShareOutOfRange_isIgnored() {
+    LoadView View(1);
+    for (const double Share : {-0.1, 1.1, std::numeric_limits<double>::quiet_NaN()}) {
+      LoadReport Report = makeReport("b", 5);
+      Report.ErrorShare = Share;
+      View.onReport(Report, Now);
+    }
+    CPPUNIT_ASSERT(!View.expectedLoad("b", Now));
+  }
+
   // Guards against hand-offs, each of which costs a hop per packet, without need.
   void testChoose_balancedPeers_keepsFlowAtHome() {
     LoadView View(1);
