Open a new flow at once when a caller reuses the port of a closed one

Change: a SYN that does not fit a closed stream ends that stream before the packet is routed. Before and after: testPath_reusedPort_opensNewFlowAtOnce times out without the change and passes with it. Conclusion: callers that reuse ports quickly, as Linux does on loopback, no longer wait.

--- a/include/galenarelay/agent/flow_connection.h
+++ b/include/galenarelay/agent/flow_connection.h
@@ -43,6 +43,8 @@
   FlowConnection &operator=(const FlowConnection &) = delete;
 
   [[nodiscard]] bool fits(const packet::RouteView &Route) const noexcept;
+  /// True once both sides have closed and acknowledged everything; the stream only lingers.
+  [[nodiscard]] bool closed() const noexcept { return Stream.state() == flow::StreamState::Closed; }
   /// True once the flow has ended and may be discarded.
   [[nodiscard]] bool finished() const noexcept;
   [[nodiscard]] std::optional<common::TimePoint> nextTimer() const noexcept;
--- a/include/galenarelay/agent/packet_path.h
+++ b/include/galenarelay/agent/packet_path.h
@@ -68,6 +68,7 @@
   };
 
   void onDatagram(std::span<const std::uint8_t> Bytes);
+  void endReusedFlow(std::span<const std::uint8_t> Bytes);
   [[nodiscard]] bool fits(const packet::RouteView &Route) const;
   void apply(const std::vector<flow::Action> &Actions);
   void apply(const flow::AcceptFlow &Action);
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -55,9 +55,25 @@
 
 void PacketPath::onDatagram(std::span<const std::uint8_t> Bytes) {
   Received.Increment();
+  endReusedFlow(Bytes);
   apply(Router.onPacket(Bytes, steadyNow()));
 }
 
+// A caller may reuse its port while the closed flow still lingers (RFC 9293, section 3.6.1); its
+// new SYN must not wait for the end of the linger time. A repeated SYN of the old flow fits the
+// stream.
+void PacketPath::endReusedFlow(std::span<const std::uint8_t> Bytes) {
+  const auto Header = packet::readRoute(Bytes);
+  if (!Header || !Header->Bits.Syn)
+    return;
+  const auto Known = Flows.find(Header->Key);
+  if (Known == Flows.end())
+    return;
+  const FlowConnection &Old = *Known->second.Connection;
+  if (Old.closed() && !Old.fits(*Header))
+    remove(Header->Key);
+}
+
 void PacketPath::onControl(const nlohmann::json &Message, Endpoint From) {
   apply(Router.onControl(Message, From, steadyNow()));
 }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/agent/dispatcher.h"
 #include "galenarelay/agent/flow_connection.h"
 #include "galenarelay/agent/load_message.h"
+#include "galenarelay/agent/packet_path.h"
 #include "galenarelay/agent/upstream_health.h"
 #include "galenarelay/standins/upstream/upstream_server.h"
 
@@ -587,6 +588,66 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FlowConnectionTest);
 
+class PacketPathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PacketPathTest);
+  CPPUNIT_TEST(testPath_reusedPort_opensNewFlowAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a caller that reuses its port and waits until the closed flow has lingered.
+  void testPath_reusedPort_opensNewFlowAtOnce() {
+    const packet::FlowKey Key{{0x7f000009, 4000}, {0x0a010001, 80}};
+    Rig Under;
+    std::optional<flow::Stream> Stream;
+    std::string Got;
+    common::UdpSocket Fabric(Under.Io, {0x7f000001, 0}, [&](auto Bytes, Endpoint) {
+      const auto Packet = common::capture([&] { return packet::parseFromService(Bytes); });
+      Stream->onPacket(*Packet, steadyNow());
+    });
+    PacketPath Path(
+        Under.Io, {"a", {0x7f000001, 0}, Fabric.local(), 5},
+        FlowContext{
+            *Under.Requests, [](const std::string &) { return common::Duration(Patience); }, {}},
+        [](const auto &, const auto &, auto) { return std::optional<std::size_t>(0); },
+        Under.Metrics);
+    config::Configuration Document;
+    Document.Services["desk"].Address = Key.Service;
+    Document.Services["desk"].Selector = "id=a";
+    membership::Member Self;
+    Self.Id = "a";
+    Self.State = membership::MemberState::Active;
+    Path.onViewChange(std::make_shared<const routing::RoutingView>(
+        Document, std::vector<membership::Member>{Self}));
+    const auto Open = [&](std::uint32_t InitialSequence) {
+      Stream = flow::Stream::connect(Key, InitialSequence, steadyNow());
+    };
+    const auto RunUntil = [&](const auto &Holds) {
+      Under.runUntil([&] {
+        for (const packet::Packet &Sent : Stream->takeOutput(steadyNow()))
+          Fabric.send(packet::serialize(Sent), Path.local());
+        const auto Bytes = Stream->read();
+        Got.append(Bytes.begin(), Bytes.end());
+        return Holds();
+      });
+    };
+    Open(7);
+    const std::string Text = "GET /status HTTP/1.1\r\nHost: a\r\n\r\n";
+    Stream->write({reinterpret_cast<const std::uint8_t *>(Text.data()), Text.size()});
+    RunUntil([&] { return Got.find("}\n") != std::string::npos; });
+    Stream->finish();
+    RunUntil([&] { return Stream->state() == flow::StreamState::Closed; });
+    RunUntil([&] { return Path.describeFlows(1)["flows"][0]["state"] == "closed"; });
+    Open(1'000'000);
+    // The first SYN opens the flow: without a timer of the stream no other one is sent.
+    RunUntil([&] { return Stream->state() == flow::StreamState::Established; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Path.servedFlows());
+    Path.stop();
+    Fabric.close();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PacketPathTest);
+
 class UpstreamHealthTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UpstreamHealthTest);
   CPPUNIT_TEST(testHealth_evidence_decidesState);
--- a/tests/request_session_test.cpp
+++ b/tests/request_session_test.cpp
@@ -130,8 +130,8 @@
         "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n" +
+            std::string("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nabc",
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
