Merge start-up groups, queue at a cold upstream, and bound stragglers from below

A cold upstream with one slot open refused the sixth request for a guessed duration. Beside many requests of 1 ms, orders of 20 ms counted as stragglers and waited 5 s for an upload. Change: each node reads the store's contacts once after its own registration and tries each; delay bounds apply once durations are learnt; work below 200 ms is never a straggler. An absent configuration key is asked for every 500 ms, so that the first edit is in force in time.

--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -230,6 +230,7 @@
   bool Joined = false;
   bool Changed = false;
   std::size_t NextContact = 0;
+  std::size_t UntriedContacts = 0; ///< Contacts to try once a probe interval, although joined.
 
   common::TimePoint BudgetAt{};
   common::TimePoint NextProbe{};
--- a/include/galenarelay/node/impl/runtime.h
+++ b/include/galenarelay/node/impl/runtime.h
@@ -24,6 +24,8 @@
 /// Pause after a failed store call; doubled after each up to the maximum, with jitter.
 inline constexpr common::Duration MinStorePause = std::chrono::milliseconds(250);
 inline constexpr common::Duration MaxStorePause = std::chrono::seconds(10);
+/// Pause before the configuration key is asked for again while the store doesn't have it.
+inline constexpr common::Duration MaxAbsentPause = std::chrono::milliseconds(500);
 /// A node that hasn't joined through its seeds within this time asks the store for members.
 inline constexpr common::Duration SeedPatience = std::chrono::seconds(2);
 /// How often a node that doesn't watch the store checks whether it should.
@@ -86,6 +88,7 @@
   [[nodiscard]] common::Duration jittered(common::Duration Base);
   [[nodiscard]] boost::asio::awaitable<void> pause(common::Duration For);
   [[nodiscard]] boost::asio::awaitable<void> registerInStore();
+  [[nodiscard]] boost::asio::awaitable<void> readContacts();
   [[nodiscard]] boost::asio::awaitable<void> findContacts();
   [[nodiscard]] boost::asio::awaitable<void> watchStore();
   [[nodiscard]] boost::asio::awaitable<void> fetchMembers(common::Endpoint Admin);
--- a/include/galenarelay/schedule/impl/duration_estimates.h
+++ b/include/galenarelay/schedule/impl/duration_estimates.h
@@ -45,11 +45,14 @@
 /// Learns durations per work class from completions.
 class DurationEstimates {
 public:
-  DurationEstimates(common::Duration Default, double LongFactor);
+  /// Work is a straggler above LongFactor times the median, but never below Minimum.
+  DurationEstimates(common::Duration Default, double LongFactor, common::Duration Minimum = {});
 
   [[nodiscard]] Prediction predict(const WorkClass &Class) const;
   /// Longer work than this is a straggler.
   [[nodiscard]] common::Duration longThreshold() const noexcept { return Threshold; }
+  /// True once enough requests have been completed to estimate from them.
+  [[nodiscard]] bool learnt() const noexcept;
   /// Mean duration over all classes.
   [[nodiscard]] common::Duration mean() const noexcept;
   [[nodiscard]] std::size_t classes() const noexcept { return ByClass.size(); }
@@ -64,6 +67,7 @@
 
   common::Duration Default;
   double LongFactor;
+  common::Duration Minimum;
   DurationHistogram All;
   common::Duration Threshold;
   std::map<WorkClass, Entry> ByClass;
--- a/include/galenarelay/schedule/scheduler.h
+++ b/include/galenarelay/schedule/scheduler.h
@@ -54,7 +54,10 @@
   common::Duration MaxQueueDelay = std::chrono::milliseconds(500); ///< Of predicted short work.
   common::Duration MaxLongDelay = std::chrono::seconds(30);        ///< Of predicted straggler work.
   common::Duration DefaultDuration = std::chrono::milliseconds(100); ///< Until one is learnt.
-  double LongFactor = 8;      ///< Work is a straggler above this multiple of the median.
+  double LongFactor = 8; ///< Work is a straggler above this multiple of the median.
+  /// Shorter work is never a straggler: beside many requests of a millisecond, an order of 20 ms
+  /// would otherwise wait for an upload.
+  common::Duration LongMinimum = std::chrono::milliseconds(200);
   double ReservedShare = 0.6; ///< Of the slots, kept free of stragglers for short work.
   common::Duration ReserveHold = std::chrono::seconds(1); ///< Reserve after the last short arrival.
   common::Duration LongPatience = std::chrono::seconds(5); ///< Time without a straggler started.
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -103,6 +103,7 @@
     if (!Known && Address != Own.Control && Contacts.size() < MaxContacts)
       Contacts.push_back(Address);
   }
+  UntriedContacts = Contacts.size();
 }
 
 TimePoint Gossip::nextTimer() const {
@@ -143,7 +144,7 @@
     probeNext(Now);
     forgetDead(Now);
     NextProbe += ProbeInterval;
-    if (!Joined || Now >= NextSeedContact)
+    if (!Joined || UntriedContacts > 0 || Now >= NextSeedContact)
       contactSeed(Now);
   }
   if (Now >= NextDeadProbe)
@@ -515,6 +516,7 @@
       Known.insert(Peers.at(Id).Record.Control);
   for (std::size_t Tried = 0; Tried < Contacts.size(); ++Tried) {
     const Endpoint Seed = Contacts[NextContact++ % Contacts.size()];
+    UntriedContacts -= std::min<std::size_t>(UntriedContacts, 1);
     if (Known.contains(Seed))
       continue;
     json Fields{{"n", NextNumber++}, {"j", 1}, {"u", json::array({fullRecord(Own)})}};
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -273,7 +273,7 @@
     const auto Written = co_await Store.registerMember(Core->self());
     if (Written) {
       StoreVersion = *Written;
-      co_return;
+      co_return co_await readContacts();
     }
     log(LogLevel::Warning, "store_registration_failed",
         {{"reason", name(Written.Failure.Code)}, {"detail", Written.Failure.Detail}});
@@ -282,6 +282,21 @@
   }
 }
 
+// Of two nodes that start at the same time, the one that registers later reads the other's record.
+// Without this read, nodes that had joined each other before could form two groups.
+awaitable<void> Runtime::readContacts() {
+  Duration Pause = MinStorePause;
+  while (!Stopped) {
+    const auto Found = co_await Store.contacts();
+    if (Found) {
+      Core->addContacts(*Found);
+      co_return;
+    }
+    co_await pause(jittered(Pause));
+    Pause = std::min(Pause * 2, MaxStorePause);
+  }
+}
+
 awaitable<void> Runtime::findContacts() {
   const auto Alive = shared_from_this();
   if (!Options.Seeds.empty())
@@ -322,8 +337,12 @@
       continue;
     }
     if (!Found) {
-      if (Found.Failure.Code == ResultCode::StoreKeyNotFound)
+      // The first configuration must be in force within 4 s, so an absent key isn't backed off
+      // from.
+      const bool Absent = Found.Failure.Code == ResultCode::StoreKeyNotFound;
+      if (Absent)
         Version = 0;
+      Pause = Absent ? MaxAbsentPause : Pause;
       co_await pause(jittered(Pause));
       Pause = std::min(Pause * 2, MaxStorePause);
       continue;
--- a/src/schedule/duration_estimates.cpp
+++ b/src/schedule/duration_estimates.cpp
@@ -60,13 +60,13 @@
   Sum += Taken.count();
 }
 
-DurationEstimates::DurationEstimates(Duration Default, double LongFactor)
-    : Default(Default), LongFactor(LongFactor),
-      Threshold(Duration(std::llround(Default.count() * LongFactor))) {}
+DurationEstimates::DurationEstimates(Duration Default, double LongFactor, Duration Minimum)
+    : Default(Default), LongFactor(LongFactor), Minimum(Minimum),
+      Threshold(std::max(Minimum, Duration(std::llround(Default.count() * LongFactor)))) {}
 
-Duration DurationEstimates::mean() const noexcept {
-  return All.count() < EnoughSamples ? Default : All.mean();
-}
+bool DurationEstimates::learnt() const noexcept { return All.count() >= EnoughSamples; }
+
+Duration DurationEstimates::mean() const noexcept { return learnt() ? All.mean() : Default; }
 
 Prediction DurationEstimates::predict(const WorkClass &Class) const {
   const auto Found = ByClass.find(Class);
@@ -78,8 +78,8 @@
 
 void DurationEstimates::add(const WorkClass &Class, Duration Taken) {
   All.add(Taken);
-  if (All.count() >= EnoughSamples)
-    Threshold = Duration(std::llround(All.quantile(0.5).count() * LongFactor));
+  if (learnt())
+    Threshold = std::max(Minimum, Duration(std::llround(All.quantile(0.5).count() * LongFactor)));
   auto Found = ByClass.find(Class);
   if (Found == ByClass.end()) {
     if (ByClass.size() >= MaxClasses) {
--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 SchedulerState::SchedulerState(SchedulerOptions Options)
-    : Options(Options), Estimates(Options.DefaultDuration, Options.LongFactor),
+    : Options(Options), Estimates(Options.DefaultDuration, Options.LongFactor, Options.LongMinimum),
       Limit(Options.Slots, Options.SlowStart, Options.ShedRecovery),
       Returns(Options.Seed, Options.ReturnShare, Options.MaxRetryAfter),
       Retries(Options.RetryShare, Options.RetryBurst) {}
@@ -228,15 +228,17 @@
   return Queue.size() > Options.Slots && Queue.work() / Servers > Bound;
 }
 
+// Until durations are learnt, a bound on the delay would refuse work for a guess: a cold upstream
+// with one slot open evicted the sixth of a few requests that then took a millisecond each.
 void SchedulerState::enforceBounds(TimePoint Now, std::vector<Decision> &Out) {
   const auto Evict = [&](Lane &From) {
     const Waiting Last = From.Queue.takeLast();
     forget(Last);
     reject(Last.Request.Id, ResultCode::RequestQueueFull, Now, Out);
   };
-  while (overBound(Short.Queue, Options.MaxQueueDelay, shortServers(Now)))
+  while (Estimates.learnt() && overBound(Short.Queue, Options.MaxQueueDelay, shortServers(Now)))
     Evict(Short);
-  while (overBound(Long.Queue, Options.MaxLongDelay, longLimit()))
+  while (Estimates.learnt() && overBound(Long.Queue, Options.MaxLongDelay, longLimit()))
     Evict(Long);
   while (queued() > Options.MaxQueued)
     Evict(Short.Queue.size() >= Long.Queue.size() ? Short : Long);
--- a/tests/schedule_scheduler_test.cpp
+++ b/tests/schedule_scheduler_test.cpp
@@ -89,6 +89,8 @@
   CPPUNIT_TEST(testArrival_stragglersAlone_useAllSlots);
   CPPUNIT_TEST(testTimer_agedStraggler_isDispatched);
   CPPUNIT_TEST(testArrival_deadlineOutOfReach_isRejectedAtOnce);
+  CPPUNIT_TEST(testArrival_coldUpstream_queuesInsteadOfRefusing);
+  CPPUNIT_TEST(testArrival_orderBesideFasterWork_isNoStraggler);
   CPPUNIT_TEST(testCancel_queuedRequest_isNeverDispatched);
   CPPUNIT_TEST(testFinish_largeAndSmallCaller_alternate);
   CPPUNIT_TEST(testArrival_fullQueue_evictsLargestCaller);
@@ -156,6 +158,31 @@
     CPPUNIT_ASSERT(Late->RetryAfter >= seconds(1) && Late->RetryAfter <= seconds(30));
   }
 
+  // Guards against refusing the first callers of a cold upstream for a guessed duration.
+  void testArrival_coldUpstream_queuesInsteadOfRefusing() {
+    Driver D({});
+    for (std::uint32_t I = 0; I < 20; ++I)
+      static_cast<void>(D.arrive(I, Order));
+    for (const Decision &Made : D.History)
+      CPPUNIT_ASSERT(Made.Dispatch);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{19}, D.Subject.queued());
+  }
+
+  // Guards against orders of 20 ms that wait for an upload because most requests take 1 ms.
+  void testArrival_orderBesideFasterWork_isNoStraggler() {
+    const WorkClass Status{"desk", "GET", "status", 0};
+    Driver D({});
+    D.warmUp();
+    for (int I = 0; I < 400; ++I)
+      D.run(Status, milliseconds(1));
+    for (int I = 0; I < 4; ++I)
+      D.run(Order, milliseconds(20));
+    D.finish(D.arrive(3, Status));
+    for (int I = 0; I < 2; ++I)
+      static_cast<void>(D.arrive(2, Photo));
+    CPPUNIT_ASSERT(D.dispatched(D.arrive(1, Order)));
+  }
+
   // Guards against running work whose caller has gone.
   void testCancel_queuedRequest_isNeverDispatched() {
     Driver D({.Slots = 1});
