--- a/include/galenarelay/agent/claim_desk.h
+++ b/include/galenarelay/agent/claim_desk.h
@@ -18,6 +18,10 @@
 public:
   /// Takes over the dispatcher's claim hooks and the node's claim messages.
   ClaimDesk(boost::asio::io_context &Io, node::Node &Node, Dispatcher &Requests);
+  /// Flows that outlive the desk cancel their requests without it.
+  ~ClaimDesk() { Requests.setClaims({}); }
+  ClaimDesk(const ClaimDesk &) = delete;
+  ClaimDesk &operator=(const ClaimDesk &) = delete;
 
   /// True while the end of a request still has to reach a replica.
   [[nodiscard]] bool busy() const noexcept { return Claims.busy(); }
--- a/src/agent/dispatcher.cpp
+++ b/src/agent/dispatcher.cpp
@@ -247,7 +247,8 @@
 }
 
 void Dispatcher::settleClaim(RequestId Id, const Exchange &Ended, RequestState Final) {
-  if (!Ended.Claimed)
+  // While the agent is destroyed, flows cancel their requests after the claim desk has gone.
+  if (!Ended.Claimed || !Claims.Claim)
     return;
   if (Final == RequestState::NotRun) {
     Claims.Release(Id);
