--- a/include/galenarelay/agent/load_reporter.h
+++ b/include/galenarelay/agent/load_reporter.h
@@ -30,7 +30,6 @@
   void onViewChange() noexcept { Changed = true; }
 
 private:
-  [[nodiscard]] schedule::LoadReport nextReport();
   void onMessage(const nlohmann::json &Message);
   void tick();
 
--- a/src/agent/load_reporter.cpp
+++ b/src/agent/load_reporter.cpp
@@ -17,14 +17,12 @@
 
 std::optional<std::size_t> LoadReporter::choose(const routing::ServiceRoute &Route,
                                                 const std::string &Self, TimePoint Now) {
-  View.onReport(nextReport(), Now);
-  return View.choose(Route, Self, Now);
-}
-
-schedule::LoadReport LoadReporter::nextReport() {
+  // The load view takes a new sequence number for a regular sample of its averages; a choice
+  // updates the present load only.
   schedule::LoadReport Report = Requests.loadReport();
-  Report.Sequence = ++Sequence;
-  return Report;
+  Report.Sequence = Last.Sequence;
+  View.onReport(Report, Now);
+  return View.choose(Route, Self, Now);
 }
 
 void LoadReporter::start() { tick(); }
