--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -16,7 +16,6 @@
 namespace asio = boost::asio;
 using namespace node;
 using common::Endpoint;
-using common::HttpRequest;
 using common::HttpResponse;
 using config::Configuration;
 using membership::MemberState;
