Share the settings of balancers and agents, and mix each node's seed with its ID

Cause: both programs listed and read the same eight settings. Balancers had 1 as their default seed, so that they probed the same peers in the same order. Change: node::nodeRules and node::nodeOptionsFrom serve both; the default seed comes from the system, and the runtime mixes every seed with the node's ID.

--- a/include/galenarelay/agent/agent.h
+++ b/include/galenarelay/agent/agent.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/endpoint.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/membership/member.h"
+#include "galenarelay/node/node.h"
 #include "galenarelay/statechart/chart.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,24 +12,15 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string>
-#include <vector>
 
 namespace galenarelay::agent {
 
 /// Settings of an agent.
 struct AgentOptions {
-  std::string Id;
-  std::string Zone;
-  common::Endpoint Data;
-  common::Endpoint Control;
-  common::Endpoint Admin;
-  std::vector<common::Endpoint> Seeds;
-  common::Endpoint Store;
+  node::NodeOptions Node; ///< The seed is mixed with the ID; the agent fills in the rest of Self.
   common::Endpoint Upstream;
   std::uint32_t Slots = 5;
   common::Endpoint Return; ///< The fabric's address for packets to callers.
-  std::uint64_t Seed = 0;  ///< Mixed with the ID; 0 takes one from the system's random source.
   std::shared_ptr<const statechart::ChartTable> LifecycleChart; ///< charts/upstream.json.
 };
 
--- a/programs/agent/main.cpp
+++ b/programs/agent/main.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/agent/agent.h"
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/program.h"
+#include "galenarelay/node/node_settings.h"
 #include "galenarelay/statechart/charts.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,41 +16,22 @@
 using common::SettingKind;
 
 common::ProgramInfo programInfo() {
-  return {
-      "galenarelay-agent",
-      "Serves flows beside an upstream and runs their requests on it.",
-      {{"node", "id", SettingKind::Text, std::nullopt, 0, 0, "unique name of the upstream"},
-       {"node", "zone", SettingKind::Text, std::nullopt, 0, 0, "availability zone"},
-       {"node", "data", SettingKind::Address, std::nullopt, 0, 0,
-        "UDP address for packets; port 0 takes a free port"},
-       {"node", "control", SettingKind::Address, std::nullopt, 0, 0,
-        "UDP address for control messages; port 0 takes a free port"},
-       {"node", "admin", SettingKind::Address, std::nullopt, 0, 0,
-        "TCP address of the admin endpoints; port 0 takes a free port"},
-       {"node", "seeds", SettingKind::AddressList, "", 0, 0,
-        "control addresses of peers, comma-separated"},
-       {"node", "seed", SettingKind::Integer, "0", 0, 0,
-        "seed of the random engine; 0 takes one from the system"},
-       {"node", "charts", SettingKind::Text, "charts", 0, 0, "folder of the statechart files"},
-       {"store", "address", SettingKind::Address, std::nullopt, 0, 0,
-        "address of the key-value store"},
-       {"upstream", "address", SettingKind::Address, std::nullopt, 0, 0, "address of the upstream"},
-       {"upstream", "slots", SettingKind::Integer, "5", 1, 1024,
-        "requests that the upstream runs at a time"},
-       {"fabric", "return", SettingKind::Address, std::nullopt, 0, 0,
-        "UDP address of the fabric for packets to callers"}}};
+  const std::vector<common::SettingRule> OwnRules = {
+      {"node", "charts", SettingKind::Text, "charts", 0, 0, "folder of the statechart files"},
+      {"upstream", "address", SettingKind::Address, std::nullopt, 0, 0, "address of the upstream"},
+      {"upstream", "slots", SettingKind::Integer, "5", 1, 1024,
+       "requests that the upstream runs at a time"},
+      {"fabric", "return", SettingKind::Address, std::nullopt, 0, 0,
+       "UDP address of the fabric for packets to callers"}};
+  std::vector<common::SettingRule> Rules = node::nodeRules();
+  Rules.insert(Rules.end(), OwnRules.begin(), OwnRules.end());
+  return {"galenarelay-agent", "Serves flows beside an upstream and runs their requests on it.",
+          std::move(Rules)};
 }
 
 common::Result<agent::AgentOptions> agentOptions(const common::Settings &From) {
   agent::AgentOptions Options;
-  Options.Id = From.text("node", "id");
-  Options.Zone = From.text("node", "zone");
-  Options.Data = From.endpoint("node", "data");
-  Options.Control = From.endpoint("node", "control");
-  Options.Admin = From.endpoint("node", "admin");
-  Options.Seeds = From.endpoints("node", "seeds");
-  Options.Seed = static_cast<std::uint64_t>(From.integer("node", "seed"));
-  Options.Store = From.endpoint("store", "address");
+  Options.Node = node::nodeOptionsFrom(From);
   Options.Upstream = From.endpoint("upstream", "address");
   Options.Slots = static_cast<std::uint32_t>(From.integer("upstream", "slots"));
   Options.Return = From.endpoint("fabric", "return");
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -10,8 +10,6 @@
 #include "galenarelay/common/hash.h"
 #include "galenarelay/node/node.h"
 
-#include <random>
-
 namespace galenarelay::agent {
 
 namespace asio = boost::asio;
@@ -26,10 +24,7 @@
 /// Agents that share a setting must still draw different numbers: a flow that two agents open at
 /// the same time is told apart by its initial sequence number.
 std::uint64_t seedOf(const AgentOptions &Options) {
-  std::random_device Source;
-  const std::uint64_t Chosen =
-      Options.Seed != 0 ? Options.Seed : (std::uint64_t{Source()} << 32U) | Source();
-  return common::hash64(Options.Id, Chosen);
+  return common::hash64(Options.Node.Self.Id, Options.Node.Seed);
 }
 
 schedule::SchedulerOptions schedulerOptions(const AgentOptions &Options, std::uint64_t Seed) {
@@ -40,18 +35,12 @@
 }
 
 node::NodeOptions nodeOptions(const AgentOptions &Options, Endpoint Data, std::uint64_t Seed) {
-  node::NodeOptions Made;
-  Made.Self.Id = Options.Id;
+  node::NodeOptions Made = Options.Node;
   Made.Self.Kind = membership::MemberKind::Agent;
-  Made.Self.Zone = Options.Zone;
   Made.Self.Data = Data;
-  Made.Self.Control = Options.Control;
-  Made.Self.Admin = Options.Admin;
   Made.Self.Upstream = Options.Upstream;
   Made.Self.Slots = Options.Slots;
   Made.Self.State = membership::MemberState::Joining;
-  Made.Seeds = Options.Seeds;
-  Made.Store = Options.Store;
   Made.Seed = Seed;
   return Made;
 }
@@ -60,10 +49,10 @@
 
 struct Agent::State {
   State(asio::io_context &Io, const AgentOptions &Options, common::Metrics &Metrics)
-      : Seed(seedOf(Options)),
-        Requests(Io, Options.Upstream, Options.Id, schedulerOptions(Options, Seed), Metrics),
+      : Seed(seedOf(Options)), Requests(Io, Options.Upstream, Options.Node.Self.Id,
+                                        schedulerOptions(Options, Seed), Metrics),
         Packets(
-            Io, {Options.Id, Options.Data, Options.Return, Seed},
+            Io, {Options.Node.Self.Id, Options.Node.Self.Data, Options.Return, Seed},
             FlowContext{Requests, [this](const std::string &Name) { return deadlineOf(Name); }, {}},
             [this](const routing::ServiceRoute &Route, const std::string &Self,
                    common::TimePoint Now) { return Reports.choose(Route, Self, Now); },
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -1,5 +1,6 @@
 #include "galenarelay/node/impl/runtime.h"
 
+#include "galenarelay/common/hash.h"
 #include "galenarelay/node/impl/configuration_difference.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -53,7 +54,8 @@
 } // namespace
 
 Runtime::Runtime(asio::io_context &Io, NodeOptions Options, common::Metrics &Metrics)
-    : Io(Io), Options(std::move(Options)), Metrics(Metrics), Random(this->Options.Seed),
+    : Io(Io), Options(std::move(Options)), Metrics(Metrics),
+      Random(common::hash64(this->Options.Self.Id, this->Options.Seed)),
       Store(this->Options.Store, Metrics), View(std::make_shared<routing::RoutingView>()),
       GossipTimer(Io), BuildTimer(Io),
       ReceivedDatagrams(
--- a/tests/whole_path.h
+++ b/tests/whole_path.h
@@ -72,13 +72,9 @@
     auto &Made = Processes[Id];
     Made = std::make_unique<Process>();
     agent::AgentOptions Options;
-    Options.Id = Id;
-    Options.Zone = "z1";
-    Options.Data = Options.Control = Options.Admin = {LoopbackAddress, 0};
-    Options.Store = Store.local();
+    Options.Node = nodeOptions(Id);
     Options.Upstream = Upstream->local();
     Options.Return = Fabric->returnAddress();
-    Options.Seed = 7;
     Options.LifecycleChart = upstreamChart();
     Made->Agent = std::make_unique<agent::Agent>(Made->Io, Options, Made->Metrics);
     Made->Agent->start();
@@ -87,13 +83,7 @@
   void addBalancer(const std::string &Id) {
     auto &Made = Processes[Id];
     Made = std::make_unique<Process>();
-    node::NodeOptions Options;
-    Options.Self.Id = Id;
-    Options.Self.Zone = "z1";
-    Options.Self.Data = Options.Self.Control = Options.Self.Admin = {LoopbackAddress, 0};
-    Options.Store = Store.local();
-    Options.Seed = Processes.size();
-    Made->Balancer = std::make_unique<node::Balancer>(Made->Io, Options, Made->Metrics);
+    Made->Balancer = std::make_unique<node::Balancer>(Made->Io, nodeOptions(Id), Made->Metrics);
     Made->Balancer->start();
   }
 
@@ -218,6 +208,16 @@
   config::Configuration Configuration;
 
 private:
+  node::NodeOptions nodeOptions(const std::string &Id) const {
+    node::NodeOptions Options;
+    Options.Self.Id = Id;
+    Options.Self.Zone = "z1";
+    Options.Self.Data = Options.Self.Control = Options.Self.Admin = {LoopbackAddress, 0};
+    Options.Store = Store.local();
+    Options.Seed = 7;
+    return Options;
+  }
+
   static std::shared_ptr<const statechart::ChartTable> upstreamChart() {
     const auto Loaded = common::capture([] {
       return statechart::loadChart(std::string(GALENARELAY_SOURCE_DIR) + "/charts/upstream.json",
