Reset a moving flow when its target is declared dead

Cause: a flow whose target died during a move went on at the old agent. A target that had only been paused took the offer from its socket when it came back, so that an order among the moved bytes ran at both agents. Change: such a flow is reset, which tells the caller that the outcome is unknown. Before and after, testStop_targetDiesDuringMove_runsAtMostOnce (100 flows, one agent stopped, the other paused until it was declared dead): an order ran twice; now none does. Conclusion: a move keeps at-most-once; the price is a reset of an idle flow if its target dies within the move.

--- a/include/galenarelay/agent/flow_connection.h
+++ b/include/galenarelay/agent/flow_connection.h
@@ -63,6 +63,8 @@
     return Stream.sameOrigin(Other);
   }
   [[nodiscard]] const std::string &service() const noexcept { return Service; }
+  /// Resets the flow with the next output.
+  void abort() noexcept { Aborted = true; }
   /// Moves bytes between stream, session and dispatcher; returns the packets to send.
   [[nodiscard]] std::vector<packet::Packet> advance(common::TimePoint Now);
   /// Cancels the request in progress, if any. Nothing is sent to the caller.
--- a/include/galenarelay/agent/flow_mover.h
+++ b/include/galenarelay/agent/flow_mover.h
@@ -54,7 +54,7 @@
   [[nodiscard]] bool end(const packet::FlowKey &Key, const std::string &Owner);
   /// The flow may not be offered again before MoveRetry has passed.
   void postpone(const packet::FlowKey &Key, common::TimePoint Now);
-  /// Ends and returns the moves whose target is dead: only then is the flow certain to be here.
+  /// Ends and returns the moves whose target is dead. It is unknown whether it took them.
   [[nodiscard]] std::vector<packet::FlowKey> takeAbandoned(const routing::RoutingView &View);
   /// Offers to repeat.
   [[nodiscard]] std::vector<flow::SendControl> onTimer(common::TimePoint Now);
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -87,9 +87,15 @@
 
 void PacketPath::onViewChange(const std::shared_ptr<const routing::RoutingView> &View) {
   apply(Router.onViewChange(View, steadyNow()));
-  // A flow whose move can't have been taken up is served here again.
-  for (const FlowKey &Key : Mover.takeAbandoned(*View))
+  // The target may have taken the flow before it was declared dead, and may even live: a request
+  // among the moved bytes would run twice if the flow went on here.
+  for (const FlowKey &Key : Mover.takeAbandoned(*View)) {
+    const auto Known = Flows.find(Key);
+    if (Known == Flows.end())
+      continue;
+    Known->second.Connection->abort();
     touch(Key);
+  }
   refreshMoves();
 }
 
--- a/tests/whole_path_test.cpp
+++ b/tests/whole_path_test.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(WholePathTest);
   CPPUNIT_TEST(testRelabel_keepAliveFlows_runNothingOnTheOldUpstream);
   CPPUNIT_TEST(testStop_idleFlows_moveAndAgentLeaves);
+  CPPUNIT_TEST(testStop_targetDiesDuringMove_runsAtMostOnce);
   CPPUNIT_TEST(testOrders_faultyNetworkAndKills_runAtMostOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -103,6 +104,41 @@
     }
   }
 
+  // Guards against a request that runs at both agents of a move whose target was paused after it
+  // had taken the flow, was declared dead and came back.
+  void testStop_targetDiesDuringMove_runsAtMostOnce() {
+    WholePath Path;
+    const auto Desk = Path.addService("desk", "app=desk");
+    for (const char *Id : {"a", "b"})
+      Path.addUpstream(Id, "desk");
+    Path.addBalancer("b1");
+    Path.publish();
+    Path.awaitInForce();
+    Path.sprayOver({"b1"});
+    Path.runUntil("two candidates", [&] { return Path.candidates("b1", Desk) == 2; });
+    std::vector<std::unique_ptr<KeepAliveCaller>> Callers;
+    // More flows than moves that may begin at once: the later ones carry an order that waits.
+    for (std::size_t I = 0; I < 100; ++I) {
+      Callers.push_back(std::make_unique<KeepAliveCaller>(Path, Desk));
+      CPPUNIT_ASSERT_EQUAL(200U, Callers[I]->request("GET", "/status", name("before-", I)).Status);
+    }
+    Path.stopAgent("a");
+    Path.process("b").Runs = false;
+    std::vector<std::shared_ptr<Reply>> Replies;
+    for (std::size_t I = 0; I < Callers.size(); ++I)
+      Replies.push_back(Callers[I]->start("POST", "/orders", name("order-", I)));
+    Path.runUntil("agent b is declared dead", [&] { return Path.candidates("b1", Desk) == 0; });
+    Path.process("b").Runs = true;
+    Path.runUntil("agent b is back", [&] { return Path.candidates("b1", Desk) == 1; });
+    for (std::size_t I = 0; I < Callers.size(); ++I) {
+      Path.runUntil("a reply or a reset", [&] { return Replies[I]->Ended; });
+      const std::size_t Runs = Path.runs(name("order-", I));
+      CPPUNIT_ASSERT(Runs <= 1);
+      if (!Replies[I]->Broken && Replies[I]->Status == 200)
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Runs);
+    }
+  }
+
   // Guards against doubled, lost or wrongly reported orders while packets are lost, repeated and
   // reordered, a balancer and an agent die, the store is out, and callers resend what is unknown.
   void testOrders_faultyNetworkAndKills_runAtMostOnce() {
