Choose a move's target only when a flow moves

Cause: to learn whether a flow can move, each change of the view chose an upstream for every flow that has to leave. A choice is remembered by the load view as an assignment, so that a draining or relabelled agent counted flows that it never gave away, and did that work for each flow. Change: FlowRouter::hasOtherCandidate answers the question without a choice.

--- a/include/galenarelay/flow/flow_router.h
+++ b/include/galenarelay/flow/flow_router.h
@@ -126,7 +126,9 @@
   [[nodiscard]] std::vector<Action> onFlowEnded(const packet::FlowKey &Key, common::TimePoint Now);
   /// True if this agent is a candidate for the service and takes new flows.
   [[nodiscard]] bool mayServe(const config::ServiceName &Service) const;
-  /// Another agent of the service to which a flow may move; null if there is none.
+  /// True if another agent is a candidate for the service.
+  [[nodiscard]] bool hasOtherCandidate(const config::ServiceName &Service) const;
+  /// Chooses another agent of the service for a flow that moves; null if there is none.
   [[nodiscard]] const membership::Member *moveTarget(const config::ServiceName &Service,
                                                      common::TimePoint Now);
   /// Takes an open flow that a peer gives up; false if it can't be served here.
--- a/src/agent/packet_path.cpp
+++ b/src/agent/packet_path.cpp
@@ -122,7 +122,7 @@
 void PacketPath::refreshMove(FlowConnection &Connection) {
   const std::string &Service = Connection.service();
   const bool MayServe = Router.mayServe(Service);
-  const bool Movable = !MayServe && Router.moveTarget(Service, steadyNow()) != nullptr;
+  const bool Movable = !MayServe && Router.hasOtherCandidate(Service);
   Connection.setMoving(Movable);
   if (!MayServe && !Movable && Leaving)
     Connection.drain();
--- a/src/flow/flow_router.cpp
+++ b/src/flow/flow_router.cpp
@@ -615,6 +615,13 @@
   return Route != nullptr && takesNewFlow(*Route);
 }
 
+bool FlowRouter::hasOtherCandidate(const config::ServiceName &Service) const {
+  const ServiceRoute *Route = View->service(Service);
+  return Route != nullptr &&
+         std::any_of(Route->Candidates.begin(), Route->Candidates.end(),
+                     [this](const Member &Candidate) { return Candidate.Id != SelfId; });
+}
+
 const Member *FlowRouter::moveTarget(const config::ServiceName &Service, TimePoint Now) {
   const ServiceRoute *Route = View->service(Service);
   return Route == nullptr ? nullptr : chooseOther(*Route, Now);
