--- a/include/galenarelay/common/log.h
+++ b/include/galenarelay/common/log.h
@@ -17,7 +17,8 @@
 /// Sets the name written in each line and the least severity that is written.
 void configureLog(std::string Process, LogLevel Least = LogLevel::Info);
 
-/// Writes one JSON line to standard error.
+/// Writes one JSON line to standard output. It never blocks: lines that a slow reader leaves no
+/// room for are dropped, and their number is logged once there is room again.
 /// Example: `log(LogLevel::Info, "started", {{"port", 8080}});`
 void log(LogLevel Level, std::string_view Event,
          const nlohmann::json &Fields = nlohmann::json::object());
--- a/include/galenarelay/common/result_code.h
+++ b/include/galenarelay/common/result_code.h
@@ -24,6 +24,7 @@
   StoreRateLimited = 23,
   StoreBadAnswer = 24,
   StoreKeyNotFound = 25,
+  StoreHistoryGone = 26,
   SelectorSyntax = 30,
   LabelSyntax = 31,
   ServiceUnknown = 32,
--- a/include/galenarelay/common/settings.h
+++ b/include/galenarelay/common/settings.h
@@ -31,7 +31,11 @@
 class Settings {
 public:
   Settings() = default;
-  explicit Settings(std::map<std::string, std::string> Values) : Values(std::move(Values)) {}
+  explicit Settings(std::map<std::string, std::string> Values, std::string Path = {})
+      : Values(std::move(Values)), Path(std::move(Path)) {}
+
+  /// The file that they were read from; empty if they weren't.
+  [[nodiscard]] const std::string &path() const noexcept { return Path; }
 
   [[nodiscard]] std::string text(std::string_view Section, std::string_view Key) const;
   [[nodiscard]] std::int64_t integer(std::string_view Section, std::string_view Key) const;
@@ -45,6 +49,7 @@
 
 private:
   std::map<std::string, std::string> Values;
+  std::string Path;
 };
 
 /// Reads an INI file and checks every section, key and value against the rules.
--- a/include/galenarelay/common/time.h
+++ b/include/galenarelay/common/time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace galenarelay::common {
 
@@ -27,6 +28,15 @@
       std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/// As steadyNow, but goes on while the machine is suspended, so that knowledge from before a
+/// suspension is seen to be old. Differences of the two clocks have no meaning.
+[[nodiscard]] inline TimePoint suspendAwareNow() noexcept {
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(Now.tv_sec) +
+                                                        std::chrono::nanoseconds(Now.tv_nsec)));
+}
+
 /// Wall-clock time in milliseconds since 1970-01-01 UTC, for audit entries and logs.
 [[nodiscard]] inline std::int64_t wallMilliseconds() noexcept {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
--- /dev/null
+++ b/include/galenarelay/node/relay_agent.h
@@ -0,0 +1,375 @@
+#ifndef GALENARELAY_NODE_RELAY_AGENT_H
+#define GALENARELAY_NODE_RELAY_AGENT_H
+
+#include "galenarelay/common/log.h"
+#include "galenarelay/common/udp_socket.h"
+#include "galenarelay/node/impl/relay_store.h"
+#include "galenarelay/node/relay_balancer.h"
+#include "galenarelay/node/relay_platform.h"
+#include "galenarelay/node/relay_settings.h"
+#include "galenarelay/relay/balancer_peers.h"
+#include "galenarelay/relay/upstream_flows.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenarelay::node {
+
+/// Interval of the agent's timer.
+inline constexpr common::Duration AgentTick = std::chrono::milliseconds(20);
+/// Shortest interval of reports to a balancer. With many balancers it grows, so that reports stay
+/// below ReportsPerSecond in all.
+inline constexpr common::Duration MinReportInterval = std::chrono::milliseconds(60);
+/// At 100 bytes a report this is below the 15 KB/s that a node may use for control.
+inline constexpr double ReportsPerSecond = 120;
+/// Longest interval of reports: below a third of relay::ReportStale.
+inline constexpr common::Duration MaxReportInterval = std::chrono::milliseconds(190);
+/// Interval of reports to addresses that have not answered, while no balancer has and afterwards.
+inline constexpr common::Duration FirstContactInterval = std::chrono::milliseconds(100);
+inline constexpr common::Duration ContactInterval = std::chrono::milliseconds(1000);
+/// A stopping agent ends after this time, in which its last messages leave.
+inline constexpr common::Duration AgentStopTime = std::chrono::milliseconds(20);
+
+/// An agent of relayed flows: connects its decisions to sockets, timers and the store.
+template <RelayPlatform Platform> class RelayAgent {
+public:
+  RelayAgent(boost::asio::io_context &Io, RelayAgentOptions Settings, common::Metrics &Metrics)
+      : Io(Io), Options(std::move(Settings)), Metrics(Metrics), Random(Options.Node.Seed),
+        StartedAt(common::suspendAwareNow()),
+        Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
+        Flows(Options.Service, Options.HeartbeatInterval, StartedAt),
+        Peers(Options.Node.Packets.Address), Store(Options.Node.Store, Metrics), Ticker(Io),
+        LastTick(StartedAt),
+        FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+        UnansweredGauge(
+            Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
+        SuppressedLines(
+            Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
+        MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")) {
+    for (std::size_t I = 0; I < relay::FlowEvents; ++I)
+      EventCounters[I] =
+          &Metrics.counter("packets_total", "Packets by event",
+                           {{"event", std::string(name(static_cast<relay::FlowEvent>(I)))}});
+    for (const auto &Seed : Options.Node.Seeds)
+      Peers.addSeed(Seed.Address);
+  }
+
+  void start() {
+    Packets = std::make_unique<common::UdpSocket>(
+        Io, Options.Node.Packets, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
+          onBalancerPacket(Raw, From.Address);
+        });
+    Outbound = std::make_unique<common::UdpSocket>(
+        Io, Options.FromUpstream,
+        [this](std::span<std::uint8_t> Raw, common::Endpoint) { onUpstreamPacket(Raw); });
+    PeerSocket = std::make_unique<common::UdpSocket>(
+        Io, Options.Node.Peers, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
+          onPeerDatagram(Raw, From.Address);
+        });
+    const auto Serve = [this](common::HttpRequest Request) { return serve(std::move(Request)); };
+    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Node.Control, Serve));
+    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Node.Readiness, Serve));
+    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Node.Admin, Serve));
+    common::log(common::LogLevel::Info, "started",
+                {{"id", Options.Node.Id},
+                 {"zone", Options.Node.Zone},
+                 {"service", Options.Service},
+                 {"incarnation", Incarnation},
+                 {"version", GALENARELAY_VERSION}});
+    boost::asio::co_spawn(Io, findBalancers(), boost::asio::detached);
+    tick();
+  }
+
+  /// The upstream goes on without this process if it lives: flows wait until the agent is back, so
+  /// that it ends soon. The flows of an upstream that has ended are reset.
+  boost::asio::awaitable<void> drain() {
+    Flows.stop();
+    const auto Now = common::suspendAwareNow();
+    const bool UpstreamEnded = Flows.registration().departed();
+    common::log(common::LogLevel::Info, "stopping",
+                {{"flows", Flows.flows()}, {"upstream_ended", UpstreamEnded}});
+    if (UpstreamEnded)
+      perform(Flows.resetAll(), {}, Now);
+    sendReports(Now);
+    co_await pause(AgentStopTime);
+    common::log(common::LogLevel::Info, "stopped");
+  }
+
+  void reload(const RelayAgentOptions &Fresh) {
+    for (const auto &Seed : Fresh.Node.Seeds)
+      Peers.addSeed(Seed.Address);
+    common::log(common::LogLevel::Info, "reloaded", {{"seeds", Fresh.Node.Seeds.size()}});
+  }
+
+private:
+  static constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+  boost::asio::awaitable<void> pause(common::Duration Time) {
+    boost::asio::steady_timer Timer(Io, Time);
+    co_await Timer.async_wait(AsTuple);
+  }
+
+  // --- packets
+
+  void onBalancerPacket(std::span<std::uint8_t> Raw, relay::NodeAddress From) {
+    const auto Now = common::suspendAwareNow();
+    const auto Head = Platform::Packets::decode(Raw, relay::Side::Caller);
+    if (!Head)
+      return MalformedPackets.Increment();
+    const auto Fields = Platform::Packets::readTransit(Raw);
+    perform(Flows.onBalancerPacket(*Head, Fields, Raw, From, Now), Raw, Now);
+  }
+
+  void onUpstreamPacket(std::span<std::uint8_t> Raw) {
+    const auto Now = common::suspendAwareNow();
+    const auto Head = Platform::Packets::decode(Raw, relay::Side::Upstream);
+    if (!Head)
+      return MalformedPackets.Increment();
+    const auto Fields = Platform::Packets::readTransit(Raw);
+    perform(Flows.onUpstreamPacket(*Head, Fields, Now), Raw, Now);
+  }
+
+  void perform(const relay::FlowActions &Actions, std::span<std::uint8_t> Raw,
+               common::TimePoint Now) {
+    for (const auto &Action : Actions) {
+      EventCounters[static_cast<std::size_t>(Action.Event)]->Increment();
+      logEvent(Action, Now);
+      performOne(Action, Raw);
+    }
+  }
+
+  void performOne(const relay::FlowAction &Action, std::span<std::uint8_t> Raw) {
+    using Kind = relay::FlowAction::Kind;
+    const common::Endpoint Caller{Action.Key.Caller.Address, Options.Node.Packets.Port};
+    switch (Action.What) {
+    case Kind::Deliver:
+      return Outbound->send(Raw, Options.Upstream);
+    case Kind::SendToCaller:
+      return Packets->send(Raw, Caller);
+    case Kind::ResetCaller:
+      return Packets->send(Platform::Packets::reset(Action.Key, Action.Sequence), Caller);
+    case Kind::Return: {
+      relay::Bytes Packet = Action.Saved ? *Action.Saved : relay::Bytes(Raw.begin(), Raw.end());
+      Platform::Packets::clearReturned(Packet);
+      return sendTo(Action.Balancer,
+                    relay::ReturnedPacket{Action.Reason, Flows.load(), std::move(Packet)});
+    }
+    case Kind::Notify:
+      return sendTo(Action.Balancer, relay::FlowNotice{Action.Key, Flows.load()});
+    case Kind::Drop:
+      return;
+    }
+  }
+
+  void logEvent(const relay::FlowAction &Action, common::TimePoint Now) {
+    using Event = relay::FlowEvent;
+    if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller)
+      return;
+    if (!FlowLog.allow(Now))
+      return SuppressedLines.Increment();
+    common::log(common::LogLevel::Info, "flow_event",
+                {{"flow", packet::toString(Action.Key)},
+                 {"event", name(Action.Event)},
+                 {"reason",
+                  Action.What == relay::FlowAction::Kind::Return ? name(Action.Reason) : ""},
+                 {"state", name(Flows.state(Now))},
+                 {"unanswered", Flows.load().Unanswered},
+                 {"flows", Flows.flows()}});
+  }
+
+  // --- messages between nodes
+
+  void onPeerDatagram(std::span<const std::uint8_t> Raw, relay::NodeAddress From) {
+    const auto Now = common::suspendAwareNow();
+    const auto Message = relay::decodeMessage(Raw);
+    const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
+    if (Beacon == nullptr)
+      return MalformedPackets.Increment();
+    if (!Peers.onBeacon(From, *Beacon, Now))
+      return;
+    common::log(common::LogLevel::Info, "balancer_appeared",
+                {{"balancer", Beacon->Id},
+                 {"address", common::addressToString(From)},
+                 {"incarnation", Beacon->Incarnation}});
+    sendTo(From, report(Now));
+    NextContact = Now;
+  }
+
+  void sendTo(relay::NodeAddress To, const relay::PeerMessage &Message) {
+    if (To != 0)
+      PeerSocket->send(relay::encode(Message), {To, Options.Node.Peers.Port});
+  }
+
+  relay::AgentReport report(common::TimePoint Now) {
+    const auto &Last = Flows.registration().last();
+    relay::AgentReport Made;
+    Made.Id = Options.Node.Id;
+    Made.Zone = Options.Node.Zone;
+    Made.Incarnation = Incarnation;
+    Made.Number = ++ReportNumber;
+    Made.Service = Flows.service();
+    Made.State = Flows.state(Now);
+    Made.UpstreamIncarnation = Last ? Last->Incarnation : 0;
+    Made.Slots = Last ? Last->Slots : 0;
+    Made.Load = Flows.load();
+    Made.ColdFor = Flows.registration().coldFor(Now);
+    return Made;
+  }
+
+  void sendReports(common::TimePoint Now) {
+    const auto Live = Peers.live(Now);
+    const relay::PeerMessage Message = report(Now);
+    for (const auto Balancer : Live)
+      sendTo(Balancer, Message);
+    const auto Spread = std::chrono::duration_cast<common::Duration>(
+        std::chrono::duration<double>(static_cast<double>(Live.size()) / ReportsPerSecond));
+    NextReport = Now + std::clamp(Spread, MinReportInterval, MaxReportInterval);
+    if (Now < NextContact)
+      return;
+    NextContact = Now + (Live.empty() ? FirstContactInterval : ContactInterval);
+    for (const auto Contact : Peers.contacts(Now))
+      sendTo(Contact, Message);
+  }
+
+  void tick() {
+    Ticker.expires_after(AgentTick);
+    Ticker.async_wait([this](boost::system::error_code Failure) {
+      if (Failure)
+        return;
+      onTick(common::suspendAwareNow());
+      tick();
+    });
+  }
+
+  void onTick(common::TimePoint Now) {
+    if (Now - LastTick > PauseGap)
+      common::log(
+          common::LogLevel::Warning, "resumed_after_pause",
+          {{"pause_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(Now - LastTick).count()}});
+    LastTick = Now;
+    perform(Flows.onTimer(Now), {}, Now);
+    noteState(Now);
+    if (Now >= NextReport)
+      sendReports(Now);
+    Peers.forgetOld(Now);
+    FlowGauge.Set(static_cast<double>(Flows.flows()));
+    UnansweredGauge.Set(Flows.load().Unanswered);
+  }
+
+  /// Balancers learn of a change at once.
+  void noteState(common::TimePoint Now) {
+    const auto Is = Flows.state(Now);
+    if (std::exchange(LastState, Is) == Is)
+      return;
+    common::log(common::LogLevel::Info, "upstream_state_changed",
+                {{"state", name(Is)},
+                 {"service", Flows.service()},
+                 {"flows", Flows.flows()},
+                 {"unanswered", Flows.load().Unanswered}});
+    sendReports(Now);
+  }
+
+  // --- heartbeats and admin
+
+  boost::asio::awaitable<common::HttpResponse> serve(common::HttpRequest Request) {
+    const auto Now = common::suspendAwareNow();
+    if (auto Id = Platform::Calls::heartbeatId(Request); !Id.empty())
+      co_return takeHeartbeat(std::move(Id), Request.Body, Now);
+    if (const auto Id = Platform::Calls::departureId(Request); !Id.empty())
+      co_return takeDeparture(Id, Now);
+    if (Platform::Calls::asksReadiness(Request) || Request.Path == "/healthz")
+      co_return common::HttpResponse{200, "{}"};
+    if (Request.Path == "/metrics")
+      co_return common::HttpResponse{200, Metrics.render(), "text/plain"};
+    co_return common::HttpResponse{404, R"({"error":"unknown path"})"};
+  }
+
+  common::HttpResponse takeHeartbeat(std::string Id, const std::string &Body,
+                                     common::TimePoint Now) {
+    const auto Heard = Platform::Calls::readHeartbeat(std::move(Id), Body);
+    if (!Heard) {
+      if (RejectLog.allow(Now))
+        common::log(common::LogLevel::Warning, "heartbeat_unreadable",
+                    {{"detail", Heard.Failure.Detail}});
+      return {400, R"({"error":"unreadable heartbeat"})"};
+    }
+    const auto Effect = Flows.onHeartbeat(*Heard, Now);
+    if (Effect != relay::HeartbeatEffect::Refreshed)
+      common::log(common::LogLevel::Info, "heartbeat_taken",
+                  {{"upstream", Heard->Id},
+                   {"service", Heard->Service},
+                   {"draining", Heard->Draining},
+                   {"incarnation", Heard->Incarnation},
+                   {"sequence", Heard->Sequence},
+                   {"effect", name(Effect)}});
+    noteState(Now);
+    return Platform::Calls::acknowledge();
+  }
+
+  common::HttpResponse takeDeparture(const std::string &Id, common::TimePoint Now) {
+    const bool Known = Flows.onDeparture(Id);
+    common::log(common::LogLevel::Info, "upstream_departed", {{"upstream", Id}, {"known", Known}});
+    noteState(Now);
+    return Platform::Calls::acknowledge();
+  }
+
+  // --- balancers in the store
+
+  boost::asio::awaitable<void> findBalancers() {
+    common::Duration Pause = MinCallPause;
+    while (true) {
+      co_await pause(Peers.live(common::suspendAwareNow()).empty()
+                         ? std::exchange(Pause, std::min(Pause * 2, MaxCallPause))
+                         : LookupInterval);
+      if (!Peers.live(common::suspendAwareNow()).empty())
+        continue;
+      const auto Page = co_await Store.list(BalancerRecords);
+      if (!Page)
+        continue;
+      for (const auto &Item : Page->Items) {
+        const auto Parsed =
+            common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
+        if (Parsed)
+          Peers.addContact(Parsed->Address, common::suspendAwareNow());
+        else
+          common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
+      }
+      NextContact = {};
+    }
+  }
+
+  boost::asio::io_context &Io;
+  RelayAgentOptions Options;
+  common::Metrics &Metrics;
+  common::Engine Random;
+  common::TimePoint StartedAt;
+  std::uint64_t Incarnation;
+  relay::UpstreamFlows Flows;
+  relay::BalancerPeers Peers;
+  impl::RelayStore<typename Platform::Store> Store;
+  std::unique_ptr<common::UdpSocket> Packets;
+  std::unique_ptr<common::UdpSocket> Outbound;
+  std::unique_ptr<common::UdpSocket> PeerSocket;
+  std::vector<std::unique_ptr<common::HttpServer>> Servers;
+  boost::asio::steady_timer Ticker;
+  common::TimePoint LastTick;
+  common::TimePoint NextReport{};
+  common::TimePoint NextContact{};
+  std::uint64_t ReportNumber = 0;
+  relay::UpstreamState LastState = relay::UpstreamState::Unknown;
+  common::LogRateLimit FlowLog{FlowLogLimit};
+  common::LogRateLimit RejectLog{5};
+
+  std::array<prometheus::Counter *, relay::FlowEvents> EventCounters{};
+  prometheus::Gauge &FlowGauge;
+  prometheus::Gauge &UnansweredGauge;
+  prometheus::Counter &SuppressedLines;
+  prometheus::Counter &MalformedPackets;
+};
+
+} // namespace galenarelay::node
+
+#endif // GALENARELAY_NODE_RELAY_AGENT_H
--- /dev/null
+++ b/include/galenarelay/node/relay_balancer.h
@@ -0,0 +1,589 @@
+#ifndef GALENARELAY_NODE_RELAY_BALANCER_H
+#define GALENARELAY_NODE_RELAY_BALANCER_H
+
+#include "galenarelay/common/log.h"
+#include "galenarelay/common/udp_socket.h"
+#include "galenarelay/node/impl/relay_store.h"
+#include "galenarelay/node/relay_platform.h"
+#include "galenarelay/node/relay_settings.h"
+#include "galenarelay/relay/balancer_peers.h"
+#include "galenarelay/relay/flow_steering.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenarelay::node {
+
+/// Interval of the timer that repeats placements and sends what is due.
+inline constexpr common::Duration BalancerTick = std::chrono::milliseconds(20);
+/// A gap of this length between two ticks means that the process stood still.
+inline constexpr common::Duration PauseGap = std::chrono::milliseconds(500);
+/// Interval of beacons to other balancers, and to agents and addresses that have not answered.
+inline constexpr common::Duration PeerBeaconInterval = std::chrono::milliseconds(300);
+inline constexpr common::Duration AgentBeaconInterval = std::chrono::milliseconds(1000);
+/// Changes of the configuration that come within this time share one read of the store.
+inline constexpr common::Duration WatchPause = std::chrono::milliseconds(100);
+/// Pause after a failed call, doubled up to the maximum, with jitter.
+inline constexpr common::Duration MinCallPause = std::chrono::milliseconds(100);
+inline constexpr common::Duration MaxCallPause = std::chrono::milliseconds(1500);
+/// A newer configuration of a peer is fetched if the store has not brought it within this time.
+inline constexpr common::Duration PeerFetchDelay = std::chrono::milliseconds(150);
+inline constexpr common::Duration PeerFetchTimeout = std::chrono::milliseconds(1000);
+/// Life of the store record of a balancer, and the interval of its renewals.
+inline constexpr common::Duration RecordLease = std::chrono::seconds(30);
+inline constexpr common::Duration RecordRenewal = std::chrono::seconds(10);
+/// Balancers are looked up in the store again while none answers.
+inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
+/// A stopping balancer forwards for this time at least: two readiness checks, half a second apart,
+/// must fail before routers turn away.
+inline constexpr common::Duration MinDrainTime = std::chrono::milliseconds(1300);
+/// It ends once no packet has come for this time, or after MaxDrainTime, below the grace time.
+inline constexpr common::Duration QuietTime = std::chrono::milliseconds(400);
+inline constexpr common::Duration MaxDrainTime = std::chrono::milliseconds(4500);
+/// Log lines per second about single flows.
+inline constexpr std::uint32_t FlowLogLimit = 50;
+/// Store keys below which balancers register; the value is the IPv4 address.
+inline constexpr const char *BalancerRecords = "galenarelay/balancers/";
+
+/// A balancer of relayed flows: connects its decisions to sockets, timers and the store.
+template <RelayPlatform Platform> class RelayBalancer {
+public:
+  RelayBalancer(boost::asio::io_context &Io, RelayOptions Settings, common::Metrics &Metrics)
+      : Io(Io), Options(std::move(Settings)), Metrics(Metrics), Random(Options.Seed),
+        StartedAt(common::suspendAwareNow()),
+        Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
+        Directory(Options.Zone, Random()),
+        Steering(Options.Packets.Address, Directory, StartedAt), Peers(Options.Packets.Address),
+        Store(Options.Store, Metrics), Ticker(Io), LastTick(StartedAt),
+        RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
+        AgentGauge(Metrics.gauge("agents", "Agents known")),
+        FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+        SuppressedLines(
+            Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
+        MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")) {
+    for (std::size_t I = 0; I < relay::SteeringReasons; ++I)
+      PacketCounters[I] = &Metrics.counter(
+          "packets_total", "Packets from callers by decision",
+          {{"decision", std::string(name(static_cast<relay::SteeringReason>(I)))}});
+    for (const auto &Seed : Options.Seeds)
+      Peers.addSeed(Seed.Address);
+  }
+
+  void start() {
+    Packets = std::make_unique<common::UdpSocket>(
+        Io, Options.Packets,
+        [this](std::span<std::uint8_t> Raw, common::Endpoint) { onCallerPacket(Raw); });
+    PeerSocket = std::make_unique<common::UdpSocket>(
+        Io, Options.Peers, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
+          onPeerDatagram(Raw, From.Address);
+        });
+    const auto Serve = [this](common::HttpRequest Request) {
+      return serve(std::move(Request));
+    };
+    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Readiness, Serve));
+    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Admin, Serve));
+    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Control, Serve));
+    common::log(common::LogLevel::Info, "started",
+                {{"id", Options.Id},
+                 {"zone", Options.Zone},
+                 {"incarnation", Incarnation},
+                 {"version", GALENARELAY_VERSION}});
+    spawn(followConfiguration());
+    spawn(keepRecord());
+    tick();
+  }
+
+  /// Tells routers and peers, and forwards until the routers have turned away.
+  boost::asio::awaitable<void> drain() {
+    Leaving = true;
+    const auto Begin = common::suspendAwareNow();
+    common::log(common::LogLevel::Info, "stopping", {{"flows", Steering.flows()}});
+    sendBeacons(Begin, true);
+    spawn(removeRecord());
+    while (true) {
+      co_await pause(BalancerTick);
+      const auto Now = common::suspendAwareNow();
+      const bool Quiet = Now - LastPacketAt >= QuietTime && Now - Begin >= MinDrainTime;
+      if (Quiet || Now - Begin >= MaxDrainTime)
+        break;
+    }
+    common::log(common::LogLevel::Info, "stopped",
+                {{"drain_ms", milliseconds(common::suspendAwareNow() - Begin)}});
+  }
+
+  /// The settings file has changed. Addresses are fixed for the life of the process, so that only
+  /// the seeds are taken over.
+  void reload(const RelayOptions &Fresh) {
+    for (const auto &Seed : Fresh.Seeds)
+      Peers.addSeed(Seed.Address);
+    common::log(common::LogLevel::Info, "reloaded", {{"seeds", Fresh.Seeds.size()}});
+  }
+
+private:
+  template <typename T> using Awaitable = boost::asio::awaitable<T>;
+  static constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+  static std::int64_t milliseconds(common::Duration Value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+  }
+
+  void spawn(Awaitable<void> Task) {
+    boost::asio::co_spawn(Io, std::move(Task), boost::asio::detached);
+  }
+
+  Awaitable<void> pause(common::Duration Time) {
+    boost::asio::steady_timer Timer(Io, Time);
+    co_await Timer.async_wait(AsTuple);
+  }
+
+  /// Half to one and a half of the base, so that nodes don't call in step.
+  common::Duration jittered(common::Duration Base) {
+    return std::chrono::duration_cast<common::Duration>(Base *
+                                                        (0.5 + common::uniformUnit(Random)));
+  }
+
+  // --- packets
+
+  void onCallerPacket(std::span<std::uint8_t> Raw) {
+    const auto Now = common::suspendAwareNow();
+    LastPacketAt = Now;
+    const auto Head = Platform::Packets::decode(Raw, relay::Side::Caller);
+    if (!Head)
+      return MalformedPackets.Increment();
+    perform(Steering.onPacket(*Head, Raw, Now), Raw, Now);
+  }
+
+  void perform(const relay::SteeringActions &Actions, std::span<std::uint8_t> Raw,
+               common::TimePoint Now) {
+    for (const auto &Action : Actions) {
+      PacketCounters[static_cast<std::size_t>(Action.Reason)]->Increment();
+      if (Action.Reason != relay::SteeringReason::Known)
+        logDecision(Action, Now);
+      switch (Action.What) {
+      case relay::SteeringAction::Kind::Forward:
+        forward(Action, Raw);
+        break;
+      case relay::SteeringAction::Kind::Reset:
+        Packets->send(Platform::Packets::reset(Action.Key, Action.Sequence),
+                      {Action.Key.Caller.Address, Options.Packets.Port});
+        break;
+      case relay::SteeringAction::Kind::Drop:
+        break;
+      }
+    }
+  }
+
+  void forward(const relay::SteeringAction &Action, std::span<std::uint8_t> Raw) {
+    const common::Endpoint To{Action.Agent, Options.Packets.Port};
+    if (!Action.Saved) {
+      Platform::Packets::writeTransit(Raw, Action.Fields);
+      return Packets->send(Raw, To);
+    }
+    auto Copy = *Action.Saved;
+    Platform::Packets::clearReturned(Copy);
+    Platform::Packets::writeTransit(Copy, Action.Fields);
+    Packets->send(Copy, To);
+  }
+
+  void logDecision(const relay::SteeringAction &Action, common::TimePoint Now) {
+    if (!FlowLog.allow(Now))
+      return SuppressedLines.Increment();
+    nlohmann::json Fields{{"flow", packet::toString(Action.Key)},
+                          {"decision", name(Action.Reason)},
+                          {"revision", Steering.routes().revision()}};
+    if (const relay::AgentView *View = Directory.find(Action.Agent)) {
+      Fields["agent"] = View->Report.Id;
+      Fields["attempt"] = Action.Attempt;
+      Fields["unanswered"] = View->Load.Unanswered;
+      Fields["long_flows"] = View->Load.LongFlows;
+      Fields["load_age_ms"] = milliseconds(Now - View->LoadAt);
+    }
+    common::log(common::LogLevel::Info, "flow_steered", Fields);
+  }
+
+  // --- messages between nodes
+
+  void onPeerDatagram(std::span<const std::uint8_t> Raw, relay::NodeAddress From) {
+    const auto Now = common::suspendAwareNow();
+    auto Message = relay::decodeMessage(Raw);
+    if (!Message) {
+      MalformedPackets.Increment();
+      if (RejectLog.allow(Now))
+        common::log(common::LogLevel::Warning, "peer_message_rejected",
+                    {{"peer", common::addressToString(From)},
+                     {"detail", Message.Failure.Detail}});
+      return;
+    }
+    std::visit([&](auto &Each) { take(Each, From, Now); }, *Message);
+  }
+
+  void take(const relay::AgentReport &Report, relay::NodeAddress From, common::TimePoint Now) {
+    using Change = relay::UpstreamDirectory::Change;
+    const auto Effect = Directory.onReport(From, Report, Now);
+    if (Effect == Change::Appeared)
+      sendTo(From, beacon(Now, false));
+    if (Effect == Change::Appeared || Effect == Change::StateChanged)
+      common::log(common::LogLevel::Info, "agent_changed",
+                  {{"agent", Report.Id},
+                   {"address", common::addressToString(From)},
+                   {"service", Report.Service},
+                   {"state", name(Report.State)},
+                   {"incarnation", Report.Incarnation},
+                   {"upstream_incarnation", Report.UpstreamIncarnation},
+                   {"report", Report.Number}});
+  }
+
+  void take(const relay::BalancerBeacon &Beacon, relay::NodeAddress From, common::TimePoint Now) {
+    const bool New = Peers.onBeacon(From, Beacon, Now);
+    for (const relay::NodeAddress Agent : Beacon.Agents)
+      if (Directory.find(Agent) == nullptr)
+        sendTo(Agent, beacon(Now, false));
+    if (New) {
+      common::log(common::LogLevel::Info, "balancer_appeared",
+                  {{"balancer", Beacon.Id},
+                   {"address", common::addressToString(From)},
+                   {"incarnation", Beacon.Incarnation},
+                   {"revision", Beacon.Held}});
+      sendTo(From, beacon(Now, true));
+      if (Beacon.Zone == Options.Zone)
+        for (auto &Share : Steering.allShares())
+          sendTo(From, std::move(Share));
+    }
+    if (Beacon.Held > Steering.routes().revision() && !std::exchange(Fetching, true))
+      spawn(fetchFromPeers());
+  }
+
+  void take(const relay::FlowNotice &Notice, relay::NodeAddress From, common::TimePoint Now) {
+    Steering.onNotice(Notice, From, Now);
+  }
+
+  void take(const relay::ReturnedPacket &Returned, relay::NodeAddress From,
+            common::TimePoint Now) {
+    const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
+    if (!Head)
+      return MalformedPackets.Increment();
+    if (FlowLog.allow(Now))
+      common::log(common::LogLevel::Info, "packet_returned",
+                  {{"flow", packet::toString(Head->Key)},
+                   {"agent", common::addressToString(From)},
+                   {"opens", Head->opensFlow()},
+                   {"reason", name(Returned.Reason)},
+                   {"unanswered", Returned.Load.Unanswered}});
+    else
+      SuppressedLines.Increment();
+    perform(Steering.onReturned(*Head, Returned, From, Now), {}, Now);
+  }
+
+  void take(const relay::FlowShare &Share, relay::NodeAddress, common::TimePoint Now) {
+    Steering.onShare(Share, Now);
+  }
+
+  void sendTo(relay::NodeAddress To, const relay::PeerMessage &Message) {
+    PeerSocket->send(relay::encode(Message), {To, Options.Peers.Port});
+  }
+
+  relay::BalancerBeacon beacon(common::TimePoint Now, bool WithAgents) const {
+    relay::BalancerBeacon Made{Options.Id, Options.Zone,    Incarnation, Steering.routes().revision(),
+                               Leaving,    Peers.live(Now), {}};
+    if (WithAgents)
+      Made.Agents = Directory.agentsOf("");
+    Made.Balancers.resize(std::min(Made.Balancers.size(), relay::MaxBeaconAddresses));
+    Made.Agents.resize(std::min(Made.Agents.size(), relay::MaxBeaconAddresses));
+    return Made;
+  }
+
+  void sendBeacons(common::TimePoint Now, bool Everyone) {
+    const relay::PeerMessage Message = beacon(Now, false);
+    if (Everyone || Now >= NextPeerBeacon) {
+      NextPeerBeacon = Now + PeerBeaconInterval;
+      for (const auto Peer : Peers.live(Now))
+        sendTo(Peer, Message);
+    }
+    if (Everyone || Now >= NextAgentBeacon) {
+      NextAgentBeacon = Now + AgentBeaconInterval;
+      for (const auto Agent : Directory.agentsOf(""))
+        sendTo(Agent, Message);
+    }
+    const bool Alone = Peers.live(Now).empty();
+    if (Everyone || Now >= NextContact) {
+      NextContact = Now + (Alone ? PeerBeaconInterval : AgentBeaconInterval);
+      for (const auto Contact : Peers.contacts(Now))
+        sendTo(Contact, Message);
+    }
+  }
+
+  void tick() {
+    Ticker.expires_after(BalancerTick);
+    Ticker.async_wait([this](boost::system::error_code Failure) {
+      if (Failure)
+        return;
+      onTick(common::suspendAwareNow());
+      tick();
+    });
+  }
+
+  void onTick(common::TimePoint Now) {
+    if (Now - LastTick > PauseGap) {
+      common::log(common::LogLevel::Warning, "resumed_after_pause",
+                  {{"pause_ms", milliseconds(Now - LastTick)}});
+      Steering.restartSettling(Now);
+    }
+    LastTick = Now;
+    Steering.setRoutesCurrent(routesCurrent(Now));
+    perform(Steering.onTimer(Now), {}, Now);
+    sendBeacons(Now, false);
+    for (auto &Share : Steering.takeShares(Now))
+      for (const auto Peer : Peers.live(Now))
+        if (Peers.find(Peer)->Zone == Options.Zone)
+          sendTo(Peer, Share);
+    Directory.forgetSilent(Now);
+    Peers.forgetOld(Now);
+    noteReadiness(Now);
+    AgentGauge.Set(static_cast<double>(Directory.size()));
+    FlowGauge.Set(static_cast<double>(Steering.flows()));
+  }
+
+  // --- readiness and admin
+
+  /// Without agents to forward to, callers are better served by other balancers.
+  bool ready(common::TimePoint Now) const {
+    return !Leaving && Steering.routes().revision() != 0 && Directory.hearsAgents(Now);
+  }
+
+  void noteReadiness(common::TimePoint Now) {
+    const bool Is = ready(Now);
+    if (std::exchange(WasReady, Is) == Is)
+      return;
+    common::log(common::LogLevel::Info, "readiness_changed",
+                {{"ready", Is},
+                 {"leaving", Leaving},
+                 {"revision", Steering.routes().revision()},
+                 {"hears_agents", Directory.hearsAgents(Now)}});
+  }
+
+  Awaitable<common::HttpResponse> serve(common::HttpRequest Request) {
+    const auto Now = common::suspendAwareNow();
+    if (Platform::Calls::asksReadiness(Request))
+      co_return common::HttpResponse{ready(Now) ? 200U : 503U, "{}"};
+    if (Request.Path == "/healthz")
+      co_return common::HttpResponse{200, "{}"};
+    if (Request.Path == "/metrics")
+      co_return common::HttpResponse{200, Metrics.render(), "text/plain"};
+    if (Request.Path == "/v1/config" && !ConfigurationText.empty())
+      co_return common::HttpResponse{200, ConfigurationText};
+    if (Request.Path == "/v1/explain")
+      co_return explain(Request);
+    co_return common::HttpResponse{404, R"({"error":"unknown path"})"};
+  }
+
+  common::HttpResponse explain(const common::HttpRequest &Request) const {
+    const auto Text = Request.Query.find("flow");
+    if (Text == Request.Query.end())
+      return {400, R"({"error":"the query needs flow=CALLER-SERVICE"})"};
+    const auto Key = common::capture([&] { return packet::parseFlowKey(Text->second); });
+    if (!Key)
+      return {400, nlohmann::json{{"error", Key.Failure.Detail}}.dump()};
+    const relay::Route *Found = Steering.routes().find(Key->Service);
+    const auto Agent = Steering.agentOf(*Key);
+    return {200, nlohmann::json{{"revision", Steering.routes().revision()},
+                                {"route", Found == nullptr ? "" : Found->Name},
+                                {"service", Found == nullptr
+                                                ? ""
+                                                : relay::RouteTable::serviceFor(*Found, *Key)},
+                                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
+                     .dump()};
+  }
+
+  // --- configuration
+
+  bool routesCurrent(common::TimePoint Now) const {
+    const bool StoreAnswers = Now - StoreAnswerAt <= impl::StoreWatchWait + impl::StoreCallTimeout;
+    return StoreAnswers ||
+           (!Peers.live(Now).empty() && !Peers.aheadOf(Steering.routes().revision(), Now));
+  }
+
+  void offer(const std::string &Text, const char *Source) {
+    auto Read = Platform::readConfiguration(Text);
+    if (!Read) {
+      common::log(common::LogLevel::Error, "configuration_unreadable",
+                  {{"source", Source}, {"detail", Read.Failure.Detail}});
+      return;
+    }
+    const relay::Revision Number = Read->Number;
+    const relay::Revision Held = Steering.routes().revision();
+    if (Number <= Held) {
+      if (Number < Held)
+        common::log(common::LogLevel::Warning, "configuration_refused",
+                    {{"offered", Number}, {"revision", Held}, {"source", Source}});
+      return;
+    }
+    ConfigurationText = Text;
+    Steering.setRoutes(std::make_shared<const relay::RouteTable>(std::move(*Read)));
+    RevisionGauge.Set(static_cast<double>(Number));
+    common::log(common::LogLevel::Info, "configuration_accepted",
+                {{"revision", Number},
+                 {"previous", Held},
+                 {"source", Source},
+                 {"routes", Steering.routes().size()}});
+    NextPeerBeacon = {};
+  }
+
+  /// Takes the newest value of the configuration among items of the store.
+  void offerItems(const relay::StorePage &Page) {
+    const relay::StoreItem *Newest = nullptr;
+    for (const auto &Item : Page.Items)
+      if (Item.Key == Platform::Store::configurationKey() && !Item.Removed &&
+          (Newest == nullptr || Item.Revision > Newest->Revision))
+        Newest = &Item;
+    if (Newest != nullptr)
+      offer(Newest->Value, "store");
+  }
+
+  Awaitable<void> followConfiguration() {
+    const std::string Key = Platform::Store::configurationKey();
+    std::uint64_t After = 0;
+    bool Listed = false;
+    common::Duration Pause = MinCallPause;
+    while (true) {
+      // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
+      common::Outcome<relay::StorePage> Page;
+      if (Listed)
+        Page = co_await Store.watch(Key, After);
+      else
+        Page = co_await Store.list(Key);
+      if (Page) {
+        StoreAnswerAt = common::suspendAwareNow();
+        Pause = MinCallPause;
+        After = Page->StoreRevision;
+        offerItems(*Page);
+        if (!Listed && Page->Items.empty())
+          co_await pause(jittered(MinCallPause));
+        else
+          Listed = true;
+        if (Listed && !Page->Items.empty())
+          co_await pause(WatchPause);
+        continue;
+      }
+      if (Page.Failure.Code == common::ResultCode::StoreHistoryGone)
+        Listed = false;
+      co_await pause(jittered(Pause));
+      Pause = std::min(Pause * 2, MaxCallPause);
+    }
+  }
+
+  Awaitable<void> fetchFromPeers() {
+    co_await pause(PeerFetchDelay);
+    while (const auto Ahead =
+               Peers.aheadOf(Steering.routes().revision(), common::suspendAwareNow())) {
+      const common::Endpoint Peer{*Ahead, Options.Admin.Port};
+      const auto Answer =
+          co_await common::httpCall(Peer, "GET", "/v1/config", "", PeerFetchTimeout);
+      if (Answer && Answer->Status == 200)
+        offer(Answer->Body, "peer");
+      else
+        co_await pause(jittered(MinCallPause));
+    }
+    Fetching = false;
+  }
+
+  // --- record in the store
+
+  std::string recordKey() const { return BalancerRecords + Options.Id; }
+
+  Awaitable<void> keepRecord() {
+    std::uint64_t Lease = 0;
+    common::Duration Pause = MinCallPause;
+    while (!Leaving) {
+      bool Done = false;
+      if (Lease != 0) {
+        const auto Renewed = co_await Store.renewLease(Lease);
+        if (!Renewed && Renewed.Failure.Code == common::ResultCode::StoreKeyNotFound)
+          Lease = 0;
+        Done = static_cast<bool>(Renewed);
+      } else {
+        Lease = co_await writeRecord();
+        Done = Lease != 0;
+      }
+      co_await pause(jittered(Done ? RecordRenewal : Pause));
+      Pause = Done ? MinCallPause : std::min(Pause * 2, MaxCallPause);
+    }
+  }
+
+  /// Writes the record with a new lease; returns the lease, 0 if the store didn't take it.
+  Awaitable<std::uint64_t> writeRecord() {
+    const auto Granted = co_await Store.grantLease(RecordLease);
+    if (!Granted)
+      co_return 0;
+    const std::string Value = common::addressToString(Options.Packets.Address);
+    const auto Written = co_await Store.put(recordKey(), Value, Granted->Id);
+    if (!Written)
+      co_return 0;
+    co_await lookUpBalancers();
+    co_return Granted->Id;
+  }
+
+  Awaitable<void> removeRecord() { (void)co_await Store.remove(recordKey()); }
+
+  Awaitable<void> lookUpBalancers() {
+    const auto Page = co_await Store.list(BalancerRecords);
+    if (!Page)
+      co_return;
+    for (const auto &Item : Page->Items) {
+      const auto Parsed = common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
+      if (Parsed)
+        Peers.addContact(Parsed->Address, common::suspendAwareNow());
+      else
+        common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
+    }
+  }
+
+  boost::asio::io_context &Io;
+  RelayOptions Options;
+  common::Metrics &Metrics;
+  common::Engine Random;
+  common::TimePoint StartedAt;
+  std::uint64_t Incarnation;
+  relay::UpstreamDirectory Directory;
+  relay::FlowSteering Steering;
+  relay::BalancerPeers Peers;
+  impl::RelayStore<typename Platform::Store> Store;
+  std::unique_ptr<common::UdpSocket> Packets;
+  std::unique_ptr<common::UdpSocket> PeerSocket;
+  std::vector<std::unique_ptr<common::HttpServer>> Servers;
+  boost::asio::steady_timer Ticker;
+  common::TimePoint LastTick;
+  common::TimePoint LastPacketAt{};
+  common::TimePoint NextPeerBeacon{};
+  common::TimePoint NextAgentBeacon{};
+  common::TimePoint NextContact{};
+  common::TimePoint StoreAnswerAt{};
+  std::string ConfigurationText; ///< As the operator wrote it, for peers.
+  bool Fetching = false;
+  bool Leaving = false;
+  bool WasReady = false;
+  common::LogRateLimit FlowLog{FlowLogLimit};
+  common::LogRateLimit RejectLog{5};
+
+  std::array<prometheus::Counter *, relay::SteeringReasons> PacketCounters{};
+  prometheus::Gauge &RevisionGauge;
+  prometheus::Gauge &AgentGauge;
+  prometheus::Gauge &FlowGauge;
+  prometheus::Counter &SuppressedLines;
+  prometheus::Counter &MalformedPackets;
+};
+
+} // namespace galenarelay::node
+
+#endif // GALENARELAY_NODE_RELAY_BALANCER_H
--- /dev/null
+++ b/include/galenarelay/node/relay_program.h
@@ -0,0 +1,66 @@
+#ifndef GALENARELAY_NODE_RELAY_PROGRAM_H
+#define GALENARELAY_NODE_RELAY_PROGRAM_H
+
+#include "galenarelay/common/log.h"
+#include "galenarelay/common/metrics.h"
+#include "galenarelay/common/program.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <exception>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace galenarelay::node {
+
+/// What distinguishes the programs of relayed flows.
+template <typename Options> struct RelayProgram {
+  const char *Name;
+  const char *Brief;
+  std::vector<common::SettingRule> (*Rules)();
+  Options (*Read)(const common::Settings &);
+};
+
+/// Runs a node until SIGTERM or SIGINT; SIGHUP reads the settings file again.
+/// Returns the exit code, a ResultCode.
+template <typename Node, typename Options>
+int runRelay(const RelayProgram<Options> &Program, int ArgumentCount, char **Arguments) {
+  const auto Run = [&](const common::Settings &Values) -> common::Result<int> {
+    boost::asio::io_context Io(1);
+    common::Metrics Metrics;
+    Node Running(Io, Program.Read(Values), Metrics);
+    Running.start();
+    boost::asio::signal_set Stop(Io, SIGINT, SIGTERM);
+    Stop.async_wait([&](boost::system::error_code Failure, int) {
+      if (!Failure)
+        boost::asio::co_spawn(Io, Running.drain(), [&](const std::exception_ptr &) { Io.stop(); });
+    });
+    boost::asio::signal_set Reload(Io, SIGHUP);
+    std::function<void()> AwaitReload = [&] {
+      Reload.async_wait([&](boost::system::error_code Failure, int) {
+        if (Failure)
+          return;
+        const auto Fresh =
+            common::capture([&] { return common::loadSettings(Values.path(), Program.Rules()); });
+        if (Fresh)
+          Running.reload(Program.Read(*Fresh));
+        else
+          common::log(common::LogLevel::Error, "reload_failed", {{"detail", Fresh.Failure.Detail}});
+        AwaitReload();
+      });
+    };
+    AwaitReload();
+    Io.run();
+    return static_cast<int>(common::ResultCode::Ok);
+  };
+  return common::runProgram({Program.Name, Program.Brief, Program.Rules()}, ArgumentCount,
+                            Arguments, Run);
+}
+
+} // namespace galenarelay::node
+
+#endif // GALENARELAY_NODE_RELAY_PROGRAM_H
--- /dev/null
+++ b/include/galenarelay/node/relay_settings.h
@@ -0,0 +1,50 @@
+#ifndef GALENARELAY_NODE_RELAY_SETTINGS_H
+#define GALENARELAY_NODE_RELAY_SETTINGS_H
+
+#include "galenarelay/common/settings.h"
+#include "galenarelay/common/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenarelay::node {
+
+/// What balancers and agents of relayed flows share.
+struct RelayOptions {
+  std::string Id;
+  std::string Zone;
+  common::Endpoint Packets;     ///< UDP, packets from routers or balancers.
+  common::Endpoint Peers;       ///< UDP, messages between nodes.
+  common::Endpoint Admin;       ///< TCP, HTTP: metrics, configuration, status.
+  common::Endpoint Control;     ///< TCP, HTTP: heartbeats.
+  common::Endpoint Readiness;   ///< TCP, HTTP: readiness.
+  common::Endpoint Store;
+  std::vector<common::Endpoint> Seeds; ///< Addresses of balancers, possibly of earlier ones.
+  std::uint64_t Seed = 0;
+
+  friend bool operator==(const RelayOptions &, const RelayOptions &) = default;
+};
+
+/// What only an agent needs.
+struct RelayAgentOptions {
+  RelayOptions Node;
+  std::string Service;           ///< Until the upstream's first heartbeat.
+  common::Endpoint Upstream;     ///< UDP, packets for the upstream.
+  common::Endpoint FromUpstream; ///< UDP, packets of the upstream.
+  common::Duration HeartbeatInterval{};
+
+  friend bool operator==(const RelayAgentOptions &, const RelayAgentOptions &) = default;
+};
+
+/// Settings of both programs, for common::runProgram.
+[[nodiscard]] std::vector<common::SettingRule> relayRules();
+/// relayRules and those of agents only.
+[[nodiscard]] std::vector<common::SettingRule> relayAgentRules();
+
+[[nodiscard]] RelayOptions relayOptionsFrom(const common::Settings &Values);
+[[nodiscard]] RelayAgentOptions relayAgentOptionsFrom(const common::Settings &Values);
+
+} // namespace galenarelay::node
+
+#endif // GALENARELAY_NODE_RELAY_SETTINGS_H
--- /dev/null
+++ b/include/galenarelay/platform/platform.h
@@ -0,0 +1,27 @@
+#ifndef GALENARELAY_PLATFORM_PLATFORM_H
+#define GALENARELAY_PLATFORM_PLATFORM_H
+
+#include "galenarelay/node/relay_platform.h"
+#include "galenarelay/platform/documents.h"
+#include "galenarelay/platform/packet_codec.h"
+#include "galenarelay/platform/store_protocol.h"
+
+namespace galenarelay::platform {
+
+/// The users' platform. Example: `node::RelayBalancer<platform::Platform>`
+struct Platform {
+  using Packets = PacketCodec;
+  using Calls = platform::Calls;
+  using Store = StoreProtocol;
+
+  [[nodiscard]] static common::Outcome<relay::Configuration>
+  readConfiguration(std::string_view Text) {
+    return platform::readConfiguration(Text);
+  }
+};
+
+static_assert(node::RelayPlatform<Platform>);
+
+} // namespace galenarelay::platform
+
+#endif // GALENARELAY_PLATFORM_PLATFORM_H
--- /dev/null
+++ b/include/galenarelay/relay/flow_steering.h
@@ -0,0 +1,164 @@
+#ifndef GALENARELAY_RELAY_FLOW_STEERING_H
+#define GALENARELAY_RELAY_FLOW_STEERING_H
+
+#include "galenarelay/relay/packet_head.h"
+#include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/route_table.h"
+#include "galenarelay/relay/upstream_directory.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenarelay::relay {
+
+/// A first packet that no upstream has accepted within this time goes to another agent: several
+/// times the way to an agent in another zone and the answer of its upstream.
+inline constexpr common::Duration PlacementTimeout = std::chrono::milliseconds(60);
+/// Agents that may decline a first packet because they are busy before one of them must take it.
+inline constexpr std::size_t MaxBusyReturns = 2;
+/// Agents that a first packet is offered to in all.
+inline constexpr std::size_t MaxPlacements = 8;
+/// Callers stop waiting for the answer to a first packet after this time.
+inline constexpr common::Duration OpenTimeout = std::chrono::milliseconds(1400);
+/// Least time between two searches for one flow: shorter than a caller's first retransmission.
+inline constexpr common::Duration SearchInterval = std::chrono::milliseconds(100);
+/// Packets that searches may send per second, and at once.
+inline constexpr double SearchPacketsPerSecond = 4000;
+/// A flow that has been open for this time is told to the peers of the zone.
+inline constexpr common::Duration ShareAge = std::chrono::milliseconds(300);
+/// An ended flow is remembered for its last packets: longer than three retransmissions.
+inline constexpr common::Duration EndedRetention = std::chrono::seconds(4);
+/// A flow without packets is forgotten after this time; a search finds it again.
+inline constexpr common::Duration IdleRetention = std::chrono::seconds(60);
+/// Flows in the table. At the bound a new flow is dropped, and its caller tries again.
+inline constexpr std::size_t MaxSteeredFlows = 500'000;
+/// A node that started less than this ago may not know all agents, and refuses nothing finally.
+inline constexpr common::Duration ViewSettleTime = std::chrono::milliseconds(1500);
+
+/// Why a packet was treated as it was, for logs and counters.
+enum class SteeringReason : std::uint8_t {
+  Placed,        ///< New flow.
+  PlacedAgain,   ///< New flow that an earlier agent did not take.
+  Insisted,      ///< New flow at a busy upstream, since all are.
+  Known,         ///< The flow's agent is known.
+  Searched,      ///< Sent to all agents that could hold the flow.
+  NoRoute,       ///< The configuration has no such service endpoint.
+  NoUpstream,    ///< No upstream of the service takes the flow.
+  NotReady,      ///< This node doesn't know enough yet.
+  SearchLimited, ///< Too many searches, or one for this flow a moment ago.
+  TableFull
+};
+inline constexpr std::size_t SteeringReasons = 10;
+
+[[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
+
+/// What to do with a packet.
+struct SteeringAction {
+  enum class Kind : std::uint8_t { Forward, Reset, Drop };
+
+  Kind What = Kind::Drop;
+  SteeringReason Reason = SteeringReason::NotReady;
+  packet::FlowKey Key;
+  NodeAddress Agent = 0;         ///< For Forward.
+  Transit Fields;                ///< For Forward.
+  std::uint32_t Sequence = 0;    ///< For Reset.
+  std::uint8_t Attempt = 0;      ///< Placements of the flow so far.
+  std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
+};
+
+using SteeringActions = std::vector<SteeringAction>;
+
+/// A balancer's decisions on packets from callers: places new flows, and forwards the others to
+/// the agent whose upstream holds their flow. All its state may be lost at any time.
+class FlowSteering {
+public:
+  FlowSteering(NodeAddress Self, UpstreamDirectory &Directory, common::TimePoint StartedAt);
+
+  void setRoutes(std::shared_ptr<const RouteTable> Table) { Routes = std::move(Table); }
+  [[nodiscard]] const RouteTable &routes() const noexcept { return *Routes; }
+  /// This process stood still: until its view has settled again, nothing is refused finally.
+  void restartSettling(common::TimePoint Now) noexcept { StartedAt = Now; }
+  /// Whether the routes are known to be current, so that an unknown endpoint is refused at once.
+  void setRoutesCurrent(bool Current) noexcept { RoutesCurrent = Current; }
+  [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
+  /// The agent of a flow; 0 if it isn't known.
+  [[nodiscard]] NodeAddress agentOf(const packet::FlowKey &Key) const;
+
+  [[nodiscard]] SteeringActions onPacket(const PacketHead &Head, std::span<const std::uint8_t> Raw,
+                                         common::TimePoint Now);
+  /// A packet that an agent gave back, without the mark of its upstream.
+  [[nodiscard]] SteeringActions onReturned(const PacketHead &Head, const ReturnedPacket &Returned,
+                                           NodeAddress From, common::TimePoint Now);
+  void onNotice(const FlowNotice &Notice, NodeAddress From, common::TimePoint Now);
+  void onShare(const FlowShare &Share, common::TimePoint Now);
+  /// Places flows again whose agent has not answered; forgets old flows.
+  [[nodiscard]] SteeringActions onTimer(common::TimePoint Now);
+  /// When onTimer has something to place.
+  [[nodiscard]] std::optional<common::TimePoint> nextPlacementCheck() const noexcept;
+  /// Open flows that the peers of the zone have not been told of.
+  [[nodiscard]] std::vector<FlowShare> takeShares(common::TimePoint Now);
+  /// All open flows, for a peer that has just started.
+  [[nodiscard]] std::vector<FlowShare> allShares() const;
+
+private:
+  /// A new flow until an upstream accepts it.
+  struct Opening {
+    std::string Service;
+    FlowKind Kind = FlowKind::Short;
+    std::shared_ptr<const Bytes> Packet;
+    std::vector<NodeAddress> Tried; ///< In order; the last one has the packet.
+    std::vector<NodeAddress> Busy;  ///< Those of Tried that declined because they are busy.
+    common::TimePoint StartedAt{};
+    bool Waiting = false; ///< The last one of Tried has not declined yet.
+  };
+  enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
+  struct Flow {
+    Phase State = Phase::Opening;
+    NodeAddress Agent = 0;
+    NodeAddress Other = 0; ///< A second agent whose upstream accepted the first packet.
+    common::TimePoint StateAt{};
+    common::TimePoint UsedAt{};
+    bool Shared = false;
+    std::unique_ptr<Opening> Open;
+  };
+  using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
+
+  void openFlow(const PacketHead &Head, std::span<const std::uint8_t> Raw, common::TimePoint Now,
+                SteeringActions &Out);
+  void repeatFirstPacket(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+                         SteeringActions &Out);
+  void place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
+  void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out);
+  void forwardOpen(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+                   SteeringActions &Out);
+  void search(const PacketHead &Head, Flow &Held, NodeAddress Except,
+              std::shared_ptr<const Bytes> Saved, common::TimePoint Now, SteeringActions &Out);
+  [[nodiscard]] Transit transitTo(const std::string &Service, bool Search, bool Insist) const;
+  [[nodiscard]] bool takeSearchTokens(std::size_t Count, common::TimePoint Now);
+  void forgetOld(common::TimePoint Now);
+  void setState(Flow &Held, Phase State, common::TimePoint Now) {
+    Held.State = State;
+    Held.StateAt = Now;
+  }
+
+  NodeAddress Self;
+  UpstreamDirectory &Directory;
+  common::TimePoint StartedAt;
+  std::shared_ptr<const RouteTable> Routes = std::make_shared<RouteTable>();
+  bool RoutesCurrent = false;
+  FlowMap Flows;
+  std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
+  std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
+  double SearchTokens = SearchPacketsPerSecond;
+  common::TimePoint SearchTokensAt{};
+  std::size_t SweepBucket = 0;
+};
+
+} // namespace galenarelay::relay
+
+#endif // GALENARELAY_RELAY_FLOW_STEERING_H
--- /dev/null
+++ b/include/galenarelay/relay/peer_message.h
@@ -0,0 +1,124 @@
+#ifndef GALENARELAY_RELAY_PEER_MESSAGE_H
+#define GALENARELAY_RELAY_PEER_MESSAGE_H
+
+#include "galenarelay/common/error.h"
+#include "galenarelay/relay/packet_head.h"
+#include "galenarelay/relay/route_table.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace galenarelay::relay {
+
+/// IPv4 address of a node in host byte order. The ports are the same on all nodes.
+using NodeAddress = std::uint32_t;
+
+/// What an agent knows of its upstream's readiness for new flows.
+enum class UpstreamState : std::uint8_t {
+  Unknown,  ///< The agent has just started and has heard no heartbeat.
+  Ready,
+  Draining,
+  Silent,   ///< No recent heartbeat, or no answer to packets.
+  Stopping  ///< The agent itself is about to stop.
+};
+
+/// Work at an upstream as its agent sees it in the packets.
+struct UpstreamLoad {
+  std::uint32_t Unanswered = 0; ///< Requests that the upstream has not begun to answer.
+  std::uint32_t LongFlows = 0;  ///< Open flows that carry more than one request.
+
+  friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
+};
+
+/// An agent describes itself and its upstream to balancers.
+struct AgentReport {
+  std::string Id;
+  std::string Zone;
+  std::uint64_t Incarnation = 0; ///< Start of the agent, Unix milliseconds.
+  std::uint64_t Number = 0;      ///< Rises with each report.
+  std::string Service;
+  UpstreamState State = UpstreamState::Unknown;
+  std::uint64_t UpstreamIncarnation = 0;
+  std::uint32_t Slots = 0;
+  UpstreamLoad Load;
+  common::Duration ColdFor{}; ///< How long the upstream stays slow.
+
+  friend bool operator==(const AgentReport &, const AgentReport &) = default;
+};
+
+/// A balancer describes itself to balancers and agents.
+struct BalancerBeacon {
+  std::string Id;
+  std::string Zone;
+  std::uint64_t Incarnation = 0;
+  Revision Held = 0;    ///< Revision of its configuration; 0 without one.
+  bool Leaving = false;
+  std::vector<NodeAddress> Balancers; ///< Live ones that it knows, without itself.
+  std::vector<NodeAddress> Agents;    ///< Live ones that it knows; empty towards agents.
+
+  friend bool operator==(const BalancerBeacon &, const BalancerBeacon &) = default;
+};
+
+/// An agent tells the balancer that sent a packet that the flow is at its upstream.
+struct FlowNotice {
+  packet::FlowKey Key;
+  UpstreamLoad Load;
+
+  friend bool operator==(const FlowNotice &, const FlowNotice &) = default;
+};
+
+/// Why an agent gives a packet back.
+enum class ReturnReason : std::uint8_t {
+  Busy,         ///< All slots of the upstream are taken; another one may start earlier.
+  Refused,      ///< The upstream handed the first packet back.
+  Leaving,      ///< The upstream drains or ended, or the agent stops.
+  Unanswered,   ///< The upstream did not answer the first packet in time.
+  WrongService, ///< The upstream belongs to another service.
+  NotHeld       ///< The upstream has no such flow.
+};
+
+/// An agent gives a packet back to the balancer, which sends it elsewhere.
+struct ReturnedPacket {
+  ReturnReason Reason = ReturnReason::NotHeld;
+  UpstreamLoad Load;
+  Bytes Packet;
+
+  friend bool operator==(const ReturnedPacket &, const ReturnedPacket &) = default;
+};
+
+/// A balancer tells its peers at which agents flows are that it forwards.
+struct FlowShare {
+  struct Entry {
+    packet::FlowKey Key;
+    NodeAddress Agent = 0;
+
+    friend bool operator==(const Entry &, const Entry &) = default;
+  };
+  std::vector<Entry> Entries;
+
+  friend bool operator==(const FlowShare &, const FlowShare &) = default;
+};
+
+using PeerMessage =
+    std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowShare>;
+
+/// Flows in one FlowShare: it stays below an Ethernet frame.
+inline constexpr std::size_t MaxSharedFlows = 40;
+/// Addresses of one kind in a beacon, for the same reason.
+inline constexpr std::size_t MaxBeaconAddresses = 100;
+
+[[nodiscard]] std::string_view name(UpstreamState State) noexcept;
+[[nodiscard]] std::string_view name(ReturnReason Reason) noexcept;
+
+/// Writes a message as a CBOR datagram.
+[[nodiscard]] Bytes encode(const PeerMessage &Message);
+
+/// Reads a datagram. Errors: MessageMalformed.
+[[nodiscard]] common::Outcome<PeerMessage> decodeMessage(std::span<const std::uint8_t> Datagram);
+
+} // namespace galenarelay::relay
+
+#endif // GALENARELAY_RELAY_PEER_MESSAGE_H
--- /dev/null
+++ b/include/galenarelay/relay/store_call.h
@@ -0,0 +1,71 @@
+#ifndef GALENARELAY_RELAY_STORE_CALL_H
+#define GALENARELAY_RELAY_STORE_CALL_H
+
+#include "galenarelay/common/error.h"
+#include "galenarelay/common/http.h"
+#include "galenarelay/common/time.h"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenarelay::relay {
+
+/// One call to the store, ready to be sent.
+struct StoreCall {
+  std::string Method;
+  std::string Target;
+  std::string Body;
+
+  friend bool operator==(const StoreCall &, const StoreCall &) = default;
+};
+
+/// A key as the store holds it.
+struct StoreItem {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Revision = 0; ///< Of the last change of the key.
+  bool Removed = false;
+
+  friend bool operator==(const StoreItem &, const StoreItem &) = default;
+};
+
+/// Keys or changes, and the revision of the whole store from which to go on.
+struct StorePage {
+  std::vector<StoreItem> Items;
+  std::uint64_t StoreRevision = 0;
+  bool More = false;
+
+  friend bool operator==(const StorePage &, const StorePage &) = default;
+};
+
+/// A lease that the store granted.
+struct StoreLease {
+  std::uint64_t Id = 0;
+  common::Duration TimeToLive{};
+
+  friend bool operator==(const StoreLease &, const StoreLease &) = default;
+};
+
+/// Writes calls to a store and reads its answers.
+/// Errors of the readers: StoreUnavailable, StoreRateLimited, StoreHistoryGone, StoreKeyNotFound,
+/// StoreConflict, StoreBadAnswer.
+template <typename T>
+concept StoreProtocol = requires(const std::string &Text, std::uint64_t Number,
+                                 common::Duration Time, const common::HttpResponse &Answer) {
+  { T::configurationKey() } -> std::convertible_to<std::string>;
+  { T::list(Text) } -> std::same_as<StoreCall>;
+  { T::watch(Text, Number, Time) } -> std::same_as<StoreCall>;
+  { T::put(Text, Text, Number) } -> std::same_as<StoreCall>;
+  { T::remove(Text) } -> std::same_as<StoreCall>;
+  { T::grantLease(Time) } -> std::same_as<StoreCall>;
+  { T::renewLease(Number) } -> std::same_as<StoreCall>;
+  { T::readPage(Answer) } -> std::same_as<common::Outcome<StorePage>>;
+  { T::readLease(Answer) } -> std::same_as<common::Outcome<StoreLease>>;
+  { T::readWritten(Answer) } -> std::same_as<common::Outcome<std::uint64_t>>;
+};
+
+} // namespace galenarelay::relay
+
+#endif // GALENARELAY_RELAY_STORE_CALL_H
--- /dev/null
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -0,0 +1,103 @@
+#ifndef GALENARELAY_RELAY_UPSTREAM_DIRECTORY_H
+#define GALENARELAY_RELAY_UPSTREAM_DIRECTORY_H
+
+#include "galenarelay/common/random.h"
+#include "galenarelay/common/time.h"
+#include "galenarelay/relay/peer_message.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace galenarelay::relay {
+
+/// An agent without a report for this time gets no new flows while others do: more than three
+/// intervals of reports.
+inline constexpr common::Duration ReportStale = std::chrono::milliseconds(600);
+/// An agent without a report for this time is forgotten.
+inline constexpr common::Duration ReportForget = std::chrono::seconds(30);
+/// An agent that left a first packet unanswered gets no new flows for this time, unless it reports.
+inline constexpr common::Duration SuspicionTime = std::chrono::milliseconds(500);
+/// A flow placed this long before a load figure was made is part of it: the time from a caller's
+/// first packet to its first request, two ways of up to 10 ms each.
+inline constexpr common::Duration PlacementDelay = std::chrono::milliseconds(20);
+/// Agents compared for one placement: the power of two choices (Mitzenmacher 2001).
+inline constexpr std::size_t PlacementChoices = 2;
+
+/// What a new flow is likely to be.
+enum class FlowKind : std::uint8_t {
+  Short, ///< One request.
+  Long   ///< Many requests over its life.
+};
+
+/// An agent as a balancer knows it.
+struct AgentView {
+  NodeAddress Address = 0;
+  AgentReport Report;
+  common::TimePoint HeardAt{};
+  UpstreamLoad Load;            ///< Newest figure, from a report, a notice or a returned packet.
+  common::TimePoint LoadAt{};
+  common::TimePoint SuspectUntil{};
+
+  friend bool operator==(const AgentView &, const AgentView &) = default;
+};
+
+/// A balancer's knowledge of agents, and the choice of one for a new flow.
+class UpstreamDirectory {
+public:
+  /// Whether a report changed which flows the agent may get.
+  enum class Change : std::uint8_t { None, Appeared, StateChanged, Outdated };
+
+  UpstreamDirectory(std::string OwnZone, std::uint64_t Seed)
+      : OwnZone(std::move(OwnZone)), Random(Seed) {}
+
+  Change onReport(NodeAddress From, const AgentReport &Report, common::TimePoint Now);
+  /// Takes a load figure that came with a packet.
+  void onLoad(NodeAddress From, const UpstreamLoad &Load, common::TimePoint Now);
+  /// A first packet sent to the agent stayed unanswered.
+  void suspect(NodeAddress Agent, common::TimePoint Now);
+  void forgetSilent(common::TimePoint Now);
+
+  /// Chooses an agent of the service for a new flow, none of Excluded; empty without a usable one.
+  [[nodiscard]] std::optional<NodeAddress> choose(const std::string &Service, FlowKind Kind,
+                                                  std::span<const NodeAddress> Excluded,
+                                                  common::TimePoint Now);
+  /// Counts a flow that was sent to an agent and is in no load figure yet.
+  void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
+
+  [[nodiscard]] const AgentView *find(NodeAddress Agent) const;
+  /// Agents that may hold flows of a service; of all services if it is empty.
+  [[nodiscard]] std::vector<NodeAddress> agentsOf(const std::string &Service) const;
+  /// True if any agent has reported lately.
+  [[nodiscard]] bool hearsAgents(common::TimePoint Now) const;
+  /// True if the service has an agent, usable or not, that could still take flows.
+  [[nodiscard]] bool knowsService(const std::string &Service) const;
+  [[nodiscard]] std::size_t size() const noexcept { return Agents.size(); }
+
+private:
+  struct Placement {
+    common::TimePoint At{};
+    FlowKind Kind = FlowKind::Short;
+  };
+  struct Known {
+    AgentView View;
+    std::deque<Placement> Placements; ///< Those that no load figure contains.
+  };
+  /// Preference between groups of agents; the best group with a member is used.
+  enum class Fitness : std::uint8_t { Good, Doubtful, Unfit };
+
+  [[nodiscard]] Fitness fitness(const Known &Agent, common::TimePoint Now) const;
+  [[nodiscard]] double score(const Known &Agent, FlowKind Kind) const;
+  static void dropCounted(Known &Agent);
+
+  std::string OwnZone;
+  common::Engine Random;
+  std::map<NodeAddress, Known> Agents;
+};
+
+} // namespace galenarelay::relay
+
+#endif // GALENARELAY_RELAY_UPSTREAM_DIRECTORY_H
--- /dev/null
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -0,0 +1,152 @@
+#ifndef GALENARELAY_RELAY_UPSTREAM_FLOWS_H
+#define GALENARELAY_RELAY_UPSTREAM_FLOWS_H
+
+#include "galenarelay/relay/packet_head.h"
+#include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/registration.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenarelay::relay {
+
+/// An upstream on the same instance answers a first packet within a millisecond; after this time
+/// the packet goes to another one. Below a caller's first copy (200 ms).
+inline constexpr common::Duration FirstAnswerTimeout = std::chrono::milliseconds(80);
+/// Flows of one upstream. At the bound a new flow is declined.
+inline constexpr std::size_t MaxUpstreamFlows = 50'000;
+/// An ended flow is remembered for its last packets.
+inline constexpr common::Duration ClosedRetention = std::chrono::seconds(4);
+/// A flow without packets is forgotten after this time; the upstream closed it long before.
+inline constexpr common::Duration UnusedRetention = std::chrono::seconds(90);
+/// A packet of an unknown flow that the upstream has not answered is forgotten after this time.
+inline constexpr common::Duration DoubtRetention = std::chrono::seconds(2);
+/// An acknowledgement number fits a flow if it is at most this far from the upstream's first
+/// sequence number: more than a flow carries, and unlikely for another flow's random number.
+inline constexpr std::uint32_t SequenceWindow = 1U << 28U;
+
+/// Why an agent treated a packet as it did.
+enum class FlowEvent : std::uint8_t {
+  OpenOffered,    ///< First packet given to the upstream.
+  OpenDeclined,   ///< First packet returned to the balancer.
+  Accepted,       ///< The upstream answered a first packet.
+  Delivered,      ///< Packet of a flow that the upstream holds.
+  Doubted,        ///< Packet of an unknown flow, given to the upstream to find out.
+  NotHeld,        ///< Packet of a flow that the upstream doesn't hold.
+  LostByUpstream, ///< The upstream no longer holds a flow that it had: it started again.
+  Adopted,        ///< The upstream holds a flow that this process has not seen open.
+  ToCaller
+};
+inline constexpr std::size_t FlowEvents = 9;
+
+[[nodiscard]] std::string_view name(FlowEvent Event) noexcept;
+
+/// What to do with a packet.
+struct FlowAction {
+  enum class Kind : std::uint8_t { Deliver, SendToCaller, ResetCaller, Return, Notify, Drop };
+
+  Kind What = Kind::Drop;
+  FlowEvent Event = FlowEvent::NotHeld;
+  packet::FlowKey Key;
+  NodeAddress Balancer = 0;   ///< For Return and Notify.
+  ReturnReason Reason = ReturnReason::NotHeld;
+  std::uint32_t Sequence = 0; ///< For ResetCaller.
+  std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
+};
+
+using FlowActions = std::vector<FlowAction>;
+
+/// An agent's decisions on the packets of its upstream's flows. The upstream is the authority on
+/// its flows: what this table has forgotten is found out by giving it the packet.
+class UpstreamFlows {
+public:
+  UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
+                common::TimePoint StartedAt);
+
+  [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Heard, common::TimePoint Now);
+  bool onDeparture(const std::string &Id) { return Upstream.onDeparture(Id); }
+  /// New flows go elsewhere from now on: this process is about to end.
+  void stop() noexcept { Stopping = true; }
+
+  [[nodiscard]] FlowActions onBalancerPacket(const PacketHead &Head, const Transit &Fields,
+                                             std::span<const std::uint8_t> Raw,
+                                             NodeAddress Balancer, common::TimePoint Now);
+  [[nodiscard]] FlowActions onUpstreamPacket(const PacketHead &Head, const Transit &Fields,
+                                             common::TimePoint Now);
+  [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
+  [[nodiscard]] std::optional<common::TimePoint> nextAnswerCheck() const noexcept;
+  /// Resets for the open flows of an upstream that has ended.
+  [[nodiscard]] FlowActions resetAll();
+
+  [[nodiscard]] const Registration &registration() const noexcept { return Upstream; }
+  [[nodiscard]] std::string service() const;
+  [[nodiscard]] UpstreamState state(common::TimePoint Now) const;
+  [[nodiscard]] UpstreamLoad load() const noexcept { return {Unanswered, LongFlows}; }
+  [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
+
+private:
+  enum class Phase : std::uint8_t {
+    Doubted, ///< The upstream was given a packet and may not hold the flow.
+    Offered, ///< The upstream has the first packet.
+    Open,
+    Closed
+  };
+  struct Flow {
+    Phase State = Phase::Doubted;
+    NodeAddress Balancer = 0;  ///< The last one that forwarded a packet.
+    bool Searched = false;     ///< The last packet went to several agents.
+    bool Noticed = false;      ///< The balancer knows that the flow is here.
+    bool HasFirstSequence = false;
+    bool RequestPending = false;
+    bool Long = false;
+    bool CallerEnded = false;
+    bool UpstreamEnded = false;
+    std::uint16_t Requests = 0;
+    std::uint32_t FirstSequence = 0;  ///< Of the upstream.
+    std::uint32_t CallerSequence = 0; ///< End of the caller's data so far.
+    std::uint32_t CallerAcknowledgement = 0;
+    std::uint32_t UpstreamSequence = 0; ///< End of the upstream's data so far.
+    common::TimePoint UsedAt{};
+    std::shared_ptr<const Bytes> FirstPacket; ///< While offered.
+  };
+  using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
+
+  void onFirstPacket(const PacketHead &Head, const Transit &Fields,
+                     std::span<const std::uint8_t> Raw, NodeAddress Balancer,
+                     common::TimePoint Now, FlowActions &Out);
+  [[nodiscard]] std::optional<ReturnReason> whyDeclined(const Transit &Fields,
+                                                        common::TimePoint Now) const;
+  void onReturnedByUpstream(const PacketHead &Head, const Transit &Fields, FlowActions &Out);
+  void noteCallerData(const PacketHead &Head, Flow &Held);
+  void noteUpstreamData(const PacketHead &Head, Flow &Held);
+  [[nodiscard]] static bool fits(const PacketHead &Head, const Flow &Held) noexcept;
+  void setLong(Flow &Held);
+  void close(Flow &Held);
+  void forget(FlowMap::iterator Entry);
+  void forgetOld(common::TimePoint Now);
+
+  std::string SettingsService;
+  common::Duration HeartbeatInterval;
+  Registration Upstream;
+  common::TimePoint StartedAt;
+  /// This process has run since before the upstream started, so that the table is complete.
+  bool KnowsAllFlows = false;
+  bool Stopping = false;
+  /// The upstream left first packets unanswered; anything that it says clears this.
+  bool Mute = false;
+  FlowMap Flows;
+  std::uint32_t Unanswered = 0;
+  std::uint32_t LongFlows = 0;
+  std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerChecks;
+  std::size_t SweepBucket = 0;
+};
+
+} // namespace galenarelay::relay
+
+#endif // GALENARELAY_RELAY_UPSTREAM_FLOWS_H
--- /dev/null
+++ b/programs/relay-balancer/main.cpp
@@ -0,0 +1,22 @@
+#include "galenarelay/common/log.h"
+#include "galenarelay/common/program.h"
+#include "galenarelay/node/relay_balancer.h"
+#include "galenarelay/node/relay_program.h"
+#include "galenarelay/platform/platform.h"
+
+namespace galenarelay {
+
+namespace {
+
+constexpr node::RelayProgram Program{
+    "galenarelay-relay-balancer", "Places relayed flows and forwards their packets to agents.",
+    node::relayRules, node::relayOptionsFrom};
+
+} // namespace
+
+} // namespace galenarelay
+
+int main(int ArgumentCount, char **Arguments) {
+  using namespace galenarelay;
+  return node::runRelay<node::RelayBalancer<platform::Platform>>(Program, ArgumentCount, Arguments);
+}
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -5,7 +5,7 @@
 # start NAME BINARY: runs $bin/BINARY with $work/NAME.ini in the background.
 start() {
   local name=$1 binary=$2
-  "$bin/$binary" --config "$work/$name.ini" >"$work/$name.out" 2>"$work/$name.log" </dev/null &
+  "$bin/$binary" --config "$work/$name.ini" >"$work/$name.log" 2>"$work/$name.err" </dev/null &
   pids[$name]=$!
   disown "${pids[$name]}"
 }
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -2,6 +2,10 @@
 
 #include <easylogging++.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
 #include <mutex>
 
@@ -22,13 +26,69 @@
   return State;
 }
 
+/// Lines that standard output has not taken yet.
+class LineBuffer {
+public:
+  ~LineBuffer() { flush(); }
+
+  void append(const std::string &Line) {
+    const std::scoped_lock Guard(Lock);
+    if (Pending.size() + Line.size() + 1 > MaxPendingBytes) {
+      ++Dropped;
+    } else {
+      if (Dropped > 0) {
+        Pending += nlohmann::json{{"event", "log_lines_dropped"}, {"lines", Dropped}}.dump() + "\n";
+        Dropped = 0;
+      }
+      Pending += Line;
+      Pending += '\n';
+    }
+    flush();
+  }
+
+private:
+  /// A reader that stops reading costs this much memory and the lines beyond it.
+  static constexpr std::size_t MaxPendingBytes = 256 * 1024;
+  /// A pipe that is ready takes at least this much without blocking (POSIX).
+  static constexpr std::size_t WriteBytes = 4096;
+
+  void flush() {
+    std::size_t Written = 0;
+    while (Written < Pending.size()) {
+      pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+      if (::poll(&Output, 1, 0) <= 0 || (Output.revents & POLLOUT) == 0)
+        break;
+      const auto Taken = ::write(STDOUT_FILENO, Pending.data() + Written,
+                                 std::min(WriteBytes, Pending.size() - Written));
+      if (Taken <= 0)
+        break;
+      Written += static_cast<std::size_t>(Taken);
+    }
+    Pending.erase(0, Written);
+  }
+
+  std::mutex Lock;
+  std::string Pending;
+  std::uint64_t Dropped = 0;
+};
+
+/// Hands the lines of easylogging++ to the buffer.
+class BufferedOutput : public el::LogDispatchCallback {
+protected:
+  void handle(const el::LogDispatchData *Data) override {
+    static LineBuffer Buffer;
+    Buffer.append(Data->logMessage()->message());
+  }
+};
+
 void configureBackend() {
   el::Configurations Plain;
   Plain.setToDefault();
   Plain.setGlobally(el::ConfigurationType::Format, "%msg");
   Plain.setGlobally(el::ConfigurationType::ToFile, "false");
-  Plain.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  Plain.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(Plain);
+  el::Helpers::installLogDispatchCallback<BufferedOutput>("buffered_output");
 }
 
 constexpr std::array<const char *, 4> LevelNames{"debug", "info", "warning", "error"};
--- a/src/common/result_code.cpp
+++ b/src/common/result_code.cpp
@@ -31,6 +31,8 @@
     ResultCodeInfo{StoreRateLimited, "StoreRateLimited", "The store refused the call's rate."},
     ResultCodeInfo{StoreBadAnswer, "StoreBadAnswer", "The store's answer can't be understood."},
     ResultCodeInfo{StoreKeyNotFound, "StoreKeyNotFound", "The key doesn't exist."},
+    ResultCodeInfo{StoreHistoryGone, "StoreHistoryGone",
+                   "The store no longer has the changes since a revision; read afresh."},
     ResultCodeInfo{SelectorSyntax, "SelectorSyntax", "The selector can't be parsed."},
     ResultCodeInfo{LabelSyntax, "LabelSyntax", "The label isn't key=value."},
     ResultCodeInfo{ServiceUnknown, "ServiceUnknown", "No service has this name."},
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -161,7 +161,7 @@
       return fail(ResultCode::SettingsBadValue,
                   Path + ": " + Name + " = '" + Given->second + "': expected " + Expected);
   }
-  return Settings(std::move(Found.Values));
+  return Settings(std::move(Found.Values), Path);
 }
 
 } // namespace galenarelay::common
--- /dev/null
+++ b/src/node/relay_settings.cpp
@@ -0,0 +1,71 @@
+#include "galenarelay/node/relay_settings.h"
+
+#include <random>
+
+namespace galenarelay::node {
+
+using common::SettingKind;
+using common::SettingRule;
+
+std::vector<SettingRule> relayRules() {
+  const auto Address = [](const char *Key, const char *Brief) {
+    return SettingRule{"node", Key, SettingKind::Address, std::nullopt, 0, 0, Brief};
+  };
+  return {{"node", "id", SettingKind::Text, std::nullopt, 0, 0, "unique name"},
+          {"node", "zone", SettingKind::Text, std::nullopt, 0, 0, "availability zone"},
+          Address("packets", "UDP address for packets, with the same port on all nodes"),
+          Address("peers", "UDP address for messages between nodes, with the same port on all"),
+          Address("admin", "TCP address of the admin endpoints, with the same port on all nodes"),
+          Address("control", "TCP address for heartbeats of upstreams"),
+          Address("readiness", "TCP address for readiness checks"),
+          {"node", "seeds", SettingKind::AddressList, "", 0, 0,
+           "addresses of balancers, comma-separated; their ports aren't used"},
+          {"node", "seed", SettingKind::Integer, "0", 0, 0,
+           "seed of the random engine; 0 takes one from the system"},
+          {"store", "address", SettingKind::Address, std::nullopt, 0, 0,
+           "address of the key-value store"}};
+}
+
+std::vector<SettingRule> relayAgentRules() {
+  auto Rules = relayRules();
+  Rules.push_back({"upstream", "service", SettingKind::Text, std::nullopt, 0, 0,
+                   "service of the upstream until its first heartbeat"});
+  Rules.push_back({"upstream", "address", SettingKind::Address, std::nullopt, 0, 0,
+                   "UDP address at which the upstream takes packets"});
+  Rules.push_back({"upstream", "outbound", SettingKind::Address, std::nullopt, 0, 0,
+                   "UDP address to which the upstream sends its packets"});
+  Rules.push_back({"upstream", "heartbeat_ms", SettingKind::Integer, std::nullopt, 10, 60000,
+                   "interval of the upstream's heartbeats"});
+  return Rules;
+}
+
+RelayOptions relayOptionsFrom(const common::Settings &Values) {
+  RelayOptions Options;
+  Options.Id = Values.text("node", "id");
+  Options.Zone = Values.text("node", "zone");
+  Options.Packets = Values.endpoint("node", "packets");
+  Options.Peers = Values.endpoint("node", "peers");
+  Options.Admin = Values.endpoint("node", "admin");
+  Options.Control = Values.endpoint("node", "control");
+  Options.Readiness = Values.endpoint("node", "readiness");
+  Options.Seeds = Values.endpoints("node", "seeds");
+  Options.Store = Values.endpoint("store", "address");
+  Options.Seed = static_cast<std::uint64_t>(Values.integer("node", "seed"));
+  if (Options.Seed == 0) {
+    std::random_device Source;
+    Options.Seed = (std::uint64_t{Source()} << 32U) | Source();
+  }
+  return Options;
+}
+
+RelayAgentOptions relayAgentOptionsFrom(const common::Settings &Values) {
+  RelayAgentOptions Options;
+  Options.Node = relayOptionsFrom(Values);
+  Options.Service = Values.text("upstream", "service");
+  Options.Upstream = Values.endpoint("upstream", "address");
+  Options.FromUpstream = Values.endpoint("upstream", "outbound");
+  Options.HeartbeatInterval = std::chrono::milliseconds(Values.integer("upstream", "heartbeat_ms"));
+  return Options;
+}
+
+} // namespace galenarelay::node
--- /dev/null
+++ b/src/platform/documents.cpp
@@ -0,0 +1,137 @@
+#include "galenarelay/platform/documents.h"
+
+#include "galenarelay/common/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace galenarelay::platform {
+
+using common::Error;
+using common::HttpRequest;
+using common::HttpResponse;
+using common::Outcome;
+using common::ResultCode;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view InstancesPath = "/-/instances/";
+
+common::Duration milliseconds(const json &Value) {
+  return std::chrono::milliseconds(Value.get<std::int64_t>());
+}
+
+/// Reads "/8443/", which the platform calls a prefix and which is the service's port.
+std::uint16_t portOf(const std::string &Prefix) {
+  const std::string_view Digits =
+      Prefix.size() > 2 ? std::string_view(Prefix).substr(1, Prefix.size() - 2) : "";
+  std::uint16_t Port = 0;
+  const auto [End, Status] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (Status != std::errc() || End != Digits.data() + Digits.size())
+    throw std::invalid_argument("'" + Prefix + "' is no port between slashes");
+  return Port;
+}
+
+common::Endpoint endpointOf(const std::string &Text) {
+  const auto Parsed = common::capture([&] { return common::parseEndpoint(Text); });
+  if (!Parsed)
+    throw std::invalid_argument(Parsed.Failure.Detail);
+  return *Parsed;
+}
+
+std::vector<relay::ServiceShare> sharesOf(const json &Document) {
+  if (Document.contains("service"))
+    return {{Document.at("service").get<std::string>(), 1}};
+  std::vector<relay::ServiceShare> Shares;
+  for (const json &Part : Document.at("trafficSplit"))
+    Shares.push_back({Part.at("service").get<std::string>(), Part.at("weight").get<std::uint32_t>()});
+  return Shares;
+}
+
+relay::Route routeOf(const json &Document) {
+  relay::Route Read;
+  Read.Name = Document.value("name", "");
+  // "hostname" is the service's IPv4 address as text.
+  Read.Address = endpointOf(Document.at("hostname").get<std::string>() + ":0");
+  Read.Address.Port = portOf(Document.at("prefix").get<std::string>());
+  Read.Shares = sharesOf(Document);
+  Read.Idempotent = Document.value("type", "") == "safe";
+  if (Document.contains("timeoutMs"))
+    Read.Deadline = milliseconds(Document.at("timeoutMs"));
+  if (Document.contains("targetLatencyMs"))
+    Read.LatencyObjective = milliseconds(Document.at("targetLatencyMs"));
+  Read.Priority = Document.value("priority", 0U);
+  return Read;
+}
+
+std::string idAfter(std::string_view Prefix, const std::string &Path) {
+  return Path.starts_with(Prefix) ? Path.substr(Prefix.size()) : std::string();
+}
+
+} // namespace
+
+Outcome<relay::Configuration> readConfiguration(std::string_view Text) {
+  try {
+    const json Document = json::parse(Text);
+    relay::Configuration Read;
+    Read.Number = Document.at("version").get<std::uint64_t>();
+    if (const auto Limits = Document.find("limits");
+        Limits != Document.end() && Limits->contains("idleTimeoutMs"))
+      Read.IdleTimeout = milliseconds(Limits->at("idleTimeoutMs"));
+    for (const json &Each : Document.at("routes")) {
+      try {
+        Read.Routes.push_back(routeOf(Each));
+      } catch (const std::exception &Problem) {
+        common::log(common::LogLevel::Warning, "route_unreadable",
+                    {{"revision", Read.Number}, {"detail", Problem.what()}});
+      }
+    }
+    return {std::move(Read), {}};
+  } catch (const std::exception &Problem) {
+    return {std::nullopt, {ResultCode::ConfigurationMalformed, Problem.what()}};
+  }
+}
+
+bool Calls::asksReadiness(const HttpRequest &Request) {
+  return Request.Method == "GET" && Request.Path == "/-/ready";
+}
+
+std::string Calls::heartbeatId(const HttpRequest &Request) {
+  return Request.Method == "PUT" ? idAfter(InstancesPath, Request.Path) : std::string();
+}
+
+std::string Calls::departureId(const HttpRequest &Request) {
+  return Request.Method == "DELETE" ? idAfter(InstancesPath, Request.Path) : std::string();
+}
+
+Outcome<relay::Heartbeat> Calls::readHeartbeat(std::string Id, std::string_view Body) {
+  try {
+    const json Document = json::parse(Body);
+    relay::Heartbeat Read;
+    Read.Id = std::move(Id);
+    Read.Service = Document.at("service").get<std::string>();
+    Read.Address = endpointOf(Document.at("address").get<std::string>());
+    Read.Zone = Document.at("zone").get<std::string>();
+    Read.SoftwareVersion = Document.value("version", "");
+    Read.Slots = Document.at("concurrencyLimit").get<std::uint32_t>();
+    const auto State = Document.at("state").get<std::string>();
+    if (State != "ready" && State != "draining")
+      throw std::invalid_argument("unknown state '" + State + "'");
+    Read.Draining = State == "draining";
+    if (Document.contains("remainingColdMs"))
+      Read.ColdFor = milliseconds(Document.at("remainingColdMs"));
+    Read.Sequence = Document.at("sequence").get<std::uint64_t>();
+    // "born": start of the upstream's process, Unix milliseconds.
+    if (Document.contains("born"))
+      Read.Incarnation = Document.at("born").get<std::uint64_t>();
+    return {std::move(Read), {}};
+  } catch (const std::exception &Problem) {
+    return {std::nullopt, {ResultCode::MessageMalformed, Problem.what()}};
+  }
+}
+
+HttpResponse Calls::acknowledge() { return {200, "{}"}; }
+
+} // namespace galenarelay::platform
--- /dev/null
+++ b/src/relay/flow_steering.cpp
@@ -0,0 +1,394 @@
+#include "galenarelay/relay/flow_steering.h"
+
+#include <algorithm>
+#include <array>
+
+namespace galenarelay::relay {
+
+namespace {
+
+/// Buckets of the flow table that one timer call looks at for old flows.
+constexpr std::size_t SweepBuckets = 512;
+
+bool contains(const std::vector<NodeAddress> &List, NodeAddress Value) {
+  return std::find(List.begin(), List.end(), Value) != List.end();
+}
+
+} // namespace
+
+std::string_view name(SteeringReason Reason) noexcept {
+  constexpr std::array<std::string_view, SteeringReasons> Names{
+      "placed",   "placed_again", "insisted",  "known",          "searched",
+      "no_route", "no_upstream",  "not_ready", "search_limited", "table_full"};
+  return Names[static_cast<std::size_t>(Reason)];
+}
+
+FlowSteering::FlowSteering(NodeAddress Self, UpstreamDirectory &Directory,
+                           common::TimePoint StartedAt)
+    : Self(Self), Directory(Directory), StartedAt(StartedAt) {}
+
+NodeAddress FlowSteering::agentOf(const packet::FlowKey &Key) const {
+  const auto Found = Flows.find(Key);
+  return Found == Flows.end() ? 0 : Found->second.Agent;
+}
+
+Transit FlowSteering::transitTo(const std::string &Service, bool Search, bool Insist) const {
+  return {Self, serviceDigest(Service), Search, Insist};
+}
+
+SteeringActions FlowSteering::onPacket(const PacketHead &Head, std::span<const std::uint8_t> Raw,
+                                       common::TimePoint Now) {
+  SteeringActions Out;
+  const auto Found = Flows.find(Head.Key);
+  if (Head.opensFlow()) {
+    if (Found == Flows.end())
+      openFlow(Head, Raw, Now, Out);
+    else
+      repeatFirstPacket(Head, Found->second, Now, Out);
+    return Out;
+  }
+  if (Found == Flows.end()) {
+    if (Flows.size() >= MaxSteeredFlows) {
+      Out.push_back({.Reason = SteeringReason::TableFull, .Key = Head.Key});
+      return Out;
+    }
+    Flow &Held = Flows[Head.Key];
+    Held.UsedAt = Now;
+    search(Head, Held, 0, nullptr, Now, Out);
+    return Out;
+  }
+  Flow &Held = Found->second;
+  Held.UsedAt = Now;
+  if (Held.State == Phase::Searching)
+    search(Head, Held, 0, nullptr, Now, Out);
+  else
+    forwardOpen(Head, Held, Now, Out);
+  if (Head.Bits.Fin || Head.Bits.Rst)
+    setState(Held, Phase::Ended, Now);
+  return Out;
+}
+
+void FlowSteering::openFlow(const PacketHead &Head, std::span<const std::uint8_t> Raw,
+                            common::TimePoint Now, SteeringActions &Out) {
+  const Route *Found = Routes->find(Head.Key.Service);
+  if (Found == nullptr) {
+    // A copy of a first packet gives a node that may be behind the time to catch up.
+    if (Routes->revision() != 0 && (RoutesCurrent || Head.Acknowledgement > 0))
+      refuse(Head.Key, SteeringReason::NoRoute, Out);
+    else
+      Out.push_back({.Reason = SteeringReason::NotReady, .Key = Head.Key});
+    return;
+  }
+  if (Flows.size() >= MaxSteeredFlows) {
+    Out.push_back({.Reason = SteeringReason::TableFull, .Key = Head.Key});
+    return;
+  }
+  Flow &Held = Flows[Head.Key];
+  setState(Held, Phase::Opening, Now);
+  Held.UsedAt = Now;
+  Held.Open = std::make_unique<Opening>();
+  Held.Open->Service = RouteTable::serviceFor(*Found, Head.Key);
+  // Callers keep a flow for requests that they may repeat, and open one for each other request.
+  Held.Open->Kind = Found->Idempotent ? FlowKind::Long : FlowKind::Short;
+  Held.Open->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+  Held.Open->StartedAt = Now;
+  place(Head.Key, Held, Now, Out);
+}
+
+// A caller repeats its first packet if it has seen no answer. The upstream that accepted the flow
+// answers again; otherwise the agent that has the packet is passed over.
+void FlowSteering::repeatFirstPacket(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+                                     SteeringActions &Out) {
+  Held.UsedAt = Now;
+  if (Held.State != Phase::Opening || Held.Open == nullptr) {
+    if (Held.Agent != 0)
+      Out.push_back({.What = SteeringAction::Kind::Forward,
+                     .Reason = SteeringReason::Known,
+                     .Key = Head.Key,
+                     .Agent = Held.Agent,
+                     .Fields = transitTo("", false, true)});
+    return;
+  }
+  if (Held.Open->Waiting && !Held.Open->Tried.empty())
+    Directory.suspect(Held.Open->Tried.back(), Now);
+  place(Head.Key, Held, Now, Out);
+}
+
+void FlowSteering::place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now,
+                         SteeringActions &Out) {
+  Opening &Open = *Held.Open;
+  std::optional<NodeAddress> Chosen;
+  bool Insist = false;
+  if (Open.Tried.size() < MaxPlacements && Open.Busy.size() <= MaxBusyReturns)
+    Chosen = Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
+  if (!Chosen && !Open.Busy.empty()) {
+    // All that were asked are busy; the one that is least so has to queue the flow's work.
+    const auto Least = std::min_element(
+        Open.Busy.begin(), Open.Busy.end(), [this](NodeAddress A, NodeAddress B) {
+          const AgentView *First = Directory.find(A);
+          const AgentView *Second = Directory.find(B);
+          return (First != nullptr ? First->Load.Unanswered : UINT32_MAX) <
+                 (Second != nullptr ? Second->Load.Unanswered : UINT32_MAX);
+        });
+    Chosen = *Least;
+    Insist = true;
+    Open.Busy.erase(Least);
+  }
+  if (!Chosen) {
+    const bool Settled = Now - StartedAt >= ViewSettleTime;
+    if (Settled || !Open.Tried.empty())
+      refuse(Key, SteeringReason::NoUpstream, Out);
+    else
+      Out.push_back({.Reason = SteeringReason::NotReady, .Key = Key});
+    Flows.erase(Key);
+    return;
+  }
+  const SteeringReason Reason = Insist               ? SteeringReason::Insisted
+                                : Open.Tried.empty() ? SteeringReason::Placed
+                                                     : SteeringReason::PlacedAgain;
+  Open.Tried.push_back(*Chosen);
+  Open.Waiting = true;
+  Held.Agent = *Chosen;
+  Directory.notePlacement(*Chosen, Open.Kind, Now);
+  PlacementChecks.emplace_back(Now + PlacementTimeout, Key);
+  Transit Fields = transitTo(Open.Service, false, Insist);
+  Out.push_back({.What = SteeringAction::Kind::Forward,
+                 .Reason = Reason,
+                 .Key = Key,
+                 .Agent = *Chosen,
+                 .Fields = Fields,
+                 .Attempt = static_cast<std::uint8_t>(Open.Tried.size()),
+                 .Saved = Open.Packet});
+}
+
+void FlowSteering::refuse(const packet::FlowKey &Key, SteeringReason Reason,
+                          SteeringActions &Out) {
+  Out.push_back({.What = SteeringAction::Kind::Reset, .Reason = Reason, .Key = Key});
+}
+
+void FlowSteering::forwardOpen(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+                               SteeringActions &Out) {
+  if (Held.State == Phase::Opening && Held.Open != nullptr && Held.Open->Tried.size() > 1) {
+    // Several upstreams may have accepted the flow; the caller has answered one of them.
+    for (const NodeAddress Agent : Held.Open->Tried)
+      Out.push_back({.What = SteeringAction::Kind::Forward,
+                     .Reason = SteeringReason::Searched,
+                     .Key = Head.Key,
+                     .Agent = Agent,
+                     .Fields = transitTo("", true, false)});
+    return;
+  }
+  if (Held.Agent == 0) {
+    search(Head, Held, 0, nullptr, Now, Out);
+    return;
+  }
+  // Only one upstream has seen the flow, and the caller has its answer.
+  if (Held.State == Phase::Opening) {
+    Held.Open.reset();
+    setState(Held, Phase::Open, Now);
+    ShareChecks.emplace_back(Now + ShareAge, Head.Key);
+  }
+  Out.push_back({.What = SteeringAction::Kind::Forward,
+                 .Reason = SteeringReason::Known,
+                 .Key = Head.Key,
+                 .Agent = Held.Agent,
+                 .Fields = transitTo("", false, false)});
+}
+
+// The first search asks the agents of the route's service. A later one asks all: the route may have
+// changed while the flow was open.
+void FlowSteering::search(const PacketHead &Head, Flow &Held, NodeAddress Except,
+                          std::shared_ptr<const Bytes> Saved, common::TimePoint Now,
+                          SteeringActions &Out) {
+  const bool Again = Held.State == Phase::Searching;
+  if (Again && Now - Held.StateAt < SearchInterval) {
+    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Head.Key});
+    return;
+  }
+  const Route *Found = Routes->find(Head.Key.Service);
+  const std::string Service =
+      Found == nullptr || Again ? std::string() : RouteTable::serviceFor(*Found, Head.Key);
+  auto Agents = Directory.agentsOf(Service);
+  std::erase(Agents, Except);
+  if (!takeSearchTokens(Agents.size(), Now)) {
+    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Head.Key});
+    return;
+  }
+  Held.Agent = 0;
+  Held.Open.reset();
+  setState(Held, Phase::Searching, Now);
+  for (const NodeAddress Agent : Agents)
+    Out.push_back({.What = SteeringAction::Kind::Forward,
+                   .Reason = SteeringReason::Searched,
+                   .Key = Head.Key,
+                   .Agent = Agent,
+                   .Fields = transitTo("", true, false),
+                   .Saved = Saved});
+}
+
+bool FlowSteering::takeSearchTokens(std::size_t Count, common::TimePoint Now) {
+  const double Elapsed = std::chrono::duration<double>(Now - SearchTokensAt).count();
+  SearchTokens =
+      std::min(SearchPacketsPerSecond, SearchTokens + Elapsed * SearchPacketsPerSecond);
+  SearchTokensAt = Now;
+  if (SearchTokens < static_cast<double>(Count))
+    return false;
+  SearchTokens -= static_cast<double>(Count);
+  return true;
+}
+
+SteeringActions FlowSteering::onReturned(const PacketHead &Head, const ReturnedPacket &Returned,
+                                         NodeAddress From, common::TimePoint Now) {
+  SteeringActions Out;
+  Directory.onLoad(From, Returned.Load, Now);
+  const auto Found = Flows.find(Head.Key);
+  if (Head.opensFlow()) {
+    if (Found == Flows.end() || Found->second.State != Phase::Opening ||
+        Found->second.Open == nullptr)
+      return Out; // Another upstream has accepted the flow meanwhile, or the caller gave up.
+    Opening &Open = *Found->second.Open;
+    if (Returned.Reason == ReturnReason::Unanswered)
+      Directory.suspect(From, Now);
+    if (Returned.Reason == ReturnReason::Busy)
+      Open.Busy.push_back(From);
+    if (!Open.Tried.empty() && Open.Tried.back() != From)
+      return Out; // A later agent has the packet already.
+    Open.Waiting = false;
+    place(Head.Key, Found->second, Now, Out);
+    return Out;
+  }
+  Flow &Held = Found == Flows.end() ? Flows[Head.Key] : Found->second;
+  Held.UsedAt = Now;
+  if (Held.Agent != 0 && Held.Agent != From) {
+    // The flow has been found elsewhere since.
+    Out.push_back({.What = SteeringAction::Kind::Forward,
+                   .Reason = SteeringReason::Known,
+                   .Key = Head.Key,
+                   .Agent = Held.Agent,
+                   .Fields = transitTo("", false, false),
+                   .Saved = std::make_shared<const Bytes>(Returned.Packet)});
+    return Out;
+  }
+  if (Held.Other != 0) {
+    Held.Agent = std::exchange(Held.Other, 0);
+    Out.push_back({.What = SteeringAction::Kind::Forward,
+                   .Reason = SteeringReason::Known,
+                   .Key = Head.Key,
+                   .Agent = Held.Agent,
+                   .Fields = transitTo("", false, false),
+                   .Saved = std::make_shared<const Bytes>(Returned.Packet)});
+    return Out;
+  }
+  if (Held.State == Phase::Ended)
+    return Out;
+  search(Head, Held, From, std::make_shared<const Bytes>(Returned.Packet), Now, Out);
+  return Out;
+}
+
+void FlowSteering::onNotice(const FlowNotice &Notice, NodeAddress From, common::TimePoint Now) {
+  Directory.onLoad(From, Notice.Load, Now);
+  if (Flows.size() >= MaxSteeredFlows && !Flows.contains(Notice.Key))
+    return;
+  Flow &Held = Flows[Notice.Key];
+  if (Held.State == Phase::Open && Held.Agent != From && Held.Agent != 0) {
+    Held.Other = From;
+    return;
+  }
+  const bool New = Held.State != Phase::Open;
+  Held.Agent = From;
+  Held.Open.reset();
+  Held.UsedAt = Now;
+  if (New && Held.State != Phase::Ended) {
+    setState(Held, Phase::Open, Now);
+    ShareChecks.emplace_back(Now + ShareAge, Notice.Key);
+  }
+}
+
+void FlowSteering::onShare(const FlowShare &Share, common::TimePoint Now) {
+  for (const auto &Entry : Share.Entries) {
+    if (Flows.size() >= MaxSteeredFlows && !Flows.contains(Entry.Key))
+      return;
+    auto [Found, Added] = Flows.try_emplace(Entry.Key);
+    Flow &Held = Found->second;
+    if (!Added && Held.State != Phase::Searching)
+      continue;
+    Held.Agent = Entry.Agent;
+    Held.Shared = true;
+    Held.UsedAt = Now;
+    setState(Held, Phase::Open, Now);
+  }
+}
+
+std::optional<common::TimePoint> FlowSteering::nextPlacementCheck() const noexcept {
+  if (PlacementChecks.empty())
+    return std::nullopt;
+  return PlacementChecks.front().first;
+}
+
+SteeringActions FlowSteering::onTimer(common::TimePoint Now) {
+  SteeringActions Out;
+  while (!PlacementChecks.empty() && PlacementChecks.front().first <= Now) {
+    const packet::FlowKey Key = PlacementChecks.front().second;
+    PlacementChecks.pop_front();
+    const auto Found = Flows.find(Key);
+    if (Found == Flows.end() || Found->second.Open == nullptr)
+      continue;
+    Flow &Held = Found->second;
+    const bool Unanswered = Held.State == Phase::Opening && Held.Open->Waiting &&
+                            Now - Held.Open->StartedAt < OpenTimeout;
+    if (!Unanswered)
+      continue;
+    Directory.suspect(Held.Open->Tried.back(), Now);
+    if (Directory.choose(Held.Open->Service, Held.Open->Kind, Held.Open->Tried, Now))
+      place(Key, Held, Now, Out);
+  }
+  forgetOld(Now);
+  return Out;
+}
+
+void FlowSteering::forgetOld(common::TimePoint Now) {
+  const std::size_t Buckets = Flows.bucket_count();
+  for (std::size_t I = 0; I < std::min(SweepBuckets, Buckets); ++I) {
+    SweepBucket = (SweepBucket + 1) % Buckets;
+    std::vector<packet::FlowKey> Old;
+    for (auto At = Flows.begin(SweepBucket); At != Flows.end(SweepBucket); ++At) {
+      const Flow &Held = At->second;
+      const bool Ended = Held.State == Phase::Ended && Now - Held.UsedAt > EndedRetention;
+      const bool Unopened = Held.State == Phase::Opening && Now - Held.UsedAt > 2 * OpenTimeout;
+      if (Ended || Unopened || Now - Held.UsedAt > IdleRetention)
+        Old.push_back(At->first);
+    }
+    for (const auto &Key : Old)
+      Flows.erase(Key);
+  }
+}
+
+std::vector<FlowShare> FlowSteering::takeShares(common::TimePoint Now) {
+  std::vector<FlowShare> Shares;
+  while (!ShareChecks.empty() && ShareChecks.front().first <= Now) {
+    const packet::FlowKey Key = ShareChecks.front().second;
+    ShareChecks.pop_front();
+    const auto Found = Flows.find(Key);
+    if (Found == Flows.end() || Found->second.State != Phase::Open || Found->second.Shared)
+      continue;
+    Found->second.Shared = true;
+    if (Shares.empty() || Shares.back().Entries.size() >= MaxSharedFlows)
+      Shares.emplace_back();
+    Shares.back().Entries.push_back({Key, Found->second.Agent});
+  }
+  return Shares;
+}
+
+std::vector<FlowShare> FlowSteering::allShares() const {
+  std::vector<FlowShare> Shares;
+  for (const auto &[Key, Held] : Flows) {
+    if (Held.State != Phase::Open || Held.Agent == 0)
+      continue;
+    if (Shares.empty() || Shares.back().Entries.size() >= MaxSharedFlows)
+      Shares.emplace_back();
+    Shares.back().Entries.push_back({Key, Held.Agent});
+  }
+  return Shares;
+}
+
+} // namespace galenarelay::relay
--- /dev/null
+++ b/src/relay/peer_message.cpp
@@ -0,0 +1,144 @@
+#include "galenarelay/relay/peer_message.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace galenarelay::relay {
+
+using common::Outcome;
+using common::ResultCode;
+using nlohmann::json;
+
+namespace {
+
+// Types of messages, the first element of each array.
+enum class Type : std::uint8_t { Report, Beacon, Notice, Returned, Share };
+
+json loadJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
+
+UpstreamLoad loadOf(const json &Document) {
+  return {Document.at(0).get<std::uint32_t>(), Document.at(1).get<std::uint32_t>()};
+}
+
+json keyJson(const packet::FlowKey &Key) {
+  return json::array({Key.Caller.Address, Key.Caller.Port, Key.Service.Address, Key.Service.Port});
+}
+
+packet::FlowKey keyOf(const json &Document) {
+  return {{Document.at(0).get<std::uint32_t>(), Document.at(1).get<std::uint16_t>()},
+          {Document.at(2).get<std::uint32_t>(), Document.at(3).get<std::uint16_t>()}};
+}
+
+json toJson(const AgentReport &Report) {
+  return json::array({Type::Report, Report.Id, Report.Zone, Report.Incarnation, Report.Number,
+                      Report.Service, Report.State, Report.UpstreamIncarnation, Report.Slots,
+                      loadJson(Report.Load), Report.ColdFor.count()});
+}
+
+json toJson(const BalancerBeacon &Beacon) {
+  return json::array({Type::Beacon, Beacon.Id, Beacon.Zone, Beacon.Incarnation, Beacon.Held,
+                      Beacon.Leaving, Beacon.Balancers, Beacon.Agents});
+}
+
+json toJson(const FlowNotice &Notice) {
+  return json::array({Type::Notice, keyJson(Notice.Key), loadJson(Notice.Load)});
+}
+
+json toJson(const ReturnedPacket &Returned) {
+  return json::array({Type::Returned, Returned.Reason, loadJson(Returned.Load),
+                      json::binary(Returned.Packet)});
+}
+
+json toJson(const FlowShare &Share) {
+  json Rows = json::array();
+  for (const auto &Entry : Share.Entries)
+    Rows.push_back(json::array({keyJson(Entry.Key), Entry.Agent}));
+  return json::array({Type::Share, std::move(Rows)});
+}
+
+template <typename E> E enumOf(const json &Value, E Last) {
+  const auto Number = Value.get<std::uint8_t>();
+  if (Number > static_cast<std::uint8_t>(Last))
+    throw std::out_of_range("unknown value " + std::to_string(Number));
+  return static_cast<E>(Number);
+}
+
+AgentReport reportOf(const json &Fields) {
+  AgentReport Read;
+  Read.Id = Fields.at(1).get<std::string>();
+  Read.Zone = Fields.at(2).get<std::string>();
+  Read.Incarnation = Fields.at(3).get<std::uint64_t>();
+  Read.Number = Fields.at(4).get<std::uint64_t>();
+  Read.Service = Fields.at(5).get<std::string>();
+  Read.State = enumOf(Fields.at(6), UpstreamState::Stopping);
+  Read.UpstreamIncarnation = Fields.at(7).get<std::uint64_t>();
+  Read.Slots = Fields.at(8).get<std::uint32_t>();
+  Read.Load = loadOf(Fields.at(9));
+  Read.ColdFor = common::Duration(Fields.at(10).get<std::int64_t>());
+  return Read;
+}
+
+BalancerBeacon beaconOf(const json &Fields) {
+  BalancerBeacon Read;
+  Read.Id = Fields.at(1).get<std::string>();
+  Read.Zone = Fields.at(2).get<std::string>();
+  Read.Incarnation = Fields.at(3).get<std::uint64_t>();
+  Read.Held = Fields.at(4).get<std::uint64_t>();
+  Read.Leaving = Fields.at(5).get<bool>();
+  Read.Balancers = Fields.at(6).get<std::vector<NodeAddress>>();
+  Read.Agents = Fields.at(7).get<std::vector<NodeAddress>>();
+  return Read;
+}
+
+FlowShare shareOf(const json &Fields) {
+  FlowShare Read;
+  for (const json &Row : Fields.at(1))
+    Read.Entries.push_back({keyOf(Row.at(0)), Row.at(1).get<NodeAddress>()});
+  return Read;
+}
+
+PeerMessage messageOf(const json &Fields) {
+  switch (enumOf(Fields.at(0), Type::Share)) {
+  case Type::Report:
+    return reportOf(Fields);
+  case Type::Beacon:
+    return beaconOf(Fields);
+  case Type::Notice:
+    return FlowNotice{keyOf(Fields.at(1)), loadOf(Fields.at(2))};
+  case Type::Returned:
+    return ReturnedPacket{enumOf(Fields.at(1), ReturnReason::NotHeld), loadOf(Fields.at(2)),
+                          Fields.at(3).get_binary()};
+  case Type::Share:
+    return shareOf(Fields);
+  }
+  throw std::out_of_range("unknown type");
+}
+
+} // namespace
+
+std::string_view name(UpstreamState State) noexcept {
+  constexpr std::array<std::string_view, 5> Names{"unknown", "ready", "draining", "silent",
+                                                  "stopping"};
+  return Names[static_cast<std::size_t>(State)];
+}
+
+std::string_view name(ReturnReason Reason) noexcept {
+  constexpr std::array<std::string_view, 6> Names{"busy",       "refused",       "leaving",
+                                                  "unanswered", "wrong_service", "not_held"};
+  return Names[static_cast<std::size_t>(Reason)];
+}
+
+Bytes encode(const PeerMessage &Message) {
+  return json::to_cbor(std::visit([](const auto &Each) { return toJson(Each); }, Message));
+}
+
+Outcome<PeerMessage> decodeMessage(std::span<const std::uint8_t> Datagram) {
+  try {
+    return {messageOf(json::from_cbor(Datagram.begin(), Datagram.end())), {}};
+  } catch (const std::exception &Problem) {
+    return {std::nullopt, {ResultCode::MessageMalformed, Problem.what()}};
+  }
+}
+
+} // namespace galenarelay::relay
--- /dev/null
+++ b/src/relay/upstream_flows.cpp
@@ -0,0 +1,350 @@
+#include "galenarelay/relay/upstream_flows.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace galenarelay::relay {
+
+namespace {
+
+/// Buckets of the flow table that one timer call looks at for old flows.
+constexpr std::size_t SweepBuckets = 256;
+/// An agent that has just started takes new flows for this many heartbeat intervals without having
+/// heard its upstream, of which it knows the service from its settings.
+constexpr double UnheardIntervals = 1.5;
+
+} // namespace
+
+std::string_view name(FlowEvent Event) noexcept {
+  constexpr std::array<std::string_view, FlowEvents> Names{
+      "open_offered", "open_declined",    "accepted", "delivered", "doubted",
+      "not_held",     "lost_by_upstream", "adopted",  "to_caller"};
+  return Names[static_cast<std::size_t>(Event)];
+}
+
+UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
+                             common::TimePoint StartedAt)
+    : SettingsService(std::move(SettingsService)), HeartbeatInterval(HeartbeatInterval),
+      Upstream(HeartbeatInterval), StartedAt(StartedAt) {}
+
+HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Heard, common::TimePoint Now) {
+  const auto Effect = Upstream.onHeartbeat(Heard, Now);
+  if (Effect == HeartbeatEffect::Outdated)
+    return Effect;
+  Mute = false;
+  // The upstream counts its heartbeats from its start, so that the number of this one tells how
+  // long it has run.
+  if (Effect == HeartbeatEffect::NewIncarnation)
+    KnowsAllFlows = Now - StartedAt >= HeartbeatInterval * static_cast<std::int64_t>(Heard.Sequence + 1);
+  return Effect;
+}
+
+std::string UpstreamFlows::service() const {
+  return Upstream.last() ? Upstream.last()->Service : SettingsService;
+}
+
+UpstreamState UpstreamFlows::state(common::TimePoint Now) const {
+  if (Stopping)
+    return UpstreamState::Stopping;
+  if (Upstream.leaving())
+    return UpstreamState::Draining;
+  if (Mute)
+    return UpstreamState::Silent;
+  if (Upstream.fresh(Now))
+    return UpstreamState::Ready;
+  if (!Upstream.known() && Now - StartedAt < HeartbeatInterval * UnheardIntervals)
+    return UpstreamState::Unknown;
+  return UpstreamState::Silent;
+}
+
+FlowActions UpstreamFlows::onBalancerPacket(const PacketHead &Head, const Transit &Fields,
+                                            std::span<const std::uint8_t> Raw,
+                                            NodeAddress Balancer, common::TimePoint Now) {
+  FlowActions Out;
+  if (Head.opensFlow()) {
+    onFirstPacket(Head, Fields, Raw, Balancer, Now, Out);
+    return Out;
+  }
+  const auto Found = Flows.find(Head.Key);
+  const bool Held = Found != Flows.end() && fits(Head, Found->second);
+  if (!Held) {
+    if (Found != Flows.end() || KnowsAllFlows) {
+      Out.push_back({.What = Fields.Search ? FlowAction::Kind::Drop : FlowAction::Kind::Return,
+                     .Event = FlowEvent::NotHeld,
+                     .Key = Head.Key,
+                     .Balancer = Balancer,
+                     .Reason = ReturnReason::NotHeld});
+      return Out;
+    }
+    Flow &Doubt = Flows[Head.Key];
+    Doubt.Balancer = Balancer;
+    Doubt.Searched = Fields.Search;
+    Doubt.UsedAt = Now;
+    noteCallerData(Head, Doubt);
+    Out.push_back(
+        {.What = FlowAction::Kind::Deliver, .Event = FlowEvent::Doubted, .Key = Head.Key});
+    return Out;
+  }
+  Flow &Known = Found->second;
+  Known.UsedAt = Now;
+  // The balancer that forwards now may be another one than before, and asks if it doesn't know.
+  if (Known.State != Phase::Doubted && (Fields.Search || Known.Balancer != Balancer))
+    Out.push_back({.What = FlowAction::Kind::Notify,
+                   .Event = FlowEvent::Delivered,
+                   .Key = Head.Key,
+                   .Balancer = Balancer});
+  Known.Balancer = Balancer;
+  Known.Searched = Fields.Search;
+  noteCallerData(Head, Known);
+  if (Head.Bits.Rst) {
+    close(Known);
+  } else if (Head.Bits.Fin) {
+    Known.CallerEnded = true;
+    if (Known.UpstreamEnded)
+      close(Known);
+  }
+  Out.push_back(
+      {.What = FlowAction::Kind::Deliver, .Event = FlowEvent::Delivered, .Key = Head.Key});
+  return Out;
+}
+
+std::optional<ReturnReason> UpstreamFlows::whyDeclined(const Transit &Fields,
+                                                       common::TimePoint Now) const {
+  if (Fields.ServiceDigest != 0 && Fields.ServiceDigest != serviceDigest(service()))
+    return ReturnReason::WrongService;
+  const UpstreamState State = state(Now);
+  if (State == UpstreamState::Silent)
+    return ReturnReason::Unanswered;
+  if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
+    return ReturnReason::Leaving;
+  const std::uint32_t Slots = Upstream.last() ? Upstream.last()->Slots : 0;
+  if (!Fields.Insist && Slots != 0 && Unanswered >= Slots)
+    return ReturnReason::Busy;
+  if (Flows.size() >= MaxUpstreamFlows)
+    return ReturnReason::Refused;
+  return std::nullopt;
+}
+
+void UpstreamFlows::onFirstPacket(const PacketHead &Head, const Transit &Fields,
+                                  std::span<const std::uint8_t> Raw, NodeAddress Balancer,
+                                  common::TimePoint Now, FlowActions &Out) {
+  const auto Found = Flows.find(Head.Key);
+  const bool Repeated = Found != Flows.end() && (Found->second.State == Phase::Offered ||
+                                                 Found->second.State == Phase::Open);
+  if (!Repeated) {
+    if (const auto Reason = whyDeclined(Fields, Now)) {
+      Out.push_back({.What = FlowAction::Kind::Return,
+                     .Event = FlowEvent::OpenDeclined,
+                     .Key = Head.Key,
+                     .Balancer = Balancer,
+                     .Reason = *Reason});
+      return;
+    }
+    if (Found != Flows.end())
+      forget(Found);
+  }
+  Flow &Held = Flows[Head.Key];
+  Held.Balancer = Balancer;
+  Held.UsedAt = Now;
+  if (!Repeated) {
+    Held.State = Phase::Offered;
+    Held.CallerSequence = Head.Sequence;
+    Held.FirstPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+    AnswerChecks.emplace_back(Now + FirstAnswerTimeout, Head.Key);
+  }
+  Out.push_back(
+      {.What = FlowAction::Kind::Deliver, .Event = FlowEvent::OpenOffered, .Key = Head.Key});
+}
+
+FlowActions UpstreamFlows::onUpstreamPacket(const PacketHead &Head, const Transit &Fields,
+                                            common::TimePoint Now) {
+  FlowActions Out;
+  Mute = false;
+  if (Head.Returned) {
+    onReturnedByUpstream(Head, Fields, Out);
+    return Out;
+  }
+  Flow &Held = Flows[Head.Key];
+  Held.UsedAt = Now;
+  const bool Accepts = Head.Bits.Syn && Head.Bits.Ack;
+  if (Accepts && Held.State != Phase::Open) {
+    Held.State = Phase::Open;
+    Held.HasFirstSequence = true;
+    Held.FirstSequence = Head.Sequence;
+    Held.UpstreamSequence = Head.Sequence;
+    Held.FirstPacket.reset();
+  }
+  const bool Adopted = Held.State == Phase::Doubted;
+  if (Adopted)
+    Held.State = Phase::Open;
+  if ((Accepts || Adopted) && Held.Balancer != 0 && !Held.Noticed) {
+    Held.Noticed = true;
+    Out.push_back({.What = FlowAction::Kind::Notify,
+                   .Event = Accepts ? FlowEvent::Accepted : FlowEvent::Adopted,
+                   .Key = Head.Key,
+                   .Balancer = Held.Balancer});
+  }
+  noteUpstreamData(Head, Held);
+  Out.push_back(
+      {.What = FlowAction::Kind::SendToCaller, .Event = FlowEvent::ToCaller, .Key = Head.Key});
+  if (Head.Bits.Rst) {
+    close(Held);
+  } else if (Head.Bits.Fin) {
+    Held.UpstreamEnded = true;
+    if (Held.CallerEnded)
+      close(Held);
+  }
+  return Out;
+}
+
+void UpstreamFlows::onReturnedByUpstream(const PacketHead &Head, const Transit &Fields,
+                                         FlowActions &Out) {
+  const auto Found = Flows.find(Head.Key);
+  FlowAction Back{.What = FlowAction::Kind::Return,
+                  .Event = FlowEvent::NotHeld,
+                  .Key = Head.Key,
+                  .Balancer = Fields.Balancer,
+                  .Reason = ReturnReason::NotHeld};
+  if (Head.opensFlow()) {
+    Back.Event = FlowEvent::OpenDeclined;
+    Back.Reason = ReturnReason::Refused;
+    if (Found != Flows.end() && Found->second.State == Phase::Offered)
+      forget(Found);
+    Out.push_back(std::move(Back));
+    return;
+  }
+  if (Found == Flows.end()) {
+    Out.push_back(std::move(Back));
+    return;
+  }
+  Flow &Held = Found->second;
+  if (Held.State == Phase::Doubted) {
+    if (Held.Searched)
+      Back.What = FlowAction::Kind::Drop;
+    forget(Found);
+    Out.push_back(std::move(Back));
+    return;
+  }
+  // The upstream had the flow and has it no longer, so that its earlier incarnation has ended. The
+  // caller can use the rest of its time elsewhere.
+  if (Held.State == Phase::Open && fits(Head, Held)) {
+    Back.What = FlowAction::Kind::ResetCaller;
+    Back.Event = FlowEvent::LostByUpstream;
+    Back.Sequence = Head.Acknowledgement;
+    forget(Found);
+  }
+  Out.push_back(std::move(Back));
+}
+
+bool UpstreamFlows::fits(const PacketHead &Head, const Flow &Held) noexcept {
+  if (!Held.HasFirstSequence || !Head.Bits.Ack)
+    return true;
+  return Head.Acknowledgement - Held.FirstSequence < SequenceWindow;
+}
+
+// A request begins with new data from the caller after the upstream has answered the one before.
+void UpstreamFlows::noteCallerData(const PacketHead &Head, Flow &Held) {
+  if (Head.Bits.Ack)
+    Held.CallerAcknowledgement = Head.Acknowledgement;
+  const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
+  if (Head.PayloadBytes == 0 || !sequenceBefore(Held.CallerSequence, End))
+    return;
+  Held.CallerSequence = End;
+  if (Held.RequestPending || Held.State == Phase::Closed)
+    return;
+  Held.RequestPending = true;
+  ++Unanswered;
+  if (Held.Requests < UINT16_MAX && ++Held.Requests > 1)
+    setLong(Held);
+}
+
+void UpstreamFlows::noteUpstreamData(const PacketHead &Head, Flow &Held) {
+  const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
+  if (Head.PayloadBytes == 0 || !sequenceBefore(Held.UpstreamSequence, End))
+    return;
+  Held.UpstreamSequence = End;
+  if (std::exchange(Held.RequestPending, false))
+    --Unanswered;
+}
+
+void UpstreamFlows::setLong(Flow &Held) {
+  if (!std::exchange(Held.Long, true))
+    ++LongFlows;
+}
+
+void UpstreamFlows::close(Flow &Held) {
+  if (std::exchange(Held.RequestPending, false))
+    --Unanswered;
+  if (std::exchange(Held.Long, false))
+    --LongFlows;
+  Held.State = Phase::Closed;
+  Held.FirstPacket.reset();
+}
+
+void UpstreamFlows::forget(FlowMap::iterator Entry) {
+  close(Entry->second);
+  Flows.erase(Entry);
+}
+
+std::optional<common::TimePoint> UpstreamFlows::nextAnswerCheck() const noexcept {
+  if (AnswerChecks.empty())
+    return std::nullopt;
+  return AnswerChecks.front().first;
+}
+
+FlowActions UpstreamFlows::onTimer(common::TimePoint Now) {
+  FlowActions Out;
+  while (!AnswerChecks.empty() && AnswerChecks.front().first <= Now) {
+    const packet::FlowKey Key = AnswerChecks.front().second;
+    AnswerChecks.pop_front();
+    const auto Found = Flows.find(Key);
+    if (Found == Flows.end() || Found->second.State != Phase::Offered)
+      continue;
+    Mute = true;
+    Out.push_back({.What = FlowAction::Kind::Return,
+                   .Event = FlowEvent::OpenDeclined,
+                   .Key = Key,
+                   .Balancer = Found->second.Balancer,
+                   .Reason = ReturnReason::Unanswered,
+                   .Saved = Found->second.FirstPacket});
+  }
+  forgetOld(Now);
+  return Out;
+}
+
+void UpstreamFlows::forgetOld(common::TimePoint Now) {
+  const std::size_t Buckets = Flows.bucket_count();
+  for (std::size_t I = 0; I < std::min(SweepBuckets, Buckets); ++I) {
+    SweepBucket = (SweepBucket + 1) % Buckets;
+    std::vector<packet::FlowKey> Old;
+    for (auto At = Flows.begin(SweepBucket); At != Flows.end(SweepBucket); ++At) {
+      const Flow &Held = At->second;
+      const common::Duration Unused = Now - Held.UsedAt;
+      const bool Expired = (Held.State == Phase::Closed && Unused > ClosedRetention) ||
+                           (Held.State == Phase::Doubted && Unused > DoubtRetention) ||
+                           (Held.State == Phase::Offered && Unused > DoubtRetention) ||
+                           Unused > UnusedRetention;
+      if (Expired)
+        Old.push_back(At->first);
+    }
+    for (const auto &Key : Old)
+      forget(Flows.find(Key));
+  }
+}
+
+FlowActions UpstreamFlows::resetAll() {
+  FlowActions Out;
+  for (auto &[Key, Held] : Flows) {
+    if (Held.State != Phase::Open)
+      continue;
+    Out.push_back({.What = FlowAction::Kind::ResetCaller,
+                   .Event = FlowEvent::LostByUpstream,
+                   .Key = Key,
+                   .Sequence = Held.CallerAcknowledgement});
+    close(Held);
+  }
+  return Out;
+}
+
+} // namespace galenarelay::relay
