End searches that all agents deny with a reset, and keep records of agents in the store

Cause: after a power cut callers kept sending on flows that no upstream holds, until their deadlines passed. Change: agents answer a search; a balancer that knows all agents resets a flow that all deny. Flows of a lost agent are reset if their requests may be repeated.

--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -3,10 +3,16 @@
 
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/metrics.h"
+#include "galenarelay/common/random.h"
 #include "galenarelay/relay/store_call.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -83,6 +89,82 @@
   bool Reachable = true;
 };
 
+/// Pause after a failed call, doubled up to the maximum, with jitter.
+inline constexpr common::Duration MinCallPause = std::chrono::milliseconds(100);
+inline constexpr common::Duration MaxCallPause = std::chrono::milliseconds(1500);
+/// Life of a node's record, and the interval of its renewals. After a power cut of everything the
+/// records tell which nodes exist, so that they outlive a restart by far.
+inline constexpr common::Duration RecordLease = std::chrono::seconds(30);
+inline constexpr common::Duration RecordRenewal = std::chrono::seconds(10);
+/// A record that was lost with the lease of a store that had been away is written again within two
+/// seconds: renewals come at this interval until one has succeeded after a failure.
+inline constexpr common::Duration RecordRetry = std::chrono::milliseconds(1000);
+
+/// Half to one and a half of the base, so that nodes don't call in step.
+[[nodiscard]] inline common::Duration jittered(common::Duration Base, common::Engine &Random) {
+  return std::chrono::duration_cast<common::Duration>(Base * (0.5 + common::uniformUnit(Random)));
+}
+
+/// Completes after a time.
+[[nodiscard]] inline boost::asio::awaitable<void> pauseFor(common::Duration Time) {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor, Time);
+  co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+/// The record by which other nodes find this one: its key holds its address for as long as it runs.
+template <relay::StoreProtocol Protocol> class StoreRecord {
+public:
+  StoreRecord(RelayStore<Protocol> &Store, std::string Key, std::string Value)
+      : Store(Store), Key(std::move(Key)), Value(std::move(Value)) {}
+
+  /// Writes the record and renews its lease until remove() is called.
+  boost::asio::awaitable<void> keep(common::Engine &Random) {
+    std::uint64_t Lease = 0;
+    common::Duration Pause = MinCallPause;
+    while (!Removed) {
+      bool Done = false;
+      if (Lease != 0) {
+        const auto Renewed = co_await Store.renewLease(Lease);
+        Done = static_cast<bool>(Renewed);
+        if (!Done && Renewed.Failure.Code == common::ResultCode::StoreKeyNotFound) {
+          common::log(common::LogLevel::Warning, "record_lapsed", {{"key", Key}});
+          Lease = 0;
+          continue;
+        }
+      } else {
+        Lease = co_await write();
+        Done = Lease != 0;
+      }
+      co_await pauseFor(jittered(Done ? RecordRenewal : Pause, Random));
+      Pause = Done ? MinCallPause : std::min(Pause * 2, RecordRetry);
+    }
+  }
+
+  /// Removes the record, which would otherwise last until its lease ends.
+  boost::asio::awaitable<void> remove() {
+    Removed = true;
+    const auto Result = co_await Store.remove(Key);
+    if (!Result)
+      common::log(common::LogLevel::Warning, "record_not_removed",
+                  {{"key", Key}, {"detail", Result.Failure.Detail}});
+  }
+
+private:
+  /// Returns the lease, 0 if the store didn't take the record.
+  boost::asio::awaitable<std::uint64_t> write() {
+    const auto Granted = co_await Store.grantLease(RecordLease);
+    if (!Granted)
+      co_return 0;
+    const auto Written = co_await Store.put(Key, Value, Granted->Id);
+    co_return Written ? Granted->Id : 0;
+  }
+
+  RelayStore<Protocol> &Store;
+  std::string Key;
+  std::string Value;
+  bool Removed = false;
+};
+
 } // namespace galenarelay::node::impl
 
 #endif // GALENARELAY_NODE_IMPL_RELAY_STORE_H
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -27,8 +27,10 @@
 /// Longest interval of reports: below a third of relay::ReportStale.
 inline constexpr common::Duration MaxReportInterval = std::chrono::milliseconds(190);
 /// Interval of reports to addresses that have not answered, while no balancer has and afterwards.
-inline constexpr common::Duration FirstContactInterval = std::chrono::milliseconds(100);
+inline constexpr common::Duration FirstContactInterval = std::chrono::milliseconds(60);
 inline constexpr common::Duration ContactInterval = std::chrono::milliseconds(1000);
+/// The store is asked for balancers again if none has been heard when this time has passed.
+inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
 /// A stopping agent ends after this time, in which its last messages leave.
 inline constexpr common::Duration AgentStopTime = std::chrono::milliseconds(20);
 
@@ -40,7 +42,10 @@
         StartedAt(common::suspendAwareNow()),
         Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
         Flows(Options.Service, Options.HeartbeatInterval, StartedAt),
-        Peers(Options.Node.Packets.Address), Store(Options.Node.Store, Metrics), Ticker(Io),
+        Peers(Options.Node.Packets.Address), Store(Options.Node.Store, Metrics),
+        Record(Store, AgentRecords + Options.Node.Id,
+               common::addressToString(Options.Node.Packets.Address)),
+        Ticker(Io),
         LastTick(StartedAt),
         FlowGauge(Metrics.gauge("flows", "Flows in the table")),
         UnansweredGauge(
@@ -79,6 +84,7 @@
                  {"incarnation", Incarnation},
                  {"version", GALENARELAY_VERSION}});
     boost::asio::co_spawn(Io, findBalancers(), boost::asio::detached);
+    boost::asio::co_spawn(Io, Record.keep(Random), boost::asio::detached);
     tick();
   }
 
@@ -93,7 +99,10 @@
     if (UpstreamEnded)
       perform(Flows.resetAll(), {}, Now);
     sendReports(Now);
-    co_await pause(AgentStopTime);
+    if (UpstreamEnded)
+      co_await Record.remove();
+    else
+      co_await impl::pauseFor(AgentStopTime);
     common::log(common::LogLevel::Info, "stopped");
   }
 
@@ -104,13 +113,6 @@
   }
 
 private:
-  static constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
-
-  boost::asio::awaitable<void> pause(common::Duration Time) {
-    boost::asio::steady_timer Timer(Io, Time);
-    co_await Timer.async_wait(AsTuple);
-  }
-
   // --- packets
 
   void onBalancerPacket(std::span<std::uint8_t> Raw, relay::NodeAddress From) {
@@ -158,6 +160,8 @@
     }
     case Kind::Notify:
       return sendTo(Action.Balancer, relay::FlowNotice{Action.Key, Flows.load()});
+    case Kind::Deny:
+      return sendTo(Action.Balancer, relay::FlowAbsence{Action.Key});
     case Kind::Drop:
       return;
     }
@@ -319,28 +323,33 @@
   // --- balancers in the store
 
   boost::asio::awaitable<void> findBalancers() {
-    common::Duration Pause = MinCallPause;
+    common::Duration Pause = impl::MinCallPause;
     while (true) {
-      co_await pause(Peers.live(common::suspendAwareNow()).empty()
-                         ? std::exchange(Pause, std::min(Pause * 2, MaxCallPause))
-                         : LookupInterval);
-      if (!Peers.live(common::suspendAwareNow()).empty())
-        continue;
-      const auto Page = co_await Store.list(BalancerRecords);
-      if (!Page)
-        continue;
-      for (const auto &Item : Page->Items) {
-        const auto Parsed =
-            common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
-        if (Parsed)
-          Peers.addContact(Parsed->Address, common::suspendAwareNow());
-        else
-          common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
+      if (Peers.live(common::suspendAwareNow()).empty()) {
+        const auto Page = co_await Store.list(BalancerRecords);
+        if (Page)
+          takeRecords(*Page);
+        co_await impl::pauseFor(impl::jittered(Pause, Random));
+        Pause = std::min(Pause * 2, impl::MaxCallPause);
+      } else {
+        Pause = impl::MinCallPause;
+        co_await impl::pauseFor(LookupInterval);
       }
-      NextContact = {};
     }
   }
 
+  void takeRecords(const relay::StorePage &Page) {
+    const auto Now = common::suspendAwareNow();
+    for (const auto &Item : Page.Items) {
+      const auto Parsed = common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
+      if (Parsed)
+        Peers.addContact(Parsed->Address, Now);
+      else
+        common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
+    }
+    NextContact = {};
+  }
+
   boost::asio::io_context &Io;
   RelayAgentOptions Options;
   common::Metrics &Metrics;
@@ -350,6 +359,7 @@
   relay::UpstreamFlows Flows;
   relay::BalancerPeers Peers;
   impl::RelayStore<typename Platform::Store> Store;
+  impl::StoreRecord<typename Platform::Store> Record;
   std::unique_ptr<common::UdpSocket> Packets;
   std::unique_ptr<common::UdpSocket> Outbound;
   std::unique_ptr<common::UdpSocket> PeerSocket;
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -9,12 +9,10 @@
 #include "galenarelay/relay/balancer_peers.h"
 #include "galenarelay/relay/flow_steering.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <array>
@@ -35,17 +33,9 @@
 inline constexpr common::Duration AgentBeaconInterval = std::chrono::milliseconds(1000);
 /// Changes of the configuration that come within this time share one read of the store.
 inline constexpr common::Duration WatchPause = std::chrono::milliseconds(100);
-/// Pause after a failed call, doubled up to the maximum, with jitter.
-inline constexpr common::Duration MinCallPause = std::chrono::milliseconds(100);
-inline constexpr common::Duration MaxCallPause = std::chrono::milliseconds(1500);
 /// A newer configuration of a peer is fetched if the store has not brought it within this time.
 inline constexpr common::Duration PeerFetchDelay = std::chrono::milliseconds(150);
 inline constexpr common::Duration PeerFetchTimeout = std::chrono::milliseconds(1000);
-/// Life of the store record of a balancer, and the interval of its renewals.
-inline constexpr common::Duration RecordLease = std::chrono::seconds(30);
-inline constexpr common::Duration RecordRenewal = std::chrono::seconds(10);
-/// Balancers are looked up in the store again while none answers.
-inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
 /// A stopping balancer forwards for this time at least: two readiness checks, half a second apart,
 /// must fail before routers turn away.
 inline constexpr common::Duration MinDrainTime = std::chrono::milliseconds(1300);
@@ -54,8 +44,10 @@
 inline constexpr common::Duration MaxDrainTime = std::chrono::milliseconds(4500);
 /// Log lines per second about single flows.
 inline constexpr std::uint32_t FlowLogLimit = 50;
-/// Store keys below which balancers register; the value is the IPv4 address.
+/// Store keys below which nodes register; the value is the IPv4 address.
+inline constexpr const char *NodeRecords = "galenarelay/";
 inline constexpr const char *BalancerRecords = "galenarelay/balancers/";
+inline constexpr const char *AgentRecords = "galenarelay/agents/";
 
 /// A balancer of relayed flows: connects its decisions to sockets, timers and the store.
 template <RelayPlatform Platform> class RelayBalancer {
@@ -66,7 +58,10 @@
         Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
         Directory(Options.Zone, Random()),
         Steering(Options.Packets.Address, Directory, StartedAt), Peers(Options.Packets.Address),
-        Store(Options.Store, Metrics), Ticker(Io), LastTick(StartedAt),
+        Store(Options.Store, Metrics),
+        Record(Store, BalancerRecords + Options.Id,
+               common::addressToString(Options.Packets.Address)),
+        Ticker(Io), LastTick(StartedAt),
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
         FlowGauge(Metrics.gauge("flows", "Flows in the table")),
@@ -101,7 +96,8 @@
                  {"incarnation", Incarnation},
                  {"version", GALENARELAY_VERSION}});
     spawn(followConfiguration());
-    spawn(keepRecord());
+    spawn(lookUpNodes());
+    spawn(Record.keep(Random));
     tick();
   }
 
@@ -111,9 +107,9 @@
     const auto Begin = common::suspendAwareNow();
     common::log(common::LogLevel::Info, "stopping", {{"flows", Steering.flows()}});
     sendBeacons(Begin, true);
-    spawn(removeRecord());
+    spawn(Record.remove());
     while (true) {
-      co_await pause(BalancerTick);
+      co_await impl::pauseFor(BalancerTick);
       const auto Now = common::suspendAwareNow();
       const bool Quiet = Now - LastPacketAt >= QuietTime && Now - Begin >= MinDrainTime;
       if (Quiet || Now - Begin >= MaxDrainTime)
@@ -133,7 +129,6 @@
 
 private:
   template <typename T> using Awaitable = boost::asio::awaitable<T>;
-  static constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
   static std::int64_t milliseconds(common::Duration Value) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
@@ -143,17 +138,6 @@
     boost::asio::co_spawn(Io, std::move(Task), boost::asio::detached);
   }
 
-  Awaitable<void> pause(common::Duration Time) {
-    boost::asio::steady_timer Timer(Io, Time);
-    co_await Timer.async_wait(AsTuple);
-  }
-
-  /// Half to one and a half of the base, so that nodes don't call in step.
-  common::Duration jittered(common::Duration Base) {
-    return std::chrono::duration_cast<common::Duration>(Base *
-                                                        (0.5 + common::uniformUnit(Random)));
-  }
-
   // --- packets
 
   void onCallerPacket(std::span<std::uint8_t> Raw) {
@@ -286,6 +270,10 @@
     perform(Steering.onReturned(*Head, Returned, From, Now), {}, Now);
   }
 
+  void take(const relay::FlowAbsence &Absence, relay::NodeAddress From, common::TimePoint Now) {
+    perform(Steering.onAbsence(Absence, From, Now), {}, Now);
+  }
+
   void take(const relay::FlowShare &Share, relay::NodeAddress, common::TimePoint Now) {
     Steering.onShare(Share, Now);
   }
@@ -339,10 +327,17 @@
       common::log(common::LogLevel::Warning, "resumed_after_pause",
                   {{"pause_ms", milliseconds(Now - LastTick)}});
       Steering.restartSettling(Now);
+      Directory.restartListening(Now);
     }
     LastTick = Now;
     Steering.setRoutesCurrent(routesCurrent(Now));
     perform(Steering.onTimer(Now), {}, Now);
+    for (const auto Agent : Directory.takeLost(Now)) {
+      common::log(common::LogLevel::Warning, "agent_lost",
+                  {{"agent", common::addressToString(Agent)},
+                   {"silent_ms", milliseconds(Now - Directory.find(Agent)->HeardAt)}});
+      perform(Steering.onAgentLost(Agent), {}, Now);
+    }
     sendBeacons(Now, false);
     for (auto &Share : Steering.takeShares(Now))
       for (const auto Peer : Peers.live(Now))
@@ -455,7 +450,7 @@
     const std::string Key = Platform::Store::configurationKey();
     std::uint64_t After = 0;
     bool Listed = false;
-    common::Duration Pause = MinCallPause;
+    common::Duration Pause = impl::MinCallPause;
     while (true) {
       // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
       common::Outcome<relay::StorePage> Page;
@@ -465,26 +460,26 @@
         Page = co_await Store.list(Key);
       if (Page) {
         StoreAnswerAt = common::suspendAwareNow();
-        Pause = MinCallPause;
+        Pause = impl::MinCallPause;
         After = Page->StoreRevision;
         offerItems(*Page);
         if (!Listed && Page->Items.empty())
-          co_await pause(jittered(MinCallPause));
+          co_await impl::pauseFor(impl::jittered(impl::MinCallPause, Random));
         else
           Listed = true;
         if (Listed && !Page->Items.empty())
-          co_await pause(WatchPause);
+          co_await impl::pauseFor(WatchPause);
         continue;
       }
       if (Page.Failure.Code == common::ResultCode::StoreHistoryGone)
         Listed = false;
-      co_await pause(jittered(Pause));
-      Pause = std::min(Pause * 2, MaxCallPause);
+      co_await impl::pauseFor(impl::jittered(Pause, Random));
+      Pause = std::min(Pause * 2, impl::MaxCallPause);
     }
   }
 
   Awaitable<void> fetchFromPeers() {
-    co_await pause(PeerFetchDelay);
+    co_await impl::pauseFor(PeerFetchDelay);
     while (const auto Ahead =
                Peers.aheadOf(Steering.routes().revision(), common::suspendAwareNow())) {
       const common::Endpoint Peer{*Ahead, Options.Admin.Port};
@@ -493,60 +488,42 @@
       if (Answer && Answer->Status == 200)
         offer(Answer->Body, "peer");
       else
-        co_await pause(jittered(MinCallPause));
+        co_await impl::pauseFor(impl::jittered(impl::MinCallPause, Random));
     }
     Fetching = false;
   }
 
-  // --- record in the store
-
-  std::string recordKey() const { return BalancerRecords + Options.Id; }
+  // --- nodes in the store
 
-  Awaitable<void> keepRecord() {
-    std::uint64_t Lease = 0;
-    common::Duration Pause = MinCallPause;
+  Awaitable<void> lookUpNodes() {
+    common::Duration Pause = impl::MinCallPause;
     while (!Leaving) {
-      bool Done = false;
-      if (Lease != 0) {
-        const auto Renewed = co_await Store.renewLease(Lease);
-        if (!Renewed && Renewed.Failure.Code == common::ResultCode::StoreKeyNotFound)
-          Lease = 0;
-        Done = static_cast<bool>(Renewed);
-      } else {
-        Lease = co_await writeRecord();
-        Done = Lease != 0;
+      const auto Page = co_await Store.list(NodeRecords);
+      if (Page) {
+        takeRecords(*Page);
+        co_return;
       }
-      co_await pause(jittered(Done ? RecordRenewal : Pause));
-      Pause = Done ? MinCallPause : std::min(Pause * 2, MaxCallPause);
+      co_await impl::pauseFor(impl::jittered(Pause, Random));
+      Pause = std::min(Pause * 2, impl::MaxCallPause);
     }
   }
 
-  /// Writes the record with a new lease; returns the lease, 0 if the store didn't take it.
-  Awaitable<std::uint64_t> writeRecord() {
-    const auto Granted = co_await Store.grantLease(RecordLease);
-    if (!Granted)
-      co_return 0;
-    const std::string Value = common::addressToString(Options.Packets.Address);
-    const auto Written = co_await Store.put(recordKey(), Value, Granted->Id);
-    if (!Written)
-      co_return 0;
-    co_await lookUpBalancers();
-    co_return Granted->Id;
-  }
-
-  Awaitable<void> removeRecord() { (void)co_await Store.remove(recordKey()); }
-
-  Awaitable<void> lookUpBalancers() {
-    const auto Page = co_await Store.list(BalancerRecords);
-    if (!Page)
-      co_return;
-    for (const auto &Item : Page->Items) {
+  void takeRecords(const relay::StorePage &Page) {
+    const auto Now = common::suspendAwareNow();
+    for (const auto &Item : Page.Items) {
       const auto Parsed = common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
-      if (Parsed)
-        Peers.addContact(Parsed->Address, common::suspendAwareNow());
-      else
+      if (!Parsed) {
         common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
+      } else if (Item.Key.starts_with(BalancerRecords)) {
+        Peers.addContact(Parsed->Address, Now);
+      } else if (Item.Key.starts_with(AgentRecords)) {
+        Directory.expect(Parsed->Address, Now);
+        sendTo(Parsed->Address, beacon(Now, false));
+      }
     }
+    NextContact = {};
+    if (!Page.More)
+      Steering.setAgentsListed(Now);
   }
 
   boost::asio::io_context &Io;
@@ -559,6 +536,7 @@
   relay::FlowSteering Steering;
   relay::BalancerPeers Peers;
   impl::RelayStore<typename Platform::Store> Store;
+  impl::StoreRecord<typename Platform::Store> Record;
   std::unique_ptr<common::UdpSocket> Packets;
   std::unique_ptr<common::UdpSocket> PeerSocket;
   std::vector<std::unique_ptr<common::HttpServer>> Servers;
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -27,6 +28,8 @@
 inline constexpr common::Duration OpenTimeout = std::chrono::milliseconds(1400);
 /// Least time between two searches for one flow: shorter than a caller's first retransmission.
 inline constexpr common::Duration SearchInterval = std::chrono::milliseconds(100);
+/// Time for peers to name agents that are in no record of the store.
+inline constexpr common::Duration ListSettleTime = std::chrono::milliseconds(300);
 /// Packets that searches may send per second, and at once.
 inline constexpr double SearchPacketsPerSecond = 4000;
 /// A flow that has been open for this time is told to the peers of the zone.
@@ -51,9 +54,11 @@
   NoUpstream,    ///< No upstream of the service takes the flow.
   NotReady,      ///< This node doesn't know enough yet.
   SearchLimited, ///< Too many searches, or one for this flow a moment ago.
-  TableFull
+  TableFull,
+  HeldNowhere,   ///< All agents deny the flow: its upstream has ended.
+  AgentLost      ///< The flow's agent is unreachable, and the caller may repeat its requests.
 };
-inline constexpr std::size_t SteeringReasons = 10;
+inline constexpr std::size_t SteeringReasons = 12;
 
 [[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
 
@@ -83,6 +88,8 @@
   [[nodiscard]] const RouteTable &routes() const noexcept { return *Routes; }
   /// This process stood still: until its view has settled again, nothing is refused finally.
   void restartSettling(common::TimePoint Now) noexcept { StartedAt = Now; }
+  /// The store has told which agents exist, so that a search that all of them deny is complete.
+  void setAgentsListed(common::TimePoint Now) noexcept { AgentsListedAt = Now; }
   /// Whether the routes are known to be current, so that an unknown endpoint is refused at once.
   void setRoutesCurrent(bool Current) noexcept { RoutesCurrent = Current; }
   [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
@@ -94,6 +101,12 @@
   /// A packet that an agent gave back, without the mark of its upstream.
   [[nodiscard]] SteeringActions onReturned(const PacketHead &Head, const ReturnedPacket &Returned,
                                            NodeAddress From, common::TimePoint Now);
+  /// An agent denied a flow that was searched.
+  [[nodiscard]] SteeringActions onAbsence(const FlowAbsence &Absence, NodeAddress From,
+                                          common::TimePoint Now);
+  /// Resets the flows of an agent that can't be reached, if their requests may be repeated. Others
+  /// wait: an upstream that lives may have an answer ready.
+  [[nodiscard]] SteeringActions onAgentLost(NodeAddress Agent);
   void onNotice(const FlowNotice &Notice, NodeAddress From, common::TimePoint Now);
   void onShare(const FlowShare &Share, common::TimePoint Now);
   /// Places flows again whose agent has not answered; forgets old flows.
@@ -116,6 +129,12 @@
     common::TimePoint StartedAt{};
     bool Waiting = false; ///< The last one of Tried has not declined yet.
   };
+  /// A question to agents for a flow whose agent isn't known.
+  struct Search {
+    std::vector<NodeAddress> Asked;
+    std::vector<NodeAddress> Waiting; ///< Those of Asked that have not denied.
+    std::shared_ptr<const Bytes> Packet;
+  };
   enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
   struct Flow {
     Phase State = Phase::Opening;
@@ -124,7 +143,10 @@
     common::TimePoint StateAt{};
     common::TimePoint UsedAt{};
     bool Shared = false;
+    bool HasAcknowledgement = false;
+    std::uint32_t Acknowledgement = 0; ///< The caller's last one, near which a reset must be.
     std::unique_ptr<Opening> Open;
+    std::unique_ptr<Search> Sought;
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
 
@@ -134,10 +156,16 @@
                          SteeringActions &Out);
   void place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out);
-  void forwardOpen(const PacketHead &Head, Flow &Held, common::TimePoint Now,
-                   SteeringActions &Out);
-  void search(const PacketHead &Head, Flow &Held, NodeAddress Except,
-              std::shared_ptr<const Bytes> Saved, common::TimePoint Now, SteeringActions &Out);
+  void forwardOpen(const PacketHead &Head, Flow &Held, std::span<const std::uint8_t> Raw,
+                   common::TimePoint Now, SteeringActions &Out);
+  void search(const packet::FlowKey &Key, Flow &Held, NodeAddress Except,
+              std::span<const std::uint8_t> Raw, common::TimePoint Now, SteeringActions &Out);
+  void ask(const packet::FlowKey &Key, Flow &Held, const std::vector<NodeAddress> &Agents,
+           common::TimePoint Now, SteeringActions &Out);
+  [[nodiscard]] std::vector<NodeAddress> remainingHolders(const Search &Sought,
+                                                          common::TimePoint Now) const;
+  static void noteAcknowledgement(const PacketHead &Head, Flow &Held);
+  [[nodiscard]] bool mayConclude(common::TimePoint Now) const noexcept;
   [[nodiscard]] Transit transitTo(const std::string &Service, bool Search, bool Insist) const;
   [[nodiscard]] bool takeSearchTokens(std::size_t Count, common::TimePoint Now);
   void forgetOld(common::TimePoint Now);
@@ -151,6 +179,7 @@
   common::TimePoint StartedAt;
   std::shared_ptr<const RouteTable> Routes = std::make_shared<RouteTable>();
   bool RoutesCurrent = false;
+  std::optional<common::TimePoint> AgentsListedAt;
   FlowMap Flows;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -89,6 +89,13 @@
   friend bool operator==(const ReturnedPacket &, const ReturnedPacket &) = default;
 };
 
+/// An agent answers a search: its upstream doesn't hold the flow.
+struct FlowAbsence {
+  packet::FlowKey Key;
+
+  friend bool operator==(const FlowAbsence &, const FlowAbsence &) = default;
+};
+
 /// A balancer tells its peers at which agents flows are that it forwards.
 struct FlowShare {
   struct Entry {
@@ -103,7 +110,7 @@
 };
 
 using PeerMessage =
-    std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowShare>;
+    std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowShare, FlowAbsence>;
 
 /// Flows in one FlowShare: it stays below an Ethernet frame.
 inline constexpr std::size_t MaxSharedFlows = 40;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -19,6 +19,9 @@
 inline constexpr common::Duration ReportStale = std::chrono::milliseconds(600);
 /// An agent without a report for this time is forgotten.
 inline constexpr common::Duration ReportForget = std::chrono::seconds(30);
+/// An agent that has said nothing for this time, and did not say that it stops, doesn't run or
+/// can't be reached: twenty intervals of reports, so that a late start after a plan isn't meant.
+inline constexpr common::Duration LostTime = std::chrono::milliseconds(1200);
 /// An agent that left a first packet unanswered gets no new flows for this time, unless it reports.
 inline constexpr common::Duration SuspicionTime = std::chrono::milliseconds(500);
 /// A flow placed this long before a load figure was made is part of it: the time from a caller's
@@ -60,6 +63,10 @@
   /// A first packet sent to the agent stayed unanswered.
   void suspect(NodeAddress Agent, common::TimePoint Now);
   void forgetSilent(common::TimePoint Now);
+  /// The store has a record of an agent that has not reported here.
+  void expect(NodeAddress Agent, common::TimePoint Now);
+  /// This process stood still: nobody is taken for lost before it could be heard again.
+  void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
 
   /// Chooses an agent of the service for a new flow, none of Excluded; empty without a usable one.
   [[nodiscard]] std::optional<NodeAddress> choose(const std::string &Service, FlowKind Kind,
@@ -69,8 +76,13 @@
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
   [[nodiscard]] const AgentView *find(NodeAddress Agent) const;
-  /// Agents that may hold flows of a service; of all services if it is empty.
+  /// Agents that have reported for a service; for any if it is empty.
   [[nodiscard]] std::vector<NodeAddress> agentsOf(const std::string &Service) const;
+  /// Agents that may hold any flow: those known and expected, without those that are lost.
+  [[nodiscard]] std::vector<NodeAddress> possibleHolders(common::TimePoint Now) const;
+  /// Agents that have become lost since the last call. None are while most agents are silent: then
+  /// this node is the one that is cut off.
+  [[nodiscard]] std::vector<NodeAddress> takeLost(common::TimePoint Now);
   /// True if any agent has reported lately.
   [[nodiscard]] bool hearsAgents(common::TimePoint Now) const;
   /// True if the service has an agent, usable or not, that could still take flows.
@@ -85,17 +97,21 @@
   struct Known {
     AgentView View;
     std::deque<Placement> Placements; ///< Those that no load figure contains.
+    bool TakenAsLost = false;
   };
   /// Preference between groups of agents; the best group with a member is used.
   enum class Fitness : std::uint8_t { Good, Doubtful, Unfit };
 
   [[nodiscard]] Fitness fitness(const Known &Agent, common::TimePoint Now) const;
   [[nodiscard]] double score(const Known &Agent, FlowKind Kind) const;
+  [[nodiscard]] bool lost(const Known &Agent, common::TimePoint Now) const;
   static void dropCounted(Known &Agent);
 
   std::string OwnZone;
   common::Engine Random;
   std::map<NodeAddress, Known> Agents;
+  std::map<NodeAddress, common::TimePoint> Expected; ///< With the time since when.
+  common::TimePoint ListeningSince{};
 };
 
 } // namespace galenarelay::relay
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -27,9 +27,6 @@
 inline constexpr common::Duration UnusedRetention = std::chrono::seconds(90);
 /// A packet of an unknown flow that the upstream has not answered is forgotten after this time.
 inline constexpr common::Duration DoubtRetention = std::chrono::seconds(2);
-/// An acknowledgement number fits a flow if it is at most this far from the upstream's first
-/// sequence number: more than a flow carries, and unlikely for another flow's random number.
-inline constexpr std::uint32_t SequenceWindow = 1U << 28U;
 
 /// Why an agent treated a packet as it did.
 enum class FlowEvent : std::uint8_t {
@@ -49,12 +46,20 @@
 
 /// What to do with a packet.
 struct FlowAction {
-  enum class Kind : std::uint8_t { Deliver, SendToCaller, ResetCaller, Return, Notify, Drop };
+  enum class Kind : std::uint8_t {
+    Deliver,
+    SendToCaller,
+    ResetCaller,
+    Return, ///< The packet itself, to a balancer.
+    Notify, ///< The flow is here.
+    Deny,   ///< The flow is not here; the answer to a search.
+    Drop
+  };
 
   Kind What = Kind::Drop;
   FlowEvent Event = FlowEvent::NotHeld;
   packet::FlowKey Key;
-  NodeAddress Balancer = 0;   ///< For Return and Notify.
+  NodeAddress Balancer = 0;   ///< For Return, Notify and Deny.
   ReturnReason Reason = ReturnReason::NotHeld;
   std::uint32_t Sequence = 0; ///< For ResetCaller.
   std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
@@ -103,6 +108,7 @@
     bool Searched = false;     ///< The last packet went to several agents.
     bool Noticed = false;      ///< The balancer knows that the flow is here.
     bool HasFirstSequence = false;
+    bool Established = false;  ///< The upstream went on after its answer to the first packet.
     bool RequestPending = false;
     bool Long = false;
     bool CallerEnded = false;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -19,7 +19,8 @@
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasons> Names{
       "placed",   "placed_again", "insisted",  "known",          "searched",
-      "no_route", "no_upstream",  "not_ready", "search_limited", "table_full"};
+      "no_route", "no_upstream",  "not_ready", "search_limited", "table_full",
+      "held_nowhere", "agent_lost"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -52,17 +53,21 @@
       Out.push_back({.Reason = SteeringReason::TableFull, .Key = Head.Key});
       return Out;
     }
+    if (Head.Bits.Rst)
+      return Out; // Nobody has to hear of the end of a flow that nobody here knows.
     Flow &Held = Flows[Head.Key];
     Held.UsedAt = Now;
-    search(Head, Held, 0, nullptr, Now, Out);
+    noteAcknowledgement(Head, Held);
+    search(Head.Key, Held, 0, Raw, Now, Out);
     return Out;
   }
   Flow &Held = Found->second;
   Held.UsedAt = Now;
+  noteAcknowledgement(Head, Held);
   if (Held.State == Phase::Searching)
-    search(Head, Held, 0, nullptr, Now, Out);
+    search(Head.Key, Held, 0, Raw, Now, Out);
   else
-    forwardOpen(Head, Held, Now, Out);
+    forwardOpen(Head, Held, Raw, Now, Out);
   if (Head.Bits.Fin || Head.Bits.Rst)
     setState(Held, Phase::Ended, Now);
   return Out;
@@ -166,7 +171,15 @@
   Out.push_back({.What = SteeringAction::Kind::Reset, .Reason = Reason, .Key = Key});
 }
 
-void FlowSteering::forwardOpen(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+void FlowSteering::noteAcknowledgement(const PacketHead &Head, Flow &Held) {
+  if (!Head.Bits.Ack)
+    return;
+  Held.HasAcknowledgement = true;
+  Held.Acknowledgement = Head.Acknowledgement;
+}
+
+void FlowSteering::forwardOpen(const PacketHead &Head, Flow &Held,
+                               std::span<const std::uint8_t> Raw, common::TimePoint Now,
                                SteeringActions &Out) {
   if (Held.State == Phase::Opening && Held.Open != nullptr && Held.Open->Tried.size() > 1) {
     // Several upstreams may have accepted the flow; the caller has answered one of them.
@@ -179,7 +192,7 @@
     return;
   }
   if (Held.Agent == 0) {
-    search(Head, Held, 0, nullptr, Now, Out);
+    search(Head.Key, Held, 0, Raw, Now, Out);
     return;
   }
   // Only one upstream has seen the flow, and the caller has its answer.
@@ -195,35 +208,109 @@
                  .Fields = transitTo("", false, false)});
 }
 
-// The first search asks the agents of the route's service. A later one asks all: the route may have
-// changed while the flow was open.
-void FlowSteering::search(const PacketHead &Head, Flow &Held, NodeAddress Except,
-                          std::shared_ptr<const Bytes> Saved, common::TimePoint Now,
+// The agents of the route's service are asked first. The others follow if all of these deny: the
+// route may have changed while the flow was open. A repeated search asks all at once.
+void FlowSteering::search(const packet::FlowKey &Key, Flow &Held, NodeAddress Except,
+                          std::span<const std::uint8_t> Raw, common::TimePoint Now,
                           SteeringActions &Out) {
   const bool Again = Held.State == Phase::Searching;
   if (Again && Now - Held.StateAt < SearchInterval) {
-    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Head.Key});
-    return;
-  }
-  const Route *Found = Routes->find(Head.Key.Service);
-  const std::string Service =
-      Found == nullptr || Again ? std::string() : RouteTable::serviceFor(*Found, Head.Key);
-  auto Agents = Directory.agentsOf(Service);
-  std::erase(Agents, Except);
-  if (!takeSearchTokens(Agents.size(), Now)) {
-    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Head.Key});
+    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Key});
     return;
   }
   Held.Agent = 0;
   Held.Open.reset();
   setState(Held, Phase::Searching, Now);
-  for (const NodeAddress Agent : Agents)
+  Held.Sought = std::make_unique<Search>();
+  Held.Sought->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+  if (Except != 0)
+    Held.Sought->Asked.push_back(Except);
+  std::vector<NodeAddress> First;
+  const Route *Found = Routes->find(Key.Service);
+  if (Found != nullptr && !Again)
+    First = Directory.agentsOf(RouteTable::serviceFor(*Found, Key));
+  std::erase(First, Except);
+  if (First.empty())
+    First = remainingHolders(*Held.Sought, Now);
+  ask(Key, Held, First, Now, Out);
+}
+
+std::vector<NodeAddress> FlowSteering::remainingHolders(const Search &Sought,
+                                                        common::TimePoint Now) const {
+  auto Agents = Directory.possibleHolders(Now);
+  std::erase_if(Agents, [&](NodeAddress Agent) { return contains(Sought.Asked, Agent); });
+  return Agents;
+}
+
+void FlowSteering::ask(const packet::FlowKey &Key, Flow &Held,
+                       const std::vector<NodeAddress> &Agents, common::TimePoint Now,
+                       SteeringActions &Out) {
+  if (!takeSearchTokens(Agents.size(), Now)) {
+    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Key});
+    return;
+  }
+  Search &Sought = *Held.Sought;
+  for (const NodeAddress Agent : Agents) {
+    Sought.Asked.push_back(Agent);
+    Sought.Waiting.push_back(Agent);
     Out.push_back({.What = SteeringAction::Kind::Forward,
                    .Reason = SteeringReason::Searched,
-                   .Key = Head.Key,
+                   .Key = Key,
                    .Agent = Agent,
                    .Fields = transitTo("", true, false),
-                   .Saved = Saved});
+                   .Saved = Sought.Packet});
+  }
+}
+
+// Right after a start, agents may exist that nobody has named yet.
+bool FlowSteering::mayConclude(common::TimePoint Now) const noexcept {
+  return Now - StartedAt >= ViewSettleTime ||
+         (AgentsListedAt && Now - *AgentsListedAt >= ListSettleTime);
+}
+
+SteeringActions FlowSteering::onAbsence(const FlowAbsence &Absence, NodeAddress From,
+                                        common::TimePoint Now) {
+  SteeringActions Out;
+  const auto Found = Flows.find(Absence.Key);
+  if (Found == Flows.end() || Found->second.Sought == nullptr ||
+      Found->second.State != Phase::Searching)
+    return Out;
+  Flow &Held = Found->second;
+  Search &Sought = *Held.Sought;
+  std::erase(Sought.Waiting, From);
+  if (!Sought.Waiting.empty())
+    return Out;
+  const auto Rest = remainingHolders(Sought, Now);
+  if (!Rest.empty()) {
+    ask(Absence.Key, Held, Rest, Now, Out);
+  } else if (Held.HasAcknowledgement && mayConclude(Now)) {
+    Out.push_back({.What = SteeringAction::Kind::Reset,
+                   .Reason = SteeringReason::HeldNowhere,
+                   .Key = Absence.Key,
+                   .Sequence = Held.Acknowledgement});
+    Flows.erase(Found);
+  }
+  return Out;
+}
+
+SteeringActions FlowSteering::onAgentLost(NodeAddress Agent) {
+  SteeringActions Out;
+  for (auto At = Flows.begin(); At != Flows.end();) {
+    const Flow &Held = At->second;
+    const Route *Found = Routes->find(At->first.Service);
+    const bool Repeatable = Found != nullptr && Found->Idempotent;
+    if (Held.Agent != Agent || Held.State != Phase::Open || !Held.HasAcknowledgement ||
+        !Repeatable) {
+      ++At;
+      continue;
+    }
+    Out.push_back({.What = SteeringAction::Kind::Reset,
+                   .Reason = SteeringReason::AgentLost,
+                   .Key = At->first,
+                   .Sequence = Held.Acknowledgement});
+    At = Flows.erase(At);
+  }
+  return Out;
 }
 
 bool FlowSteering::takeSearchTokens(std::size_t Count, common::TimePoint Now) {
@@ -281,7 +368,8 @@
   }
   if (Held.State == Phase::Ended)
     return Out;
-  search(Head, Held, From, std::make_shared<const Bytes>(Returned.Packet), Now, Out);
+  noteAcknowledgement(Head, Held);
+  search(Head.Key, Held, From, Returned.Packet, Now, Out);
   return Out;
 }
 
@@ -297,6 +385,7 @@
   const bool New = Held.State != Phase::Open;
   Held.Agent = From;
   Held.Open.reset();
+  Held.Sought.reset();
   Held.UsedAt = Now;
   if (New && Held.State != Phase::Ended) {
     setState(Held, Phase::Open, Now);
@@ -313,6 +402,7 @@
     if (!Added && Held.State != Phase::Searching)
       continue;
     Held.Agent = Entry.Agent;
+    Held.Sought.reset();
     Held.Shared = true;
     Held.UsedAt = Now;
     setState(Held, Phase::Open, Now);
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Types of messages, the first element of each array.
-enum class Type : std::uint8_t { Report, Beacon, Notice, Returned, Share };
+enum class Type : std::uint8_t { Report, Beacon, Notice, Returned, Share, Absence };
 
 json loadJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
 
@@ -57,6 +57,10 @@
   return json::array({Type::Share, std::move(Rows)});
 }
 
+json toJson(const FlowAbsence &Absence) {
+  return json::array({Type::Absence, keyJson(Absence.Key)});
+}
+
 template <typename E> E enumOf(const json &Value, E Last) {
   const auto Number = Value.get<std::uint8_t>();
   if (Number > static_cast<std::uint8_t>(Last))
@@ -99,7 +103,7 @@
 }
 
 PeerMessage messageOf(const json &Fields) {
-  switch (enumOf(Fields.at(0), Type::Share)) {
+  switch (enumOf(Fields.at(0), Type::Absence)) {
   case Type::Report:
     return reportOf(Fields);
   case Type::Beacon:
@@ -111,6 +115,8 @@
                           Fields.at(3).get_binary()};
   case Type::Share:
     return shareOf(Fields);
+  case Type::Absence:
+    return FlowAbsence{keyOf(Fields.at(1))};
   }
   throw std::out_of_range("unknown type");
 }
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace galenarelay::relay {
 
@@ -21,6 +22,7 @@
 
 UpstreamDirectory::Change UpstreamDirectory::onReport(NodeAddress From, const AgentReport &Report,
                                                       common::TimePoint Now) {
+  Expected.erase(From);
   auto [Found, Added] = Agents.try_emplace(From);
   Known &Agent = Found->second;
   const AgentReport &Held = Agent.View.Report;
@@ -32,6 +34,7 @@
   Agent.View.Address = From;
   Agent.View.Report = Report;
   Agent.View.HeardAt = Now;
+  Agent.TakenAsLost = false;
   Agent.View.SuspectUntil = {};
   Agent.View.Load = Report.Load;
   Agent.View.LoadAt = Now;
@@ -158,6 +161,40 @@
   return Found;
 }
 
+void UpstreamDirectory::expect(NodeAddress Agent, common::TimePoint Now) {
+  if (!Agents.contains(Agent))
+    Expected.try_emplace(Agent, Now);
+}
+
+bool UpstreamDirectory::lost(const Known &Agent, common::TimePoint Now) const {
+  return Agent.View.Report.State != UpstreamState::Stopping &&
+         Now - std::max(Agent.View.HeardAt, ListeningSince) > LostTime;
+}
+
+std::vector<NodeAddress> UpstreamDirectory::possibleHolders(common::TimePoint Now) const {
+  std::vector<NodeAddress> Found;
+  for (const auto &[Address, Agent] : Agents)
+    if (!lost(Agent, Now))
+      Found.push_back(Address);
+  for (const auto &[Address, Since] : Expected)
+    if (Now - Since <= LostTime)
+      Found.push_back(Address);
+  return Found;
+}
+
+std::vector<NodeAddress> UpstreamDirectory::takeLost(common::TimePoint Now) {
+  const auto Silent = static_cast<std::size_t>(
+      std::count_if(Agents.begin(), Agents.end(),
+                    [&](const auto &Entry) { return lost(Entry.second, Now); }));
+  std::vector<NodeAddress> Found;
+  if (Silent * 2 >= Agents.size())
+    return Found;
+  for (auto &[Address, Agent] : Agents)
+    if (lost(Agent, Now) && !std::exchange(Agent.TakenAsLost, true))
+      Found.push_back(Address);
+  return Found;
+}
+
 bool UpstreamDirectory::hearsAgents(common::TimePoint Now) const {
   return std::any_of(Agents.begin(), Agents.end(), [Now](const auto &Entry) {
     return Now - Entry.second.View.HeardAt <= ReportStale;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -70,7 +70,7 @@
   const bool Held = Found != Flows.end() && fits(Head, Found->second);
   if (!Held) {
     if (Found != Flows.end() || KnowsAllFlows) {
-      Out.push_back({.What = Fields.Search ? FlowAction::Kind::Drop : FlowAction::Kind::Return,
+      Out.push_back({.What = Fields.Search ? FlowAction::Kind::Deny : FlowAction::Kind::Return,
                      .Event = FlowEvent::NotHeld,
                      .Key = Head.Key,
                      .Balancer = Balancer,
@@ -175,6 +175,8 @@
     Held.UpstreamSequence = Head.Sequence;
     Held.FirstPacket.reset();
   }
+  if (!Head.Bits.Syn)
+    Held.Established = true;
   const bool Adopted = Held.State == Phase::Doubted;
   if (Adopted)
     Held.State = Phase::Open;
@@ -221,14 +223,14 @@
   Flow &Held = Found->second;
   if (Held.State == Phase::Doubted) {
     if (Held.Searched)
-      Back.What = FlowAction::Kind::Drop;
+      Back.What = FlowAction::Kind::Deny;
     forget(Found);
     Out.push_back(std::move(Back));
     return;
   }
   // The upstream had the flow and has it no longer, so that its earlier incarnation has ended. The
   // caller can use the rest of its time elsewhere.
-  if (Held.State == Phase::Open && fits(Head, Held)) {
+  if (Held.State == Phase::Open && Held.Established && fits(Head, Held)) {
     Back.What = FlowAction::Kind::ResetCaller;
     Back.Event = FlowEvent::LostByUpstream;
     Back.Sequence = Head.Acknowledgement;
@@ -237,10 +239,13 @@
   Out.push_back(std::move(Back));
 }
 
+// The caller acknowledges what came through this agent, at most one more for the end of the data.
+// Another upstream that accepted a copy of the first packet has other, random numbers.
 bool UpstreamFlows::fits(const PacketHead &Head, const Flow &Held) noexcept {
   if (!Held.HasFirstSequence || !Head.Bits.Ack)
     return true;
-  return Head.Acknowledgement - Held.FirstSequence < SequenceWindow;
+  const std::uint32_t Sent = Held.UpstreamSequence - Held.FirstSequence;
+  return Head.Acknowledgement - Held.FirstSequence <= Sent + 1;
 }
 
 // A request begins with new data from the caller after the upstream has answered the one before.
