Count flows as work from their opening, and tell agents which flows will be long

Cause: in the second after a restart of everything the reports showed no work and no long flows, so that placements were random. Change: an agent counts a flow as work from its first packet to the first answer, and counts flows of repeatable requests as long. Ruled out: late starts of nodes (all serve within 0.45 s of power) and uneven placement (20% between agents in the log).

--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -34,6 +34,7 @@
   std::uint16_t ServiceDigest = 0; ///< serviceDigest() of the service that the packet is for.
   bool Search = false; ///< Sent to several agents: one that doesn't hold the flow drops it.
   bool Insist = false; ///< Open the flow although the upstream is busy.
+  bool Long = false;   ///< The flow is expected to carry many requests.
 
   friend bool operator==(const Transit &, const Transit &) = default;
 };
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -27,8 +27,9 @@
 
 /// Work at an upstream as its agent sees it in the packets.
 struct UpstreamLoad {
-  std::uint32_t Unanswered = 0; ///< Requests that the upstream has not begun to answer.
-  std::uint32_t LongFlows = 0;  ///< Open flows that carry more than one request.
+  /// Requests that the upstream has not begun to answer, and flows that opened for one.
+  std::uint32_t Unanswered = 0;
+  std::uint32_t LongFlows = 0; ///< Open flows that carry, or are expected to, many requests.
 
   friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
 };
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -25,6 +25,9 @@
 inline constexpr common::Duration ClosedRetention = std::chrono::seconds(4);
 /// A flow without packets is forgotten after this time; the upstream closed it long before.
 inline constexpr common::Duration UnusedRetention = std::chrono::seconds(90);
+/// A flow that has opened without a request for this time isn't counted as work: its caller gave up
+/// or answered another upstream.
+inline constexpr common::Duration RequestExpectation = std::chrono::milliseconds(500);
 /// A packet of an unknown flow that the upstream has not answered is forgotten after this time.
 inline constexpr common::Duration DoubtRetention = std::chrono::seconds(2);
 
@@ -132,6 +135,8 @@
   void noteCallerData(const PacketHead &Head, Flow &Held);
   void noteUpstreamData(const PacketHead &Head, Flow &Held);
   [[nodiscard]] static bool fits(const PacketHead &Head, const Flow &Held) noexcept;
+  void expectRequest(Flow &Held);
+  void endRequest(Flow &Held);
   void setLong(Flow &Held);
   void close(Flow &Held);
   void forget(FlowMap::iterator Entry);
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -157,6 +157,7 @@
   Directory.notePlacement(*Chosen, Open.Kind, Now);
   PlacementChecks.emplace_back(Now + PlacementTimeout, Key);
   Transit Fields = transitTo(Open.Service, false, Insist);
+  Fields.Long = Open.Kind == FlowKind::Long;
   Out.push_back({.What = SteeringAction::Kind::Forward,
                  .Reason = Reason,
                  .Key = Key,
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -151,6 +151,10 @@
     Held.State = Phase::Offered;
     Held.CallerSequence = Head.Sequence;
     Held.FirstPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+    // A flow opens for a request that follows within the caller's round trip.
+    expectRequest(Held);
+    if (Fields.Long)
+      setLong(Held);
     AnswerChecks.emplace_back(Now + FirstAnswerTimeout, Head.Key);
   }
   Out.push_back(
@@ -256,21 +260,29 @@
   if (Head.PayloadBytes == 0 || !sequenceBefore(Held.CallerSequence, End))
     return;
   Held.CallerSequence = End;
-  if (Held.RequestPending || Held.State == Phase::Closed)
+  if (Held.State == Phase::Closed || (Held.RequestPending && Held.Requests > 0))
     return;
-  Held.RequestPending = true;
-  ++Unanswered;
+  expectRequest(Held);
   if (Held.Requests < UINT16_MAX && ++Held.Requests > 1)
     setLong(Held);
 }
 
+void UpstreamFlows::expectRequest(Flow &Held) {
+  if (!std::exchange(Held.RequestPending, true))
+    ++Unanswered;
+}
+
+void UpstreamFlows::endRequest(Flow &Held) {
+  if (std::exchange(Held.RequestPending, false))
+    --Unanswered;
+}
+
 void UpstreamFlows::noteUpstreamData(const PacketHead &Head, Flow &Held) {
   const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
   if (Head.PayloadBytes == 0 || !sequenceBefore(Held.UpstreamSequence, End))
     return;
   Held.UpstreamSequence = End;
-  if (std::exchange(Held.RequestPending, false))
-    --Unanswered;
+  endRequest(Held);
 }
 
 void UpstreamFlows::setLong(Flow &Held) {
@@ -279,8 +291,7 @@
 }
 
 void UpstreamFlows::close(Flow &Held) {
-  if (std::exchange(Held.RequestPending, false))
-    --Unanswered;
+  endRequest(Held);
   if (std::exchange(Held.Long, false))
     --LongFlows;
   Held.State = Phase::Closed;
@@ -324,8 +335,10 @@
     SweepBucket = (SweepBucket + 1) % Buckets;
     std::vector<packet::FlowKey> Old;
     for (auto At = Flows.begin(SweepBucket); At != Flows.end(SweepBucket); ++At) {
-      const Flow &Held = At->second;
+      Flow &Held = At->second;
       const common::Duration Unused = Now - Held.UsedAt;
+      if (Held.Requests == 0 && Unused > RequestExpectation)
+        endRequest(Held);
       const bool Expired = (Held.State == Phase::Closed && Unused > ClosedRetention) ||
                            (Held.State == Phase::Doubted && Unused > DoubtRetention) ||
                            (Held.State == Phase::Offered && Unused > DoubtRetention) ||
