--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -63,10 +63,8 @@
                                          std::move(Call.Body), Timeout);
     common::Outcome<T> Result =
         Raw ? Read(*Raw) : common::Outcome<T>{std::nullopt, std::move(Raw.Failure)};
-    const std::string Code(
-        common::name(Result ? common::ResultCode::Ok : Result.Failure.Code));
-    Metrics
-        .counter("store_calls_total", "Calls to the store", {{"kind", Kind}, {"result", Code}})
+    const std::string Code(common::name(Result ? common::ResultCode::Ok : Result.Failure.Code));
+    Metrics.counter("store_calls_total", "Calls to the store", {{"kind", Kind}, {"result", Code}})
         .Increment();
     noteReachable(static_cast<bool>(Result) ||
                       Result.Failure.Code == common::ResultCode::StoreKeyNotFound ||
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -45,9 +45,7 @@
         Peers(Options.Node.Packets.Address), Store(Options.Node.Store, Metrics),
         Record(Store, AgentRecords + Options.Node.Id,
                common::addressToString(Options.Node.Packets.Address)),
-        Ticker(Io),
-        LastTick(StartedAt),
-        FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+        Ticker(Io), LastTick(StartedAt), FlowGauge(Metrics.gauge("flows", "Flows in the table")),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
         SuppressedLines(
@@ -173,14 +171,14 @@
       return;
     if (!FlowLog.allow(Now))
       return SuppressedLines.Increment();
-    common::log(common::LogLevel::Info, "flow_event",
-                {{"flow", packet::toString(Action.Key)},
-                 {"event", name(Action.Event)},
-                 {"reason",
-                  Action.What == relay::FlowAction::Kind::Return ? name(Action.Reason) : ""},
-                 {"state", name(Flows.state(Now))},
-                 {"unanswered", Flows.load().Unanswered},
-                 {"flows", Flows.flows()}});
+    common::log(
+        common::LogLevel::Info, "flow_event",
+        {{"flow", packet::toString(Action.Key)},
+         {"event", name(Action.Event)},
+         {"reason", Action.What == relay::FlowAction::Kind::Return ? name(Action.Reason) : ""},
+         {"state", name(Flows.state(Now))},
+         {"unanswered", Flows.load().Unanswered},
+         {"flows", Flows.flows()}});
   }
 
   // --- messages between nodes
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -56,9 +56,8 @@
       : Io(Io), Options(std::move(Settings)), Metrics(Metrics), Random(Options.Seed),
         StartedAt(common::suspendAwareNow()),
         Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
-        Directory(Options.Zone, Random()),
-        Steering(Options.Packets.Address, Directory, StartedAt), Peers(Options.Packets.Address),
-        Store(Options.Store, Metrics),
+        Directory(Options.Zone, Random()), Steering(Options.Packets.Address, Directory, StartedAt),
+        Peers(Options.Packets.Address), Store(Options.Store, Metrics),
         Record(Store, BalancerRecords + Options.Id,
                common::addressToString(Options.Packets.Address)),
         Ticker(Io), LastTick(StartedAt),
@@ -84,9 +83,7 @@
         Io, Options.Peers, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
           onPeerDatagram(Raw, From.Address);
         });
-    const auto Serve = [this](common::HttpRequest Request) {
-      return serve(std::move(Request));
-    };
+    const auto Serve = [this](common::HttpRequest Request) { return serve(std::move(Request)); };
     Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Readiness, Serve));
     Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Admin, Serve));
     Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Control, Serve));
@@ -206,8 +203,7 @@
       MalformedPackets.Increment();
       if (RejectLog.allow(Now))
         common::log(common::LogLevel::Warning, "peer_message_rejected",
-                    {{"peer", common::addressToString(From)},
-                     {"detail", Message.Failure.Detail}});
+                    {{"peer", common::addressToString(From)}, {"detail", Message.Failure.Detail}});
       return;
     }
     std::visit([&](auto &Each) { take(Each, From, Now); }, *Message);
@@ -253,8 +249,7 @@
     Steering.onNotice(Notice, From, Now);
   }
 
-  void take(const relay::ReturnedPacket &Returned, relay::NodeAddress From,
-            common::TimePoint Now) {
+  void take(const relay::ReturnedPacket &Returned, relay::NodeAddress From, common::TimePoint Now) {
     const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
     if (!Head)
       return MalformedPackets.Increment();
@@ -283,8 +278,9 @@
   }
 
   relay::BalancerBeacon beacon(common::TimePoint Now, bool WithAgents) const {
-    relay::BalancerBeacon Made{Options.Id, Options.Zone,    Incarnation, Steering.routes().revision(),
-                               Leaving,    Peers.live(Now), {}};
+    relay::BalancerBeacon Made{
+        Options.Id, Options.Zone,    Incarnation, Steering.routes().revision(),
+        Leaving,    Peers.live(Now), {}};
     if (WithAgents)
       Made.Agents = Directory.agentsOf("");
     Made.Balancers.resize(std::min(Made.Balancers.size(), relay::MaxBeaconAddresses));
@@ -392,13 +388,13 @@
       return {400, nlohmann::json{{"error", Key.Failure.Detail}}.dump()};
     const relay::Route *Found = Steering.routes().find(Key->Service);
     const auto Agent = Steering.agentOf(*Key);
-    return {200, nlohmann::json{{"revision", Steering.routes().revision()},
-                                {"route", Found == nullptr ? "" : Found->Name},
-                                {"service", Found == nullptr
-                                                ? ""
-                                                : relay::RouteTable::serviceFor(*Found, *Key)},
-                                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
-                     .dump()};
+    return {200,
+            nlohmann::json{
+                {"revision", Steering.routes().revision()},
+                {"route", Found == nullptr ? "" : Found->Name},
+                {"service", Found == nullptr ? "" : relay::RouteTable::serviceFor(*Found, *Key)},
+                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
+                .dump()};
   }
 
   // --- configuration
--- a/include/galenarelay/node/relay_platform.h
+++ b/include/galenarelay/node/relay_platform.h
@@ -17,16 +17,16 @@
 
 /// Reads and writes packets in the form in which routers, callers and upstreams send them.
 template <typename T>
-concept PacketProtocol =
-    requires(std::span<const std::uint8_t> Packet, std::span<std::uint8_t> Writable,
-             relay::Side From, const relay::Transit &Fields, const packet::FlowKey &Key,
-             std::uint32_t Sequence) {
-      { T::decode(Packet, From) } -> std::same_as<std::optional<relay::PacketHead>>;
-      { T::readTransit(Packet) } -> std::same_as<relay::Transit>;
-      T::writeTransit(Writable, Fields);
-      T::clearReturned(Writable);
-      { std::span<const std::uint8_t>(T::reset(Key, Sequence)) };
-    };
+concept PacketProtocol = requires(std::span<const std::uint8_t> Packet,
+                                  std::span<std::uint8_t> Writable, relay::Side From,
+                                  const relay::Transit &Fields, const packet::FlowKey &Key,
+                                  std::uint32_t Sequence) {
+  { T::decode(Packet, From) } -> std::same_as<std::optional<relay::PacketHead>>;
+  { T::readTransit(Packet) } -> std::same_as<relay::Transit>;
+  T::writeTransit(Writable, Fields);
+  T::clearReturned(Writable);
+  {std::span<const std::uint8_t>(T::reset(Key, Sequence))};
+};
 
 /// Understands the calls that upstreams and routers make.
 template <typename T>
@@ -43,8 +43,8 @@
 template <typename T>
 concept RelayPlatform = PacketProtocol<typename T::Packets> && CallProtocol<typename T::Calls> &&
     relay::StoreProtocol<typename T::Store> && requires(std::string_view Text) {
-      { T::readConfiguration(Text) } -> std::same_as<common::Outcome<relay::Configuration>>;
-    };
+  { T::readConfiguration(Text) } -> std::same_as<common::Outcome<relay::Configuration>>;
+};
 
 } // namespace galenarelay::node
 
--- a/include/galenarelay/node/relay_settings.h
+++ b/include/galenarelay/node/relay_settings.h
@@ -14,11 +14,11 @@
 struct RelayOptions {
   std::string Id;
   std::string Zone;
-  common::Endpoint Packets;     ///< UDP, packets from routers or balancers.
-  common::Endpoint Peers;       ///< UDP, messages between nodes.
-  common::Endpoint Admin;       ///< TCP, HTTP: metrics, configuration, status.
-  common::Endpoint Control;     ///< TCP, HTTP: heartbeats.
-  common::Endpoint Readiness;   ///< TCP, HTTP: readiness.
+  common::Endpoint Packets;   ///< UDP, packets from routers or balancers.
+  common::Endpoint Peers;     ///< UDP, messages between nodes.
+  common::Endpoint Admin;     ///< TCP, HTTP: metrics, configuration, status.
+  common::Endpoint Control;   ///< TCP, HTTP: heartbeats.
+  common::Endpoint Readiness; ///< TCP, HTTP: readiness.
   common::Endpoint Store;
   std::vector<common::Endpoint> Seeds; ///< Addresses of balancers, possibly of earlier ones.
   std::uint64_t Seed = 0;
--- a/include/galenarelay/platform/documents.h
+++ b/include/galenarelay/platform/documents.h
@@ -25,8 +25,8 @@
   /// ID of the upstream that says that it ends; empty for other requests.
   [[nodiscard]] static std::string departureId(const common::HttpRequest &Request);
   /// Reads a heartbeat. Errors: MessageMalformed.
-  [[nodiscard]] static common::Outcome<relay::Heartbeat>
-  readHeartbeat(std::string Id, std::string_view Body);
+  [[nodiscard]] static common::Outcome<relay::Heartbeat> readHeartbeat(std::string Id,
+                                                                       std::string_view Body);
   [[nodiscard]] static common::HttpResponse acknowledge();
 };
 
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -55,8 +55,8 @@
   NotReady,      ///< This node doesn't know enough yet.
   SearchLimited, ///< Too many searches, or one for this flow a moment ago.
   TableFull,
-  HeldNowhere,   ///< All agents deny the flow: its upstream has ended.
-  AgentLost      ///< The flow's agent is unreachable, and the caller may repeat its requests.
+  HeldNowhere, ///< All agents deny the flow: its upstream has ended.
+  AgentLost    ///< The flow's agent is unreachable, and the caller may repeat its requests.
 };
 inline constexpr std::size_t SteeringReasons = 12;
 
@@ -69,10 +69,10 @@
   Kind What = Kind::Drop;
   SteeringReason Reason = SteeringReason::NotReady;
   packet::FlowKey Key;
-  NodeAddress Agent = 0;         ///< For Forward.
-  Transit Fields;                ///< For Forward.
-  std::uint32_t Sequence = 0;    ///< For Reset.
-  std::uint8_t Attempt = 0;      ///< Placements of the flow so far.
+  NodeAddress Agent = 0;              ///< For Forward.
+  Transit Fields;                     ///< For Forward.
+  std::uint32_t Sequence = 0;         ///< For Reset.
+  std::uint8_t Attempt = 0;           ///< Placements of the flow so far.
   std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
 };
 
--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -15,7 +15,7 @@
 
 /// Header of a packet whose flow ends at the upstream: nodes read it and never change it.
 struct PacketHead {
-  packet::FlowKey Key;        ///< The caller's and the service's endpoint, in both directions.
+  packet::FlowKey Key; ///< The caller's and the service's endpoint, in both directions.
   packet::Flags Bits;
   bool TowardsCaller = false; ///< The service's endpoint is the sender.
   bool Returned = false;      ///< The upstream handed the packet back.
@@ -30,7 +30,7 @@
 
 /// What a balancer writes into the free fields of a packet for the agent that receives it.
 struct Transit {
-  std::uint32_t Balancer = 0;     ///< IPv4 address; the upstream keeps it in a returned packet.
+  std::uint32_t Balancer = 0;      ///< IPv4 address; the upstream keeps it in a returned packet.
   std::uint16_t ServiceDigest = 0; ///< serviceDigest() of the service that the packet is for.
   bool Search = false; ///< Sent to several agents: one that doesn't hold the flow drops it.
   bool Insist = false; ///< Open the flow although the upstream is busy.
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -18,11 +18,11 @@
 
 /// What an agent knows of its upstream's readiness for new flows.
 enum class UpstreamState : std::uint8_t {
-  Unknown,  ///< The agent has just started and has heard no heartbeat.
+  Unknown, ///< The agent has just started and has heard no heartbeat.
   Ready,
   Draining,
-  Silent,   ///< No recent heartbeat, or no answer to packets.
-  Stopping  ///< The agent itself is about to stop.
+  Silent,  ///< No recent heartbeat, or no answer to packets.
+  Stopping ///< The agent itself is about to stop.
 };
 
 /// Work at an upstream as its agent sees it in the packets.
@@ -55,7 +55,7 @@
   std::string Id;
   std::string Zone;
   std::uint64_t Incarnation = 0;
-  Revision Held = 0;    ///< Revision of its configuration; 0 without one.
+  Revision Held = 0; ///< Revision of its configuration; 0 without one.
   bool Leaving = false;
   std::vector<NodeAddress> Balancers; ///< Live ones that it knows, without itself.
   std::vector<NodeAddress> Agents;    ///< Live ones that it knows; empty towards agents.
--- a/include/galenarelay/relay/registration.h
+++ b/include/galenarelay/relay/registration.h
@@ -20,7 +20,7 @@
   std::string SoftwareVersion;
   std::uint32_t Slots = 0; ///< Requests that it runs at a time.
   bool Draining = false;
-  common::Duration ColdFor{};   ///< How long it stays slow after its start.
+  common::Duration ColdFor{};    ///< How long it stays slow after its start.
   std::uint64_t Incarnation = 0; ///< Start of the upstream, Unix milliseconds; 0 if not said.
   std::uint64_t Sequence = 0;    ///< Rises with each heartbeat of an incarnation.
 
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -41,7 +41,7 @@
   NodeAddress Address = 0;
   AgentReport Report;
   common::TimePoint HeardAt{};
-  UpstreamLoad Load;            ///< Newest figure, from a report, a notice or a returned packet.
+  UpstreamLoad Load; ///< Newest figure, from a report, a notice or a returned packet.
   common::TimePoint LoadAt{};
   common::TimePoint SuspectUntil{};
 
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -62,9 +62,9 @@
   Kind What = Kind::Drop;
   FlowEvent Event = FlowEvent::NotHeld;
   packet::FlowKey Key;
-  NodeAddress Balancer = 0;   ///< For Return, Notify and Deny.
+  NodeAddress Balancer = 0; ///< For Return, Notify and Deny.
   ReturnReason Reason = ReturnReason::NotHeld;
-  std::uint32_t Sequence = 0; ///< For ResetCaller.
+  std::uint32_t Sequence = 0;         ///< For ResetCaller.
   std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
 };
 
@@ -107,11 +107,11 @@
   };
   struct Flow {
     Phase State = Phase::Doubted;
-    NodeAddress Balancer = 0;  ///< The last one that forwarded a packet.
-    bool Searched = false;     ///< The last packet went to several agents.
-    bool Noticed = false;      ///< The balancer knows that the flow is here.
+    NodeAddress Balancer = 0; ///< The last one that forwarded a packet.
+    bool Searched = false;    ///< The last packet went to several agents.
+    bool Noticed = false;     ///< The balancer knows that the flow is here.
     bool HasFirstSequence = false;
-    bool Established = false;  ///< The upstream went on after its answer to the first packet.
+    bool Established = false; ///< The upstream went on after its answer to the first packet.
     bool RequestPending = false;
     bool Long = false;
     bool CallerEnded = false;
@@ -127,8 +127,8 @@
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
 
   void onFirstPacket(const PacketHead &Head, const Transit &Fields,
-                     std::span<const std::uint8_t> Raw, NodeAddress Balancer,
-                     common::TimePoint Now, FlowActions &Out);
+                     std::span<const std::uint8_t> Raw, NodeAddress Balancer, common::TimePoint Now,
+                     FlowActions &Out);
   [[nodiscard]] std::optional<ReturnReason> whyDeclined(const Transit &Fields,
                                                         common::TimePoint Now) const;
   void onReturnedByUpstream(const PacketHead &Head, const Transit &Fields, FlowActions &Out);
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -25,8 +25,9 @@
 
 /// Reads "/8443/", which the platform calls a prefix and which is the service's port.
 std::uint16_t portOf(const std::string &Prefix) {
+  const bool Enclosed = Prefix.size() > 2 && Prefix.starts_with('/') && Prefix.ends_with('/');
   const std::string_view Digits =
-      Prefix.size() > 2 ? std::string_view(Prefix).substr(1, Prefix.size() - 2) : "";
+      Enclosed ? std::string_view(Prefix).substr(1, Prefix.size() - 2) : "";
   std::uint16_t Port = 0;
   const auto [End, Status] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
   if (Status != std::errc() || End != Digits.data() + Digits.size())
@@ -46,7 +47,8 @@
     return {{Document.at("service").get<std::string>(), 1}};
   std::vector<relay::ServiceShare> Shares;
   for (const json &Part : Document.at("trafficSplit"))
-    Shares.push_back({Part.at("service").get<std::string>(), Part.at("weight").get<std::uint32_t>()});
+    Shares.push_back(
+        {Part.at("service").get<std::string>(), Part.at("weight").get<std::uint32_t>()});
   return Shares;
 }
 
--- a/src/platform/packet_codec.cpp
+++ b/src/platform/packet_codec.cpp
@@ -67,8 +67,7 @@
   const std::uint8_t Options = Packet[OptionsAt];
   return {endian::load_little_u32(Packet.data() + EchoAt),
           endian::load_little_u16(Packet.data() + PadAt), (Options & OptionSearch) != 0,
-          (Options & OptionInsist) != 0,
-          (Options & OptionLong) != 0};
+          (Options & OptionInsist) != 0, (Options & OptionLong) != 0};
 }
 
 void PacketCodec::writeTransit(std::span<std::uint8_t> Packet,
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -18,9 +18,8 @@
 
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasons> Names{
-      "placed",   "placed_again", "insisted",  "known",          "searched",
-      "no_route", "no_upstream",  "not_ready", "search_limited", "table_full",
-      "held_nowhere", "agent_lost"};
+      "placed",      "placed_again", "insisted",       "known",      "searched",     "no_route",
+      "no_upstream", "not_ready",    "search_limited", "table_full", "held_nowhere", "agent_lost"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -128,8 +127,8 @@
     Chosen = Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
   if (!Chosen && !Open.Busy.empty()) {
     // All that were asked are busy; the one that is least so has to queue the flow's work.
-    const auto Least = std::min_element(
-        Open.Busy.begin(), Open.Busy.end(), [this](NodeAddress A, NodeAddress B) {
+    const auto Least =
+        std::min_element(Open.Busy.begin(), Open.Busy.end(), [this](NodeAddress A, NodeAddress B) {
           const AgentView *First = Directory.find(A);
           const AgentView *Second = Directory.find(B);
           return (First != nullptr ? First->Load.Unanswered : UINT32_MAX) <
@@ -167,8 +166,7 @@
                  .Saved = Open.Packet});
 }
 
-void FlowSteering::refuse(const packet::FlowKey &Key, SteeringReason Reason,
-                          SteeringActions &Out) {
+void FlowSteering::refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out) {
   Out.push_back({.What = SteeringAction::Kind::Reset, .Reason = Reason, .Key = Key});
 }
 
@@ -316,8 +314,7 @@
 
 bool FlowSteering::takeSearchTokens(std::size_t Count, common::TimePoint Now) {
   const double Elapsed = std::chrono::duration<double>(Now - SearchTokensAt).count();
-  SearchTokens =
-      std::min(SearchPacketsPerSecond, SearchTokens + Elapsed * SearchPacketsPerSecond);
+  SearchTokens = std::min(SearchPacketsPerSecond, SearchTokens + Elapsed * SearchPacketsPerSecond);
   SearchTokensAt = Now;
   if (SearchTokens < static_cast<double>(Count))
     return false;
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -46,8 +46,8 @@
 }
 
 json toJson(const ReturnedPacket &Returned) {
-  return json::array({Type::Returned, Returned.Reason, loadJson(Returned.Load),
-                      json::binary(Returned.Packet)});
+  return json::array(
+      {Type::Returned, Returned.Reason, loadJson(Returned.Load), json::binary(Returned.Packet)});
 }
 
 json toJson(const FlowShare &Share) {
--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -18,9 +18,9 @@
 
 const std::string &RouteTable::serviceFor(const Route &For, const packet::FlowKey &Key) noexcept {
   static const std::string None;
-  const auto Total =
-      std::accumulate(For.Shares.begin(), For.Shares.end(), std::uint64_t{0},
-                      [](std::uint64_t Sum, const ServiceShare &Each) { return Sum + Each.Weight; });
+  const auto Total = std::accumulate(
+      For.Shares.begin(), For.Shares.end(), std::uint64_t{0},
+      [](std::uint64_t Sum, const ServiceShare &Each) { return Sum + Each.Weight; });
   if (Total == 0)
     return None;
   std::uint64_t Point = packet::hash(Key) % Total;
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -26,8 +26,8 @@
   auto [Found, Added] = Agents.try_emplace(From);
   Known &Agent = Found->second;
   const AgentReport &Held = Agent.View.Report;
-  if (!Added && std::tie(Report.Incarnation, Report.Number) <=
-                    std::tie(Held.Incarnation, Held.Number))
+  if (!Added &&
+      std::tie(Report.Incarnation, Report.Number) <= std::tie(Held.Incarnation, Held.Number))
     return Change::Outdated;
   const bool Changed = Added || Held.State != Report.State || Held.Service != Report.Service ||
                        Held.Incarnation != Report.Incarnation;
@@ -61,9 +61,8 @@
 }
 
 void UpstreamDirectory::forgetSilent(common::TimePoint Now) {
-  std::erase_if(Agents, [Now](const auto &Entry) {
-    return Now - Entry.second.View.HeardAt > ReportForget;
-  });
+  std::erase_if(
+      Agents, [Now](const auto &Entry) { return Now - Entry.second.View.HeardAt > ReportForget; });
 }
 
 void UpstreamDirectory::dropCounted(Known &Agent) {
@@ -183,9 +182,8 @@
 }
 
 std::vector<NodeAddress> UpstreamDirectory::takeLost(common::TimePoint Now) {
-  const auto Silent = static_cast<std::size_t>(
-      std::count_if(Agents.begin(), Agents.end(),
-                    [&](const auto &Entry) { return lost(Entry.second, Now); }));
+  const auto Silent = static_cast<std::size_t>(std::count_if(
+      Agents.begin(), Agents.end(), [&](const auto &Entry) { return lost(Entry.second, Now); }));
   std::vector<NodeAddress> Found;
   if (Silent * 2 >= Agents.size())
     return Found;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -36,7 +36,8 @@
   // The upstream counts its heartbeats from its start, so that the number of this one tells how
   // long it has run.
   if (Effect == HeartbeatEffect::NewIncarnation)
-    KnowsAllFlows = Now - StartedAt >= HeartbeatInterval * static_cast<std::int64_t>(Heard.Sequence + 1);
+    KnowsAllFlows =
+        Now - StartedAt >= HeartbeatInterval * static_cast<std::int64_t>(Heard.Sequence + 1);
   return Effect;
 }
 
@@ -59,8 +60,8 @@
 }
 
 FlowActions UpstreamFlows::onBalancerPacket(const PacketHead &Head, const Transit &Fields,
-                                            std::span<const std::uint8_t> Raw,
-                                            NodeAddress Balancer, common::TimePoint Now) {
+                                            std::span<const std::uint8_t> Raw, NodeAddress Balancer,
+                                            common::TimePoint Now) {
   FlowActions Out;
   if (Head.opensFlow()) {
     onFirstPacket(Head, Fields, Raw, Balancer, Now, Out);
@@ -171,6 +172,15 @@
   }
   Flow &Held = Flows[Head.Key];
   Held.UsedAt = Now;
+  if (Held.State == Phase::Doubted && Held.Balancer != 0 && Head.Bits.Rst) {
+    // The upstream refuses a packet that may be meant for another one: no word for the caller.
+    Out.push_back({.What = Held.Searched ? FlowAction::Kind::Deny : FlowAction::Kind::Drop,
+                   .Event = FlowEvent::NotHeld,
+                   .Key = Head.Key,
+                   .Balancer = Held.Balancer});
+    forget(Flows.find(Head.Key));
+    return Out;
+  }
   const bool Accepts = Head.Bits.Syn && Head.Bits.Ack;
   if (Accepts && Held.State != Phase::Open) {
     Held.State = Phase::Open;
@@ -246,6 +256,10 @@
 // The caller acknowledges what came through this agent, at most one more for the end of the data.
 // Another upstream that accepted a copy of the first packet has other, random numbers.
 bool UpstreamFlows::fits(const PacketHead &Head, const Flow &Held) noexcept {
+  // A caller that goes on before this upstream has accepted the flow has another one's answer. An
+  // upstream that were given such a packet would reset the flow.
+  if (Held.State == Phase::Offered)
+    return false;
   if (!Held.HasFirstSequence || !Head.Bits.Ack)
     return true;
   const std::uint32_t Sent = Held.UpstreamSequence - Held.FirstSequence;
--- /dev/null
+++ b/tests/relay_fixture.h
@@ -0,0 +1,120 @@
+#ifndef GALENARELAY_TESTS_RELAY_FIXTURE_H
+#define GALENARELAY_TESTS_RELAY_FIXTURE_H
+
+#include "galenarelay/relay/flow_steering.h"
+#include "galenarelay/relay/upstream_flows.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenarelay::tests {
+
+using namespace std::chrono_literals;
+
+inline constexpr common::TimePoint RelayStart{std::chrono::seconds(100)};
+inline constexpr relay::NodeAddress BalancerOne = 0x0a010001;
+inline constexpr relay::NodeAddress BalancerTwo = 0x0a010002;
+inline constexpr relay::NodeAddress AgentOne = 0x0a020001;
+inline constexpr relay::NodeAddress AgentTwo = 0x0a020002;
+inline constexpr relay::NodeAddress AgentThree = 0x0a020003;
+inline constexpr common::Endpoint DeskAddress{0xc6120001, 443};
+inline constexpr common::Endpoint IntakeAddress{0xc6120002, 443};
+
+inline packet::FlowKey relayKey(std::uint16_t Port, common::Endpoint Service = DeskAddress) {
+  return {{0x64400007, Port}, Service};
+}
+
+/// First packet of a flow; Copy counts the repetitions.
+inline relay::PacketHead firstPacket(const packet::FlowKey &Key, std::uint32_t Copy = 0) {
+  relay::PacketHead Made;
+  Made.Key = Key;
+  Made.Bits.Syn = true;
+  Made.Sequence = 1000;
+  Made.Acknowledgement = Copy;
+  return Made;
+}
+
+inline relay::PacketHead callerData(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+                                    std::uint32_t Sequence = 1000,
+                                    std::uint16_t PayloadBytes = 100) {
+  relay::PacketHead Made;
+  Made.Key = Key;
+  Made.Bits.Ack = true;
+  Made.Sequence = Sequence;
+  Made.Acknowledgement = Acknowledgement;
+  Made.PayloadBytes = PayloadBytes;
+  return Made;
+}
+
+inline relay::PacketHead upstreamAccept(const packet::FlowKey &Key, std::uint32_t Sequence) {
+  relay::PacketHead Made;
+  Made.Key = Key;
+  Made.Bits = {.Syn = true, .Ack = true};
+  Made.TowardsCaller = true;
+  Made.Sequence = Sequence;
+  return Made;
+}
+
+inline relay::PacketHead upstreamData(const packet::FlowKey &Key, std::uint32_t Sequence,
+                                      std::uint16_t PayloadBytes = 100) {
+  relay::PacketHead Made;
+  Made.Key = Key;
+  Made.Bits.Ack = true;
+  Made.TowardsCaller = true;
+  Made.Sequence = Sequence;
+  Made.PayloadBytes = PayloadBytes;
+  return Made;
+}
+
+inline relay::PacketHead returned(relay::PacketHead Head) {
+  Head.Returned = true;
+  return Head;
+}
+
+inline relay::Heartbeat heartbeat(std::uint64_t Sequence, std::uint64_t Incarnation = 10,
+                                  bool Draining = false) {
+  relay::Heartbeat Made;
+  Made.Id = "up-" + std::to_string(Incarnation);
+  Made.Service = "desk";
+  Made.Zone = "a";
+  Made.Slots = 2;
+  Made.Draining = Draining;
+  Made.Incarnation = Incarnation;
+  Made.Sequence = Sequence;
+  return Made;
+}
+
+inline relay::AgentReport agentReport(std::uint64_t Number, std::uint32_t Unanswered = 0,
+                                      std::uint32_t LongFlows = 0) {
+  relay::AgentReport Made;
+  Made.Id = "agent";
+  Made.Zone = "a";
+  Made.Incarnation = 1;
+  Made.Number = Number;
+  Made.Service = "desk";
+  Made.State = relay::UpstreamState::Ready;
+  Made.Slots = 2;
+  Made.Load = {Unanswered, LongFlows};
+  return Made;
+}
+
+/// Two services, "desk" and "intake", of which only desk's requests may be repeated.
+inline std::shared_ptr<const relay::RouteTable> relayRoutes(relay::Revision Number = 1) {
+  relay::Configuration Document;
+  Document.Number = Number;
+  Document.Routes.push_back({"desk", DeskAddress, {{"desk", 1}}, true, 3s, 200ms, 1});
+  Document.Routes.push_back({"intake", IntakeAddress, {{"intake", 1}}, false, 3s, 200ms, 1});
+  return std::make_shared<const relay::RouteTable>(std::move(Document));
+}
+
+template <typename Actions, typename Kind> std::size_t countKind(const Actions &List, Kind Wanted) {
+  return static_cast<std::size_t>(std::count_if(
+      List.begin(), List.end(), [Wanted](const auto &Each) { return Each.What == Wanted; }));
+}
+
+} // namespace galenarelay::tests
+
+#endif // GALENARELAY_TESTS_RELAY_FIXTURE_H
--- /dev/null
+++ b/tests/relay_steering_test.cpp
@@ -0,0 +1,278 @@
+#include "relay_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <set>
+
+namespace galenarelay::tests {
+
+using relay::FlowSteering;
+using relay::ReturnReason;
+using relay::SteeringAction;
+using relay::SteeringActions;
+using relay::SteeringReason;
+using relay::UpstreamDirectory;
+using Kind = SteeringAction::Kind;
+
+class RelaySteeringTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelaySteeringTest);
+  CPPUNIT_TEST(testFirstPacket_knownRoute_goesToAgentOfItsService);
+  CPPUNIT_TEST(testFirstPacket_withoutRoute_isResetOnceRoutesAreCurrent);
+  CPPUNIT_TEST(testFirstPacket_withoutUpstream_isResetAtOnce);
+  CPPUNIT_TEST(testFirstPacket_justAfterStart_isNotRefused);
+  CPPUNIT_TEST(testCopy_ofUnansweredFirstPacket_goesToAnotherAgent);
+  CPPUNIT_TEST(testCopy_ofAcceptedFirstPacket_goesToTheSameAgent);
+  CPPUNIT_TEST(testTimeout_ofPlacement_placesAgainBeforeTheCopy);
+  CPPUNIT_TEST(testReturn_untilAllRefuse_endsWithReset);
+  CPPUNIT_TEST(testReturn_allBusy_insistsOnTheLeastBusy);
+  CPPUNIT_TEST(testPacket_ofUnknownFlow_isSearchedAndThenKnown);
+  CPPUNIT_TEST(testSearch_allDeny_asksOtherServicesAndResets);
+  CPPUNIT_TEST(testSearch_oneSilent_neverResets);
+  CPPUNIT_TEST(testSearch_justAfterStart_doesNotReset);
+  CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
+  CPPUNIT_TEST(testNotHeld_secondAcceptingAgent_getsThePacket);
+  CPPUNIT_TEST(testAgentLost_repeatableFlows_areReset);
+  CPPUNIT_TEST(testShare_ofPeer_avoidsSearch);
+  CPPUNIT_TEST(testRemovedRoute_openFlow_staysWhereItIs);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct Node {
+    explicit Node(common::TimePoint StartedAt = RelayStart - 60s)
+        : Directory("a", 1), Steering(BalancerOne, Directory, StartedAt) {
+      Steering.setRoutes(relayRoutes());
+      Steering.setRoutesCurrent(true);
+      for (const auto Agent : {AgentOne, AgentTwo})
+        report(Agent);
+      auto Intake = agentReport(1);
+      Intake.Service = "intake";
+      (void)Directory.onReport(AgentThree, Intake, RelayStart);
+    }
+    void report(relay::NodeAddress Agent, std::uint64_t Number = 1,
+                common::TimePoint Now = RelayStart) {
+      (void)Directory.onReport(Agent, agentReport(Number), Now);
+    }
+    SteeringActions send(const relay::PacketHead &Head, common::TimePoint Now = RelayStart) {
+      const relay::Bytes Raw{1, 2, 3};
+      return Steering.onPacket(Head, Raw, Now);
+    }
+    /// Opens a flow; returns the agent that it is at.
+    relay::NodeAddress open(const packet::FlowKey &Key) {
+      const auto Placed = send(firstPacket(Key));
+      Steering.onNotice({Key, {}}, Placed.at(0).Agent, RelayStart);
+      (void)send(callerData(Key, 77));
+      return Placed[0].Agent;
+    }
+    SteeringActions giveBack(const relay::PacketHead &Head, ReturnReason Reason,
+                             relay::NodeAddress From, std::uint32_t Unanswered = 0,
+                             common::TimePoint Now = RelayStart) {
+      return Steering.onReturned(Head, {Reason, {Unanswered, 0}, {1, 2, 3}}, From, Now);
+    }
+    SteeringActions deny(const packet::FlowKey &Key, relay::NodeAddress From,
+                         common::TimePoint Now = RelayStart) {
+      return Steering.onAbsence({Key}, From, Now);
+    }
+
+    UpstreamDirectory Directory;
+    FlowSteering Steering;
+  };
+
+  static std::set<relay::NodeAddress> targets(const SteeringActions &Actions) {
+    std::set<relay::NodeAddress> Found;
+    for (const auto &Each : Actions)
+      if (Each.What == Kind::Forward)
+        Found.insert(Each.Agent);
+    return Found;
+  }
+
+public:
+  void testFirstPacket_knownRoute_goesToAgentOfItsService() {
+    Node Balancer;
+    const auto Placed = Balancer.send(firstPacket(relayKey(1, IntakeAddress)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Placed.size());
+    CPPUNIT_ASSERT_EQUAL(AgentThree, Placed[0].Agent);
+    CPPUNIT_ASSERT_EQUAL(relay::serviceDigest("intake"), Placed[0].Fields.ServiceDigest);
+    CPPUNIT_ASSERT_EQUAL(BalancerOne, Placed[0].Fields.Balancer);
+  }
+
+  void testFirstPacket_withoutRoute_isResetOnceRoutesAreCurrent() {
+    Node Balancer;
+    const auto Unknown = firstPacket(relayKey(1, {1, 1}));
+    CPPUNIT_ASSERT(Balancer.send(Unknown)[0].What == Kind::Reset);
+    Balancer.Steering.setRoutesCurrent(false);
+    CPPUNIT_ASSERT(Balancer.send(Unknown)[0].What == Kind::Drop);
+    CPPUNIT_ASSERT(Balancer.send(firstPacket(relayKey(1, {1, 1}), 1))[0].What == Kind::Reset);
+  }
+
+  void testFirstPacket_withoutUpstream_isResetAtOnce() {
+    Node Balancer;
+    auto Draining = agentReport(2);
+    Draining.State = relay::UpstreamState::Draining;
+    for (const auto Agent : {AgentOne, AgentTwo})
+      (void)Balancer.Directory.onReport(Agent, Draining, RelayStart);
+    const auto Refused = Balancer.send(firstPacket(relayKey(1)));
+    CPPUNIT_ASSERT(Refused[0].What == Kind::Reset);
+    CPPUNIT_ASSERT(Refused[0].Reason == SteeringReason::NoUpstream);
+  }
+
+  void testFirstPacket_justAfterStart_isNotRefused() {
+    UpstreamDirectory Nobody("a", 1);
+    FlowSteering Fresh(BalancerOne, Nobody, RelayStart);
+    Fresh.setRoutes(relayRoutes());
+    const relay::Bytes Raw{1};
+    CPPUNIT_ASSERT(Fresh.onPacket(firstPacket(relayKey(1)), Raw, RelayStart)[0].What == Kind::Drop);
+  }
+
+  void testCopy_ofUnansweredFirstPacket_goesToAnotherAgent() {
+    Node Balancer;
+    const auto First = Balancer.send(firstPacket(relayKey(1)))[0].Agent;
+    const auto Copy = Balancer.send(firstPacket(relayKey(1), 1), RelayStart + 50ms);
+    CPPUNIT_ASSERT(Copy[0].What == Kind::Forward && Copy[0].Agent != First);
+  }
+
+  void testCopy_ofAcceptedFirstPacket_goesToTheSameAgent() {
+    Node Balancer;
+    const auto Agent = Balancer.open(relayKey(1));
+    const auto Copy = Balancer.send(firstPacket(relayKey(1), 1), RelayStart + 200ms);
+    CPPUNIT_ASSERT_EQUAL(Agent, Copy[0].Agent);
+  }
+
+  void testTimeout_ofPlacement_placesAgainBeforeTheCopy() {
+    Node Balancer;
+    const auto First = Balancer.send(firstPacket(relayKey(1)))[0].Agent;
+    const auto Due = Balancer.Steering.nextPlacementCheck();
+    CPPUNIT_ASSERT(Due && *Due < RelayStart + 200ms);
+    const auto Again = Balancer.Steering.onTimer(*Due);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Again.size());
+    CPPUNIT_ASSERT(Again[0].Agent != First && Again[0].Saved->size() == 3);
+  }
+
+  void testReturn_untilAllRefuse_endsWithReset() {
+    Node Balancer;
+    const auto Head = firstPacket(relayKey(1));
+    const auto First = Balancer.send(Head)[0].Agent;
+    const auto Second = Balancer.giveBack(Head, ReturnReason::Refused, First);
+    CPPUNIT_ASSERT(Second[0].What == Kind::Forward && Second[0].Agent != First);
+    const auto Last = Balancer.giveBack(Head, ReturnReason::Refused, Second[0].Agent);
+    CPPUNIT_ASSERT(Last[0].What == Kind::Reset);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Balancer.Steering.flows());
+  }
+
+  void testReturn_allBusy_insistsOnTheLeastBusy() {
+    Node Balancer;
+    const auto Head = firstPacket(relayKey(1));
+    const auto First = Balancer.send(Head)[0].Agent;
+    const auto Second = Balancer.giveBack(Head, ReturnReason::Busy, First, 3);
+    const auto Last = Balancer.giveBack(Head, ReturnReason::Busy, Second[0].Agent, 5);
+    CPPUNIT_ASSERT(Last[0].What == Kind::Forward && Last[0].Fields.Insist);
+    CPPUNIT_ASSERT_EQUAL(First, Last[0].Agent);
+  }
+
+  void testPacket_ofUnknownFlow_isSearchedAndThenKnown() {
+    Node Balancer;
+    const auto Asked = Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT((targets(Asked) == std::set{AgentOne, AgentTwo}));
+    CPPUNIT_ASSERT(Asked[0].Fields.Search);
+    Balancer.Steering.onNotice({relayKey(1), {}}, AgentTwo, RelayStart);
+    const auto Next = Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT((targets(Next) == std::set{AgentTwo}));
+    CPPUNIT_ASSERT(!Next[0].Fields.Search);
+  }
+
+  void testSearch_allDeny_asksOtherServicesAndResets() {
+    Node Balancer;
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT(Balancer.deny(relayKey(1), AgentOne).empty());
+    const auto Rest = Balancer.deny(relayKey(1), AgentTwo);
+    CPPUNIT_ASSERT((targets(Rest) == std::set{AgentThree}));
+    const auto Last = Balancer.deny(relayKey(1), AgentThree);
+    CPPUNIT_ASSERT(Last.size() == 1 && Last[0].What == Kind::Reset);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{77}, Last[0].Sequence);
+  }
+
+  void testSearch_oneSilent_neverResets() {
+    Node Balancer;
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    (void)Balancer.deny(relayKey(1), AgentOne);
+    (void)Balancer.deny(relayKey(1), AgentOne);
+    CPPUNIT_ASSERT(Balancer.deny(relayKey(1), AgentThree).empty());
+  }
+
+  void testSearch_justAfterStart_doesNotReset() {
+    Node Balancer(RelayStart);
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    for (const auto Agent : {AgentOne, AgentTwo, AgentThree})
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                           countKind(Balancer.deny(relayKey(1), Agent), Kind::Reset));
+  }
+
+  void testSearch_agentOfStoreRecordNotHeard_blocksReset() {
+    Node Balancer;
+    constexpr relay::NodeAddress Unheard = 0x0a020009;
+    Balancer.Directory.expect(Unheard, RelayStart);
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    (void)Balancer.deny(relayKey(1), AgentOne);
+    CPPUNIT_ASSERT(
+        (targets(Balancer.deny(relayKey(1), AgentTwo)) == std::set{AgentThree, Unheard}));
+    CPPUNIT_ASSERT(Balancer.deny(relayKey(1), AgentThree).empty());
+  }
+
+  void testNotHeld_secondAcceptingAgent_getsThePacket() {
+    Node Balancer;
+    const auto Head = firstPacket(relayKey(1));
+    const auto First = Balancer.send(Head)[0].Agent;
+    const auto Second = Balancer.send(firstPacket(relayKey(1), 1))[0].Agent;
+    Balancer.Steering.onNotice({relayKey(1), {}}, First, RelayStart);
+    Balancer.Steering.onNotice({relayKey(1), {}}, Second, RelayStart);
+    const auto Data = callerData(relayKey(1), 77);
+    CPPUNIT_ASSERT_EQUAL(First, Balancer.send(Data)[0].Agent);
+    const auto Moved = Balancer.giveBack(Data, ReturnReason::NotHeld, First);
+    CPPUNIT_ASSERT(Moved.size() == 1 && Moved[0].Agent == Second);
+    CPPUNIT_ASSERT_EQUAL(Second, Balancer.send(Data)[0].Agent);
+  }
+
+  void testAgentLost_repeatableFlows_areReset() {
+    Node Balancer;
+    const auto Agent = Balancer.open(relayKey(1));
+    const auto Order = Balancer.open(relayKey(2, IntakeAddress));
+    // The others go on reporting.
+    const auto Later = RelayStart + 1300ms;
+    for (const auto Other : {AgentOne, AgentTwo})
+      if (Other != Agent)
+        Balancer.report(Other, 2, Later);
+    auto Intake = agentReport(2);
+    Intake.Service = "intake";
+    (void)Balancer.Directory.onReport(AgentThree, Intake, Later);
+    CPPUNIT_ASSERT(Balancer.Directory.takeLost(Later) == std::vector{Agent});
+    CPPUNIT_ASSERT(Balancer.Directory.takeLost(Later).empty());
+    const auto Resets = Balancer.Steering.onAgentLost(Agent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countKind(Resets, Kind::Reset));
+    // An order can't be repeated, and its answer may be ready.
+    CPPUNIT_ASSERT(Balancer.Steering.onAgentLost(Order).empty());
+  }
+
+  void testShare_ofPeer_avoidsSearch() {
+    Node Balancer;
+    Balancer.Steering.onShare({{{relayKey(1), AgentTwo}}}, RelayStart);
+    const auto Next = Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT((targets(Next) == std::set{AgentTwo}));
+    const auto Agent = Balancer.open(relayKey(2));
+    CPPUNIT_ASSERT(Balancer.Steering.takeShares(RelayStart).empty());
+    const auto Shares = Balancer.Steering.takeShares(RelayStart + 1s);
+    CPPUNIT_ASSERT(Shares.size() == 1 && Shares[0].Entries.size() == 1);
+    CPPUNIT_ASSERT_EQUAL(Agent, Shares[0].Entries[0].Agent);
+  }
+
+  void testRemovedRoute_openFlow_staysWhereItIs() {
+    Node Balancer;
+    const auto Agent = Balancer.open(relayKey(1));
+    Balancer.Steering.setRoutes(
+        std::make_shared<const relay::RouteTable>(relay::Configuration{2, {}, {}}));
+    CPPUNIT_ASSERT_EQUAL(Agent, Balancer.send(callerData(relayKey(1), 77))[0].Agent);
+    CPPUNIT_ASSERT(Balancer.send(firstPacket(relayKey(5)))[0].What == Kind::Reset);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelaySteeringTest);
+
+} // namespace galenarelay::tests
--- /dev/null
+++ b/tests/relay_upstream_flows_test.cpp
@@ -0,0 +1,271 @@
+#include "relay_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenarelay::tests {
+
+using relay::FlowAction;
+using relay::FlowActions;
+using relay::FlowEvent;
+using relay::ReturnReason;
+using relay::Transit;
+using relay::UpstreamFlows;
+using relay::UpstreamState;
+using Kind = FlowAction::Kind;
+
+class RelayUpstreamFlowsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayUpstreamFlowsTest);
+  CPPUNIT_TEST(testFirstPacket_readyUpstream_opensAndNotifies);
+  CPPUNIT_TEST(testFirstPacket_whileUpstreamCantTakeIt_isGivenBack);
+  CPPUNIT_TEST(testFirstPacket_busyUpstream_isGivenBackUnlessInsisted);
+  CPPUNIT_TEST(testFirstPacket_unansweredByUpstream_goesBackInTime);
+  CPPUNIT_TEST(testFirstPacket_refusedByUpstream_isGivenBack);
+  CPPUNIT_TEST(testPacket_ofFlowThatAnotherUpstreamTook_isGivenBack);
+  CPPUNIT_TEST(testPacket_beforeUpstreamAccepts_isNotForIt);
+  CPPUNIT_TEST(testReset_ofDoubtedFlow_doesNotReachCaller);
+  CPPUNIT_TEST(testPacket_ofEstablishedFlowLostByUpstream_resetsCaller);
+  CPPUNIT_TEST(testPacket_unknownAfterRestart_asksUpstream);
+  CPPUNIT_TEST(testPacket_unknownToCompleteTable_isDenied);
+  CPPUNIT_TEST(testFlow_ofDrainingUpstream_goesOn);
+  CPPUNIT_TEST(testLoad_requestsAndFlows_areCounted);
+  CPPUNIT_TEST(testLoad_flowWithoutRequest_isNoWorkForLong);
+  CPPUNIT_TEST(testDeparture_openFlows_areResetNearAcknowledgement);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t Sequence = 5000;
+
+  static UpstreamFlows readyFlows() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart - 60s);
+    (void)Flows.onHeartbeat(heartbeat(1), RelayStart);
+    return Flows;
+  }
+
+  static FlowActions fromBalancer(UpstreamFlows &Flows, const relay::PacketHead &Head,
+                                  Transit Fields = {BalancerOne, 0},
+                                  common::TimePoint Now = RelayStart) {
+    const relay::Bytes Raw{1, 2, 3};
+    return Flows.onBalancerPacket(Head, Fields, Raw, BalancerOne, Now);
+  }
+
+  static FlowActions fromUpstream(UpstreamFlows &Flows, const relay::PacketHead &Head,
+                                  common::TimePoint Now = RelayStart) {
+    return Flows.onUpstreamPacket(Head, {BalancerOne}, Now);
+  }
+
+  static void open(UpstreamFlows &Flows, const packet::FlowKey &Key, Transit Fields = {}) {
+    (void)fromBalancer(Flows, firstPacket(Key), Fields);
+    (void)fromUpstream(Flows, upstreamAccept(Key, Sequence));
+  }
+
+  /// One request and its answer of 100 bytes.
+  static void exchange(UpstreamFlows &Flows, const packet::FlowKey &Key, std::uint32_t Number) {
+    (void)fromBalancer(Flows, callerData(Key, Sequence + 100 * Number, 1000 + 100 * Number));
+    (void)fromUpstream(Flows, upstreamData(Key, Sequence + 100 * Number));
+  }
+
+public:
+  void testFirstPacket_readyUpstream_opensAndNotifies() {
+    auto Flows = readyFlows();
+    const auto Offered = fromBalancer(Flows, firstPacket(relayKey(1)));
+    CPPUNIT_ASSERT(Offered.size() == 1 && Offered[0].What == Kind::Deliver);
+    const auto Accepted = fromUpstream(Flows, upstreamAccept(relayKey(1), Sequence));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countKind(Accepted, Kind::Notify));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countKind(Accepted, Kind::SendToCaller));
+    CPPUNIT_ASSERT_EQUAL(BalancerOne, Accepted[0].Balancer);
+  }
+
+  void testFirstPacket_whileUpstreamCantTakeIt_isGivenBack() {
+    struct Row {
+      const char *Name;
+      std::function<void(UpstreamFlows &)> Prepare;
+      Transit Fields;
+      common::Duration Later;
+      ReturnReason Expected;
+    };
+    const auto None = [](UpstreamFlows &) {};
+    const std::vector<Row> Rows{
+        {"draining",
+         [](UpstreamFlows &F) { (void)F.onHeartbeat(heartbeat(2, 10, true), RelayStart); },
+         {},
+         0s,
+         ReturnReason::Leaving},
+        {"departed",
+         [](UpstreamFlows &F) { (void)F.onDeparture("up-10"); },
+         {},
+         0s,
+         ReturnReason::Leaving},
+        {"stopping", [](UpstreamFlows &F) { F.stop(); }, {}, 0s, ReturnReason::Leaving},
+        {"silent", None, {}, 2s, ReturnReason::Unanswered},
+        {"other service",
+         None,
+         {BalancerOne, relay::serviceDigest("intake")},
+         0s,
+         ReturnReason::WrongService},
+        {"address used again",
+         [](UpstreamFlows &F) {
+           auto Next = heartbeat(1, 20);
+           Next.Service = "intake";
+           (void)F.onHeartbeat(Next, RelayStart);
+         },
+         {BalancerOne, relay::serviceDigest("desk")},
+         0s,
+         ReturnReason::WrongService}};
+    for (const Row &Each : Rows) {
+      auto Flows = readyFlows();
+      Each.Prepare(Flows);
+      const auto Given =
+          fromBalancer(Flows, firstPacket(relayKey(1)), Each.Fields, RelayStart + Each.Later);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Given.size() == 1 && Given[0].What == Kind::Return);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Given[0].Reason == Each.Expected);
+    }
+  }
+
+  void testFirstPacket_busyUpstream_isGivenBackUnlessInsisted() {
+    auto Flows = readyFlows();
+    for (const std::uint16_t Port : {1, 2})
+      open(Flows, relayKey(Port));
+    const auto Declined = fromBalancer(Flows, firstPacket(relayKey(3)));
+    CPPUNIT_ASSERT(Declined[0].What == Kind::Return && Declined[0].Reason == ReturnReason::Busy);
+    const auto Taken = fromBalancer(Flows, firstPacket(relayKey(3)), {.Insist = true});
+    CPPUNIT_ASSERT(Taken[0].What == Kind::Deliver);
+  }
+
+  void testFirstPacket_unansweredByUpstream_goesBackInTime() {
+    auto Flows = readyFlows();
+    (void)fromBalancer(Flows, firstPacket(relayKey(1)));
+    const auto Due = Flows.nextAnswerCheck();
+    CPPUNIT_ASSERT(Due && *Due < RelayStart + 200ms);
+    const auto Given = Flows.onTimer(*Due);
+    CPPUNIT_ASSERT(Given.size() == 1 && Given[0].What == Kind::Return);
+    CPPUNIT_ASSERT(Given[0].Reason == ReturnReason::Unanswered && Given[0].Saved->size() == 3);
+    CPPUNIT_ASSERT(Flows.state(*Due) == UpstreamState::Silent);
+    (void)Flows.onHeartbeat(heartbeat(2), *Due);
+    CPPUNIT_ASSERT(Flows.state(*Due) == UpstreamState::Ready);
+  }
+
+  void testFirstPacket_refusedByUpstream_isGivenBack() {
+    auto Flows = readyFlows();
+    (void)fromBalancer(Flows, firstPacket(relayKey(1)));
+    const auto Given = fromUpstream(Flows, returned(firstPacket(relayKey(1))));
+    CPPUNIT_ASSERT(Given[0].What == Kind::Return && Given[0].Reason == ReturnReason::Refused);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+  }
+
+  // Hunt, burbuja-xela trouble-1 --seed 727759498958: two upstreams had accepted a flow, the caller
+  // answered the other one, and this agent reset the flow when its upstream returned the packet.
+  void testPacket_ofFlowThatAnotherUpstreamTook_isGivenBack() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    const auto Foreign = callerData(relayKey(1), Sequence + 0x01000000);
+    const auto Given = fromBalancer(Flows, Foreign);
+    CPPUNIT_ASSERT(Given[0].What == Kind::Return && Given[0].Reason == ReturnReason::NotHeld);
+    const auto Unlucky = callerData(relayKey(1), Sequence);
+    (void)fromBalancer(Flows, Unlucky);
+    const auto Back = fromUpstream(Flows, returned(Unlucky));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countKind(Back, Kind::ResetCaller));
+  }
+
+  // sunbox-relay-grown trouble-1: the upstream was slower than another one that the first packet
+  // also went to, and reset the flow that the caller had opened there.
+  void testPacket_beforeUpstreamAccepts_isNotForIt() {
+    auto Flows = readyFlows();
+    (void)fromBalancer(Flows, firstPacket(relayKey(1)));
+    const auto Denied = fromBalancer(Flows, callerData(relayKey(1), 99), {.Search = true});
+    CPPUNIT_ASSERT(Denied.size() == 1 && Denied[0].What == Kind::Deny);
+    const auto Given = fromBalancer(Flows, callerData(relayKey(1), 99));
+    CPPUNIT_ASSERT(Given.size() == 1 && Given[0].What == Kind::Return);
+  }
+
+  void testReset_ofDoubtedFlow_doesNotReachCaller() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    (void)fromBalancer(Flows, callerData(relayKey(1), 99),
+                       {.Balancer = BalancerOne, .Search = true});
+    auto Reset = upstreamData(relayKey(1), 99, 0);
+    Reset.Bits = {.Rst = true};
+    const auto Told = fromUpstream(Flows, Reset);
+    CPPUNIT_ASSERT(Told.size() == 1 && Told[0].What == Kind::Deny);
+  }
+
+  void testPacket_ofEstablishedFlowLostByUpstream_resetsCaller() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    exchange(Flows, relayKey(1), 0);
+    const auto Next = callerData(relayKey(1), Sequence + 100, 1100);
+    (void)fromBalancer(Flows, Next);
+    const auto Lost = fromUpstream(Flows, returned(Next));
+    CPPUNIT_ASSERT(Lost[0].What == Kind::ResetCaller);
+    CPPUNIT_ASSERT_EQUAL(Sequence + 100, Lost[0].Sequence);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+  }
+
+  void testPacket_unknownAfterRestart_asksUpstream() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    const auto Next = callerData(relayKey(1), Sequence);
+    CPPUNIT_ASSERT(fromBalancer(Flows, Next)[0].What == Kind::Deliver);
+    const auto Adopted = fromUpstream(Flows, upstreamData(relayKey(1), Sequence));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countKind(Adopted, Kind::Notify));
+    for (const bool Search : {false, true}) {
+      const auto Other = callerData(relayKey(2), Sequence);
+      (void)fromBalancer(Flows, Other, {.Balancer = BalancerOne, .Search = Search});
+      const auto Back = fromUpstream(Flows, returned(Other));
+      CPPUNIT_ASSERT(Back[0].What == (Search ? Kind::Deny : Kind::Return));
+    }
+  }
+
+  void testPacket_unknownToCompleteTable_isDenied() {
+    auto Flows = readyFlows();
+    const auto Given = fromBalancer(Flows, callerData(relayKey(1), Sequence), {.Search = true});
+    CPPUNIT_ASSERT(Given[0].What == Kind::Deny);
+  }
+
+  void testFlow_ofDrainingUpstream_goesOn() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    (void)Flows.onHeartbeat(heartbeat(2, 10, true), RelayStart);
+    CPPUNIT_ASSERT(fromBalancer(Flows, callerData(relayKey(1), Sequence))[0].What == Kind::Deliver);
+  }
+
+  void testLoad_requestsAndFlows_areCounted() {
+    auto Flows = readyFlows();
+    (void)fromBalancer(Flows, firstPacket(relayKey(1)), {.Long = true});
+    CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{1, 1}));
+    (void)fromUpstream(Flows, upstreamAccept(relayKey(1), Sequence));
+    (void)fromBalancer(Flows, callerData(relayKey(1), Sequence));
+    CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{1, 1}));
+    (void)fromUpstream(Flows, upstreamData(relayKey(1), Sequence));
+    CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{0, 1}));
+    // A retransmission of the answered request is no new one.
+    (void)fromBalancer(Flows, callerData(relayKey(1), Sequence));
+    CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{0, 1}));
+    auto End = callerData(relayKey(1), Sequence + 100, 1100, 0);
+    End.Bits.Rst = true;
+    (void)fromBalancer(Flows, End);
+    CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{0, 0}));
+  }
+
+  void testLoad_flowWithoutRequest_isNoWorkForLong() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
+    for (common::TimePoint Now = RelayStart; Now < RelayStart + 1s; Now += 20ms)
+      (void)Flows.onTimer(Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+  }
+
+  void testDeparture_openFlows_areResetNearAcknowledgement() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    exchange(Flows, relayKey(1), 0);
+    (void)fromBalancer(Flows, callerData(relayKey(1), Sequence + 100, 1100, 0));
+    (void)Flows.onDeparture("up-10");
+    const auto Resets = Flows.resetAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countKind(Resets, Kind::ResetCaller));
+    CPPUNIT_ASSERT_EQUAL(Sequence + 100, Resets[0].Sequence);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
+
+} // namespace galenarelay::tests
