Ask agents for many searched flows in one message

Change: packets wait at the balancer, one message every 20 ms asks for up to 40 flows, an agent names those that it holds or is unsure of. An agent that hears its upstream's first heartbeat of all knows all its flows.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -186,6 +186,8 @@
   void onPeerDatagram(std::span<const std::uint8_t> Raw, relay::NodeAddress From) {
     const auto Now = common::suspendAwareNow();
     const auto Message = relay::decodeMessage(Raw);
+    if (const auto *Query = Message ? std::get_if<relay::FlowQuery>(&*Message) : nullptr)
+      return sendTo(From, Flows.onQuery(*Query));
     const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
     if (Beacon == nullptr)
       return MalformedPackets.Increment();
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -144,6 +144,20 @@
     if (!Head)
       return MalformedPackets.Increment();
     perform(Steering.onPacket(*Head, Raw, Now), Raw, Now);
+    sendQueries(Now);
+  }
+
+  void sendQueries(common::TimePoint Now) {
+    const auto Query = Steering.takeQuery(Now);
+    if (!Query)
+      return;
+    const auto Raw = relay::encode(Query->Message);
+    for (const auto Agent : Query->Agents)
+      PeerSocket->send(Raw, {Agent, Options.Peers.Port});
+    common::log(common::LogLevel::Info, "flows_searched",
+                {{"query", Query->Message.Number},
+                 {"flows", Query->Message.Keys.size()},
+                 {"agents", Query->Agents.size()}});
   }
 
   void perform(const relay::SteeringActions &Actions, std::span<std::uint8_t> Raw,
@@ -246,7 +260,17 @@
   }
 
   void take(const relay::FlowNotice &Notice, relay::NodeAddress From, common::TimePoint Now) {
-    Steering.onNotice(Notice, From, Now);
+    Directory.onLoad(From, Notice.Load, Now);
+    perform(Steering.onNotice(Notice, From, Now), {}, Now);
+  }
+
+  void take(const relay::FlowAnswer &Answer, relay::NodeAddress From, common::TimePoint Now) {
+    perform(Steering.onAnswer(Answer, From, Now), {}, Now);
+  }
+
+  /// Only agents are asked.
+  void take(const relay::FlowQuery &, relay::NodeAddress, common::TimePoint) {
+    MalformedPackets.Increment();
   }
 
   void take(const relay::ReturnedPacket &Returned, relay::NodeAddress From, common::TimePoint Now) {
@@ -270,7 +294,7 @@
   }
 
   void take(const relay::FlowShare &Share, relay::NodeAddress, common::TimePoint Now) {
-    Steering.onShare(Share, Now);
+    perform(Steering.onShare(Share, Now), {}, Now);
   }
 
   void sendTo(relay::NodeAddress To, const relay::PeerMessage &Message) {
@@ -328,6 +352,7 @@
     LastTick = Now;
     Steering.setRoutesCurrent(routesCurrent(Now));
     perform(Steering.onTimer(Now), {}, Now);
+    sendQueries(Now);
     for (const auto Agent : Directory.takeLost(Now)) {
       common::log(common::LogLevel::Warning, "agent_lost",
                   {{"agent", common::addressToString(Agent)},
--- /dev/null
+++ b/include/galenarelay/relay/flow_search.h
@@ -0,0 +1,90 @@
+#ifndef GALENARELAY_RELAY_FLOW_SEARCH_H
+#define GALENARELAY_RELAY_FLOW_SEARCH_H
+
+#include "galenarelay/common/time.h"
+#include "galenarelay/packet/packet.h"
+#include "galenarelay/relay/peer_message.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace galenarelay::relay {
+
+/// Queries leave at most this often, so that one message asks for many flows.
+inline constexpr common::Duration QueryInterval = std::chrono::milliseconds(20);
+/// A flow that some agent has not answered for is asked for again after this time, if a packet
+/// comes: shorter than a caller's first retransmission.
+inline constexpr common::Duration SearchRepeat = std::chrono::milliseconds(150);
+/// A search without packets is given up after this time.
+inline constexpr common::Duration SearchRetention = std::chrono::seconds(4);
+/// Bounds; beyond them packets are dropped, and their callers repeat them.
+inline constexpr std::size_t MaxSearches = 4000;
+inline constexpr std::size_t MaxHeldPerFlow = 16; ///< A sender's packets in flight.
+inline constexpr std::size_t MaxHeldPackets = 2000;
+/// Queries whose answers are awaited.
+inline constexpr std::size_t MaxOpenQueries = 64;
+
+/// Flows whose agent a balancer doesn't know, the packets that wait for it, and the questions to
+/// all agents that could hold them.
+class FlowSearch {
+public:
+  using Packets = std::vector<std::shared_ptr<const Bytes>>;
+
+  /// A question and whom to ask.
+  struct Query {
+    FlowQuery Message;
+    std::vector<NodeAddress> Agents;
+  };
+
+  /// What an answer settles.
+  struct Outcome {
+    std::vector<packet::FlowKey> Held;    ///< At the agent that answered.
+    std::vector<packet::FlowKey> Unsure;  ///< The agent has to ask its upstream with a packet.
+    std::vector<packet::FlowKey> Nowhere; ///< All agents that were asked deny these.
+  };
+
+  /// Begins or continues a search; false if the packet had to be dropped.
+  bool add(const packet::FlowKey &Key, std::span<const std::uint8_t> Packet, common::TimePoint Now);
+  [[nodiscard]] bool queryDue(common::TimePoint Now) const noexcept {
+    return !Unasked.empty() && Now - LastQueryAt >= QueryInterval;
+  }
+  /// The next question, if one is due.
+  [[nodiscard]] std::optional<Query> takeQuery(const std::vector<NodeAddress> &Holders,
+                                               common::TimePoint Now);
+  [[nodiscard]] Outcome onAnswer(const FlowAnswer &Answer, NodeAddress From);
+  /// The agent's upstream doesn't hold the flow. True if nobody is left who could.
+  bool onAbsence(const packet::FlowKey &Key, NodeAddress From);
+  /// A packet of the flow, for an agent that is unsure; null if there is none.
+  [[nodiscard]] std::shared_ptr<const Bytes> anyPacket(const packet::FlowKey &Key) const;
+  /// Ends a search and returns the packets that waited.
+  [[nodiscard]] Packets finish(const packet::FlowKey &Key);
+  void forgetOld(common::TimePoint Now);
+
+private:
+  struct Search {
+    Packets Waiting;
+    std::vector<NodeAddress> Unanswered;
+    common::TimePoint AskedAt{};
+    common::TimePoint UsedAt{};
+    bool Queued = false; ///< In Unasked.
+    bool Asked = false;
+  };
+  using SearchMap = std::unordered_map<packet::FlowKey, Search, packet::FlowKeyHash>;
+
+  SearchMap Searches;
+  std::deque<packet::FlowKey> Unasked;
+  std::deque<FlowQuery> OpenQueries;
+  std::uint64_t NextNumber = 1;
+  std::size_t HeldPackets = 0;
+  common::TimePoint LastQueryAt{};
+};
+
+} // namespace galenarelay::relay
+
+#endif // GALENARELAY_RELAY_FLOW_SEARCH_H
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_RELAY_FLOW_STEERING_H
 #define GALENARELAY_RELAY_FLOW_STEERING_H
 
+#include "galenarelay/relay/flow_search.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/route_table.h"
@@ -26,12 +27,8 @@
 inline constexpr std::size_t MaxPlacements = 8;
 /// Callers stop waiting for the answer to a first packet after this time.
 inline constexpr common::Duration OpenTimeout = std::chrono::milliseconds(1400);
-/// Least time between two searches for one flow: shorter than a caller's first retransmission.
-inline constexpr common::Duration SearchInterval = std::chrono::milliseconds(100);
 /// Time for peers to name agents that are in no record of the store.
 inline constexpr common::Duration ListSettleTime = std::chrono::milliseconds(300);
-/// Packets that searches may send per second, and at once.
-inline constexpr double SearchPacketsPerSecond = 4000;
 /// A flow that has been open for this time is told to the peers of the zone.
 inline constexpr common::Duration ShareAge = std::chrono::milliseconds(300);
 /// An ended flow is remembered for its last packets: longer than three retransmissions.
@@ -49,11 +46,11 @@
   PlacedAgain,   ///< New flow that an earlier agent did not take.
   Insisted,      ///< New flow at a busy upstream, since all are.
   Known,         ///< The flow's agent is known.
-  Searched,      ///< Sent to all agents that could hold the flow.
+  Searched,      ///< Waits until agents have told which of them holds the flow.
   NoRoute,       ///< The configuration has no such service endpoint.
   NoUpstream,    ///< No upstream of the service takes the flow.
   NotReady,      ///< This node doesn't know enough yet.
-  SearchLimited, ///< Too many searches, or one for this flow a moment ago.
+  SearchLimited, ///< Dropped since too many packets wait for searches.
   TableFull,
   HeldNowhere, ///< All agents deny the flow: its upstream has ended.
   AgentLost    ///< The flow's agent is unreachable, and the caller may repeat its requests.
@@ -101,14 +98,19 @@
   /// A packet that an agent gave back, without the mark of its upstream.
   [[nodiscard]] SteeringActions onReturned(const PacketHead &Head, const ReturnedPacket &Returned,
                                            NodeAddress From, common::TimePoint Now);
-  /// An agent denied a flow that was searched.
+  /// The next question to agents, if one is due.
+  [[nodiscard]] std::optional<FlowSearch::Query> takeQuery(common::TimePoint Now);
+  [[nodiscard]] SteeringActions onAnswer(const FlowAnswer &Answer, NodeAddress From,
+                                         common::TimePoint Now);
+  /// An agent's upstream has denied a flow.
   [[nodiscard]] SteeringActions onAbsence(const FlowAbsence &Absence, NodeAddress From,
                                           common::TimePoint Now);
   /// Resets the flows of an agent that can't be reached, if their requests may be repeated. Others
   /// wait: an upstream that lives may have an answer ready.
   [[nodiscard]] SteeringActions onAgentLost(NodeAddress Agent);
-  void onNotice(const FlowNotice &Notice, NodeAddress From, common::TimePoint Now);
-  void onShare(const FlowShare &Share, common::TimePoint Now);
+  [[nodiscard]] SteeringActions onNotice(const FlowNotice &Notice, NodeAddress From,
+                                         common::TimePoint Now);
+  [[nodiscard]] SteeringActions onShare(const FlowShare &Share, common::TimePoint Now);
   /// Places flows again whose agent has not answered; forgets old flows.
   [[nodiscard]] SteeringActions onTimer(common::TimePoint Now);
   /// When onTimer has something to place.
@@ -129,12 +131,6 @@
     common::TimePoint StartedAt{};
     bool Waiting = false; ///< The last one of Tried has not declined yet.
   };
-  /// A question to agents for a flow whose agent isn't known.
-  struct Search {
-    std::vector<NodeAddress> Asked;
-    std::vector<NodeAddress> Waiting; ///< Those of Asked that have not denied.
-    std::shared_ptr<const Bytes> Packet;
-  };
   enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
   struct Flow {
     Phase State = Phase::Opening;
@@ -146,7 +142,6 @@
     bool HasAcknowledgement = false;
     std::uint32_t Acknowledgement = 0; ///< The caller's last one, near which a reset must be.
     std::unique_ptr<Opening> Open;
-    std::unique_ptr<Search> Sought;
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
 
@@ -158,16 +153,13 @@
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out);
   void forwardOpen(const PacketHead &Head, Flow &Held, std::span<const std::uint8_t> Raw,
                    common::TimePoint Now, SteeringActions &Out);
-  void search(const packet::FlowKey &Key, Flow &Held, NodeAddress Except,
-              std::span<const std::uint8_t> Raw, common::TimePoint Now, SteeringActions &Out);
-  void ask(const packet::FlowKey &Key, Flow &Held, const std::vector<NodeAddress> &Agents,
-           common::TimePoint Now, SteeringActions &Out);
-  [[nodiscard]] std::vector<NodeAddress> remainingHolders(const Search &Sought,
-                                                          common::TimePoint Now) const;
+  void search(const packet::FlowKey &Key, Flow &Held, std::span<const std::uint8_t> Raw,
+              common::TimePoint Now, SteeringActions &Out);
+  void endSearch(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
+  void concludeNowhere(const packet::FlowKey &Key, common::TimePoint Now, SteeringActions &Out);
   static void noteAcknowledgement(const PacketHead &Head, Flow &Held);
   [[nodiscard]] bool mayConclude(common::TimePoint Now) const noexcept;
   [[nodiscard]] Transit transitTo(const std::string &Service, bool Search, bool Insist) const;
-  [[nodiscard]] bool takeSearchTokens(std::size_t Count, common::TimePoint Now);
   void forgetOld(common::TimePoint Now);
   void setState(Flow &Held, Phase State, common::TimePoint Now) {
     Held.State = State;
@@ -183,8 +175,7 @@
   FlowMap Flows;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
-  double SearchTokens = SearchPacketsPerSecond;
-  common::TimePoint SearchTokensAt{};
+  FlowSearch Search;
   std::size_t SweepBucket = 0;
 };
 
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -90,6 +90,23 @@
   friend bool operator==(const ReturnedPacket &, const ReturnedPacket &) = default;
 };
 
+/// A balancer asks which of these flows the agent's upstream holds.
+struct FlowQuery {
+  std::uint64_t Number = 0;
+  std::vector<packet::FlowKey> Keys;
+
+  friend bool operator==(const FlowQuery &, const FlowQuery &) = default;
+};
+
+/// Answer to a FlowQuery. The flows that it doesn't name aren't there.
+struct FlowAnswer {
+  std::uint64_t Number = 0;
+  std::vector<std::uint8_t> Held;   ///< Positions in the query.
+  std::vector<std::uint8_t> Unsure; ///< Those of which only the upstream can tell.
+
+  friend bool operator==(const FlowAnswer &, const FlowAnswer &) = default;
+};
+
 /// An agent answers a search: its upstream doesn't hold the flow.
 struct FlowAbsence {
   packet::FlowKey Key;
@@ -110,11 +127,13 @@
   friend bool operator==(const FlowShare &, const FlowShare &) = default;
 };
 
-using PeerMessage =
-    std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowShare, FlowAbsence>;
+using PeerMessage = std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowShare,
+                                 FlowAbsence, FlowQuery, FlowAnswer>;
 
 /// Flows in one FlowShare: it stays below an Ethernet frame.
 inline constexpr std::size_t MaxSharedFlows = 40;
+/// Flows in one FlowQuery, for the same reason.
+inline constexpr std::size_t MaxQueriedFlows = 40;
 /// Addresses of one kind in a beacon, for the same reason.
 inline constexpr std::size_t MaxBeaconAddresses = 100;
 
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -87,6 +87,8 @@
                                              NodeAddress Balancer, common::TimePoint Now);
   [[nodiscard]] FlowActions onUpstreamPacket(const PacketHead &Head, const Transit &Fields,
                                              common::TimePoint Now);
+  /// Which of the flows are here.
+  [[nodiscard]] FlowAnswer onQuery(const FlowQuery &Query) const;
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
   [[nodiscard]] std::optional<common::TimePoint> nextAnswerCheck() const noexcept;
   /// Resets for the open flows of an upstream that has ended.
--- /dev/null
+++ b/src/relay/flow_search.cpp
@@ -0,0 +1,109 @@
+#include "galenarelay/relay/flow_search.h"
+
+#include <algorithm>
+
+namespace galenarelay::relay {
+
+bool FlowSearch::add(const packet::FlowKey &Key, std::span<const std::uint8_t> Packet,
+                     common::TimePoint Now) {
+  if (Searches.size() >= MaxSearches && !Searches.contains(Key))
+    return false;
+  Search &Held = Searches[Key];
+  Held.UsedAt = Now;
+  if (!Held.Queued && (!Held.Asked || Now - Held.AskedAt >= SearchRepeat)) {
+    Held.Queued = true;
+    Unasked.push_back(Key);
+  }
+  if (Held.Waiting.size() >= MaxHeldPerFlow || HeldPackets >= MaxHeldPackets)
+    return false;
+  Held.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
+  ++HeldPackets;
+  return true;
+}
+
+std::optional<FlowSearch::Query> FlowSearch::takeQuery(const std::vector<NodeAddress> &Holders,
+                                                       common::TimePoint Now) {
+  if (!queryDue(Now) || Holders.empty())
+    return std::nullopt;
+  Query Next{{NextNumber++, {}}, Holders};
+  while (!Unasked.empty() && Next.Message.Keys.size() < MaxQueriedFlows) {
+    const packet::FlowKey Key = Unasked.front();
+    Unasked.pop_front();
+    const auto Found = Searches.find(Key);
+    if (Found == Searches.end())
+      continue;
+    Found->second.Queued = false;
+    Found->second.Asked = true;
+    Found->second.AskedAt = Now;
+    Found->second.Unanswered = Holders;
+    Next.Message.Keys.push_back(Key);
+  }
+  if (Next.Message.Keys.empty())
+    return std::nullopt;
+  LastQueryAt = Now;
+  OpenQueries.push_back(Next.Message);
+  if (OpenQueries.size() > MaxOpenQueries)
+    OpenQueries.pop_front();
+  return Next;
+}
+
+FlowSearch::Outcome FlowSearch::onAnswer(const FlowAnswer &Answer, NodeAddress From) {
+  Outcome Settled;
+  const auto Asked =
+      std::find_if(OpenQueries.begin(), OpenQueries.end(),
+                   [&](const FlowQuery &Each) { return Each.Number == Answer.Number; });
+  if (Asked == OpenQueries.end())
+    return Settled;
+  const auto Names = [](const std::vector<std::uint8_t> &List, std::size_t Index) {
+    return std::find(List.begin(), List.end(), Index) != List.end();
+  };
+  for (std::size_t I = 0; I < Asked->Keys.size(); ++I) {
+    const packet::FlowKey &Key = Asked->Keys[I];
+    if (!Searches.contains(Key))
+      continue;
+    if (Names(Answer.Held, I))
+      Settled.Held.push_back(Key);
+    else if (Names(Answer.Unsure, I))
+      Settled.Unsure.push_back(Key);
+    else if (onAbsence(Key, From))
+      Settled.Nowhere.push_back(Key);
+  }
+  return Settled;
+}
+
+bool FlowSearch::onAbsence(const packet::FlowKey &Key, NodeAddress From) {
+  const auto Found = Searches.find(Key);
+  if (Found == Searches.end() || !Found->second.Asked)
+    return false;
+  return std::erase(Found->second.Unanswered, From) > 0 && Found->second.Unanswered.empty();
+}
+
+std::shared_ptr<const Bytes> FlowSearch::anyPacket(const packet::FlowKey &Key) const {
+  const auto Found = Searches.find(Key);
+  if (Found == Searches.end() || Found->second.Waiting.empty())
+    return nullptr;
+  return Found->second.Waiting.front();
+}
+
+FlowSearch::Packets FlowSearch::finish(const packet::FlowKey &Key) {
+  const auto Found = Searches.find(Key);
+  if (Found == Searches.end())
+    return {};
+  Packets Waiting = std::move(Found->second.Waiting);
+  HeldPackets -= Waiting.size();
+  Searches.erase(Found);
+  return Waiting;
+}
+
+void FlowSearch::forgetOld(common::TimePoint Now) {
+  for (auto At = Searches.begin(); At != Searches.end();) {
+    if (Now - At->second.UsedAt <= SearchRetention) {
+      ++At;
+      continue;
+    }
+    HeldPackets -= At->second.Waiting.size();
+    At = Searches.erase(At);
+  }
+}
+
+} // namespace galenarelay::relay
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -57,14 +57,14 @@
     Flow &Held = Flows[Head.Key];
     Held.UsedAt = Now;
     noteAcknowledgement(Head, Held);
-    search(Head.Key, Held, 0, Raw, Now, Out);
+    search(Head.Key, Held, Raw, Now, Out);
     return Out;
   }
   Flow &Held = Found->second;
   Held.UsedAt = Now;
   noteAcknowledgement(Head, Held);
   if (Held.State == Phase::Searching)
-    search(Head.Key, Held, 0, Raw, Now, Out);
+    search(Head.Key, Held, Raw, Now, Out);
   else
     forwardOpen(Head, Held, Raw, Now, Out);
   if (Head.Bits.Fin || Head.Bits.Rst)
@@ -191,7 +191,7 @@
     return;
   }
   if (Held.Agent == 0) {
-    search(Head.Key, Held, 0, Raw, Now, Out);
+    search(Head.Key, Held, Raw, Now, Out);
     return;
   }
   // Only one upstream has seen the flow, and the caller has its answer.
@@ -207,58 +207,55 @@
                  .Fields = transitTo("", false, false)});
 }
 
-// The agents of the route's service are asked first. The others follow if all of these deny: the
-// route may have changed while the flow was open. A repeated search asks all at once.
-void FlowSteering::search(const packet::FlowKey &Key, Flow &Held, NodeAddress Except,
-                          std::span<const std::uint8_t> Raw, common::TimePoint Now,
-                          SteeringActions &Out) {
-  const bool Again = Held.State == Phase::Searching;
-  if (Again && Now - Held.StateAt < SearchInterval) {
-    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Key});
-    return;
-  }
+// All agents are asked, also those of other services: the route may have changed while the flow was
+// open.
+void FlowSteering::search(const packet::FlowKey &Key, Flow &Held, std::span<const std::uint8_t> Raw,
+                          common::TimePoint Now, SteeringActions &Out) {
   Held.Agent = 0;
   Held.Open.reset();
-  setState(Held, Phase::Searching, Now);
-  Held.Sought = std::make_unique<Search>();
-  Held.Sought->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
-  if (Except != 0)
-    Held.Sought->Asked.push_back(Except);
-  std::vector<NodeAddress> First;
-  const Route *Found = Routes->find(Key.Service);
-  if (Found != nullptr && !Again)
-    First = Directory.agentsOf(RouteTable::serviceFor(*Found, Key));
-  std::erase(First, Except);
-  if (First.empty())
-    First = remainingHolders(*Held.Sought, Now);
-  ask(Key, Held, First, Now, Out);
+  if (Held.State != Phase::Searching)
+    setState(Held, Phase::Searching, Now);
+  const bool Kept = Search.add(Key, Raw, Now);
+  Out.push_back(
+      {.Reason = Kept ? SteeringReason::Searched : SteeringReason::SearchLimited, .Key = Key});
 }
 
-std::vector<NodeAddress> FlowSteering::remainingHolders(const Search &Sought,
-                                                        common::TimePoint Now) const {
-  auto Agents = Directory.possibleHolders(Now);
-  std::erase_if(Agents, [&](NodeAddress Agent) { return contains(Sought.Asked, Agent); });
-  return Agents;
+std::optional<FlowSearch::Query> FlowSteering::takeQuery(common::TimePoint Now) {
+  if (!Search.queryDue(Now))
+    return std::nullopt;
+  return Search.takeQuery(Directory.possibleHolders(Now), Now);
 }
 
-void FlowSteering::ask(const packet::FlowKey &Key, Flow &Held,
-                       const std::vector<NodeAddress> &Agents, common::TimePoint Now,
-                       SteeringActions &Out) {
-  if (!takeSearchTokens(Agents.size(), Now)) {
-    Out.push_back({.Reason = SteeringReason::SearchLimited, .Key = Key});
-    return;
+SteeringActions FlowSteering::onAnswer(const FlowAnswer &Answer, NodeAddress From,
+                                       common::TimePoint Now) {
+  SteeringActions Out;
+  const auto Settled = Search.onAnswer(Answer, From);
+  for (const auto &Key : Settled.Held) {
+    const auto Found = onNotice({Key, {}}, From, Now);
+    Out.insert(Out.end(), Found.begin(), Found.end());
   }
-  Search &Sought = *Held.Sought;
-  for (const NodeAddress Agent : Agents) {
-    Sought.Asked.push_back(Agent);
-    Sought.Waiting.push_back(Agent);
+  for (const auto &Key : Settled.Unsure)
+    if (auto Packet = Search.anyPacket(Key))
+      Out.push_back({.What = SteeringAction::Kind::Forward,
+                     .Reason = SteeringReason::Searched,
+                     .Key = Key,
+                     .Agent = From,
+                     .Fields = transitTo("", true, false),
+                     .Saved = std::move(Packet)});
+  for (const auto &Key : Settled.Nowhere)
+    concludeNowhere(Key, Now, Out);
+  return Out;
+}
+
+/// Sends the packets that waited to the agent that was found.
+void FlowSteering::endSearch(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out) {
+  for (auto &Packet : Search.finish(Key))
     Out.push_back({.What = SteeringAction::Kind::Forward,
-                   .Reason = SteeringReason::Searched,
+                   .Reason = SteeringReason::Known,
                    .Key = Key,
-                   .Agent = Agent,
-                   .Fields = transitTo("", true, false),
-                   .Saved = Sought.Packet});
-  }
+                   .Agent = Held.Agent,
+                   .Fields = transitTo("", false, false),
+                   .Saved = std::move(Packet)});
 }
 
 // Right after a start, agents may exist that nobody has named yet.
@@ -270,28 +267,25 @@
 SteeringActions FlowSteering::onAbsence(const FlowAbsence &Absence, NodeAddress From,
                                         common::TimePoint Now) {
   SteeringActions Out;
-  const auto Found = Flows.find(Absence.Key);
-  if (Found == Flows.end() || Found->second.Sought == nullptr ||
-      Found->second.State != Phase::Searching)
-    return Out;
-  Flow &Held = Found->second;
-  Search &Sought = *Held.Sought;
-  std::erase(Sought.Waiting, From);
-  if (!Sought.Waiting.empty())
-    return Out;
-  const auto Rest = remainingHolders(Sought, Now);
-  if (!Rest.empty()) {
-    ask(Absence.Key, Held, Rest, Now, Out);
-  } else if (Held.HasAcknowledgement && mayConclude(Now)) {
-    Out.push_back({.What = SteeringAction::Kind::Reset,
-                   .Reason = SteeringReason::HeldNowhere,
-                   .Key = Absence.Key,
-                   .Sequence = Held.Acknowledgement});
-    Flows.erase(Found);
-  }
+  if (Search.onAbsence(Absence.Key, From))
+    concludeNowhere(Absence.Key, Now, Out);
   return Out;
 }
 
+void FlowSteering::concludeNowhere(const packet::FlowKey &Key, common::TimePoint Now,
+                                   SteeringActions &Out) {
+  const auto Found = Flows.find(Key);
+  if (Found == Flows.end() || Found->second.State != Phase::Searching ||
+      !Found->second.HasAcknowledgement || !mayConclude(Now))
+    return;
+  Out.push_back({.What = SteeringAction::Kind::Reset,
+                 .Reason = SteeringReason::HeldNowhere,
+                 .Key = Key,
+                 .Sequence = Found->second.Acknowledgement});
+  (void)Search.finish(Key); // Their flow has ended.
+  Flows.erase(Found);
+}
+
 SteeringActions FlowSteering::onAgentLost(NodeAddress Agent) {
   SteeringActions Out;
   for (auto At = Flows.begin(); At != Flows.end();) {
@@ -312,16 +306,6 @@
   return Out;
 }
 
-bool FlowSteering::takeSearchTokens(std::size_t Count, common::TimePoint Now) {
-  const double Elapsed = std::chrono::duration<double>(Now - SearchTokensAt).count();
-  SearchTokens = std::min(SearchPacketsPerSecond, SearchTokens + Elapsed * SearchPacketsPerSecond);
-  SearchTokensAt = Now;
-  if (SearchTokens < static_cast<double>(Count))
-    return false;
-  SearchTokens -= static_cast<double>(Count);
-  return true;
-}
-
 SteeringActions FlowSteering::onReturned(const PacketHead &Head, const ReturnedPacket &Returned,
                                          NodeAddress From, common::TimePoint Now) {
   SteeringActions Out;
@@ -367,44 +351,48 @@
   if (Held.State == Phase::Ended)
     return Out;
   noteAcknowledgement(Head, Held);
-  search(Head.Key, Held, From, Returned.Packet, Now, Out);
+  search(Head.Key, Held, Returned.Packet, Now, Out);
   return Out;
 }
 
-void FlowSteering::onNotice(const FlowNotice &Notice, NodeAddress From, common::TimePoint Now) {
-  Directory.onLoad(From, Notice.Load, Now);
+SteeringActions FlowSteering::onNotice(const FlowNotice &Notice, NodeAddress From,
+                                       common::TimePoint Now) {
+  SteeringActions Out;
   if (Flows.size() >= MaxSteeredFlows && !Flows.contains(Notice.Key))
-    return;
+    return Out;
   Flow &Held = Flows[Notice.Key];
   if (Held.State == Phase::Open && Held.Agent != From && Held.Agent != 0) {
     Held.Other = From;
-    return;
+    return Out;
   }
   const bool New = Held.State != Phase::Open;
   Held.Agent = From;
   Held.Open.reset();
-  Held.Sought.reset();
   Held.UsedAt = Now;
   if (New && Held.State != Phase::Ended) {
     setState(Held, Phase::Open, Now);
     ShareChecks.emplace_back(Now + ShareAge, Notice.Key);
   }
+  endSearch(Notice.Key, Held, Out);
+  return Out;
 }
 
-void FlowSteering::onShare(const FlowShare &Share, common::TimePoint Now) {
+SteeringActions FlowSteering::onShare(const FlowShare &Share, common::TimePoint Now) {
+  SteeringActions Out;
   for (const auto &Entry : Share.Entries) {
     if (Flows.size() >= MaxSteeredFlows && !Flows.contains(Entry.Key))
-      return;
+      return Out;
     auto [Found, Added] = Flows.try_emplace(Entry.Key);
     Flow &Held = Found->second;
     if (!Added && Held.State != Phase::Searching)
       continue;
     Held.Agent = Entry.Agent;
-    Held.Sought.reset();
     Held.Shared = true;
     Held.UsedAt = Now;
     setState(Held, Phase::Open, Now);
+    endSearch(Entry.Key, Held, Out);
   }
+  return Out;
 }
 
 std::optional<common::TimePoint> FlowSteering::nextPlacementCheck() const noexcept {
@@ -431,6 +419,7 @@
       place(Key, Held, Now, Out);
   }
   forgetOld(Now);
+  Search.forgetOld(Now);
   return Out;
 }
 
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Types of messages, the first element of each array.
-enum class Type : std::uint8_t { Report, Beacon, Notice, Returned, Share, Absence };
+enum class Type : std::uint8_t { Report, Beacon, Notice, Returned, Share, Absence, Query, Answer };
 
 json loadJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
 
@@ -61,6 +61,17 @@
   return json::array({Type::Absence, keyJson(Absence.Key)});
 }
 
+json toJson(const FlowQuery &Query) {
+  json Rows = json::array();
+  for (const auto &Key : Query.Keys)
+    Rows.push_back(keyJson(Key));
+  return json::array({Type::Query, Query.Number, std::move(Rows)});
+}
+
+json toJson(const FlowAnswer &Answer) {
+  return json::array({Type::Answer, Answer.Number, Answer.Held, Answer.Unsure});
+}
+
 template <typename E> E enumOf(const json &Value, E Last) {
   const auto Number = Value.get<std::uint8_t>();
   if (Number > static_cast<std::uint8_t>(Last))
@@ -102,8 +113,15 @@
   return Read;
 }
 
+FlowQuery queryOf(const json &Fields) {
+  FlowQuery Read{Fields.at(1).get<std::uint64_t>(), {}};
+  for (const json &Row : Fields.at(2))
+    Read.Keys.push_back(keyOf(Row));
+  return Read;
+}
+
 PeerMessage messageOf(const json &Fields) {
-  switch (enumOf(Fields.at(0), Type::Absence)) {
+  switch (enumOf(Fields.at(0), Type::Answer)) {
   case Type::Report:
     return reportOf(Fields);
   case Type::Beacon:
@@ -117,6 +135,12 @@
     return shareOf(Fields);
   case Type::Absence:
     return FlowAbsence{keyOf(Fields.at(1))};
+  case Type::Query:
+    return queryOf(Fields);
+  case Type::Answer:
+    return FlowAnswer{Fields.at(1).get<std::uint64_t>(),
+                      Fields.at(2).get<std::vector<std::uint8_t>>(),
+                      Fields.at(3).get<std::vector<std::uint8_t>>()};
   }
   throw std::out_of_range("unknown type");
 }
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -37,6 +37,7 @@
   // long it has run.
   if (Effect == HeartbeatEffect::NewIncarnation)
     KnowsAllFlows =
+        Heard.Sequence <= 1 ||
         Now - StartedAt >= HeartbeatInterval * static_cast<std::int64_t>(Heard.Sequence + 1);
   return Effect;
 }
@@ -110,6 +111,20 @@
   return Out;
 }
 
+FlowAnswer UpstreamFlows::onQuery(const FlowQuery &Query) const {
+  FlowAnswer Answer{Query.Number, {}, {}};
+  const std::size_t Size = std::min(Query.Keys.size(), MaxQueriedFlows);
+  for (std::size_t I = 0; I < Size; ++I) {
+    const auto Found = Flows.find(Query.Keys[I]);
+    const bool Known = Found != Flows.end();
+    if (Known && (Found->second.State == Phase::Open || Found->second.State == Phase::Closed))
+      Answer.Held.push_back(static_cast<std::uint8_t>(I));
+    else if (!KnowsAllFlows)
+      Answer.Unsure.push_back(static_cast<std::uint8_t>(I));
+  }
+  return Answer;
+}
+
 std::optional<ReturnReason> UpstreamFlows::whyDeclined(const Transit &Fields,
                                                        common::TimePoint Now) const {
   if (Fields.ServiceDigest != 0 && Fields.ServiceDigest != serviceDigest(service()))
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(testPacket_ofEstablishedFlowLostByUpstream_resetsCaller);
   CPPUNIT_TEST(testPacket_unknownAfterRestart_asksUpstream);
   CPPUNIT_TEST(testPacket_unknownToCompleteTable_isDenied);
+  CPPUNIT_TEST(testQuery_flows_areHeldUnsureOrAbsent);
   CPPUNIT_TEST(testFlow_ofDrainingUpstream_goesOn);
   CPPUNIT_TEST(testLoad_requestsAndFlows_areCounted);
   CPPUNIT_TEST(testLoad_flowWithoutRequest_isNoWorkForLong);
@@ -220,6 +221,21 @@
     CPPUNIT_ASSERT(Given[0].What == Kind::Deny);
   }
 
+  void testQuery_flows_areHeldUnsureOrAbsent() {
+    auto Complete = readyFlows();
+    open(Complete, relayKey(1));
+    const relay::FlowQuery Query{7, {relayKey(1), relayKey(2)}};
+    CPPUNIT_ASSERT((Complete.onQuery(Query) == relay::FlowAnswer{7, {0}, {}}));
+    UpstreamFlows Restarted("desk", 1200ms, RelayStart);
+    (void)Restarted.onHeartbeat(heartbeat(30), RelayStart);
+    open(Restarted, relayKey(1));
+    CPPUNIT_ASSERT((Restarted.onQuery(Query) == relay::FlowAnswer{7, {0}, {1}}));
+    // The first heartbeat of all is heard by the agent that the upstream started beside.
+    UpstreamFlows Together("desk", 1200ms, RelayStart);
+    (void)Together.onHeartbeat(heartbeat(1), RelayStart);
+    CPPUNIT_ASSERT((Together.onQuery(Query) == relay::FlowAnswer{7, {}, {}}));
+  }
+
   void testFlow_ofDrainingUpstream_goesOn() {
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
