Repeat searches, hold first packets while upstreams are full, and report ended upstreams (trial)

Change: searches repeat every 150 ms; agents report ended upstreams; a first packet waits for an upstream that is not full, those that can still meet their objective first.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -187,7 +187,7 @@
     const auto Now = common::suspendAwareNow();
     const auto Message = relay::decodeMessage(Raw);
     if (const auto *Query = Message ? std::get_if<relay::FlowQuery>(&*Message) : nullptr)
-      return sendTo(From, Flows.onQuery(*Query));
+      return sendTo(From, Flows.onQuery(*Query, Now));
     const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
     if (Beacon == nullptr)
       return MalformedPackets.Increment();
@@ -248,11 +248,14 @@
   }
 
   void onTick(common::TimePoint Now) {
-    if (Now - LastTick > PauseGap)
+    if (Now - LastTick > PauseGap) {
       common::log(
           common::LogLevel::Warning, "resumed_after_pause",
           {{"pause_ms",
             std::chrono::duration_cast<std::chrono::milliseconds>(Now - LastTick).count()}});
+      Flows.restartListening(Now);
+    }
+    noteUpstreamGone(Now);
     LastTick = Now;
     perform(Flows.onTimer(Now), {}, Now);
     noteState(Now);
@@ -263,6 +266,16 @@
     UnansweredGauge.Set(Flows.load().Unanswered);
   }
 
+  /// The flows of an upstream that has ended are reset, so that their callers can use the time
+  /// left.
+  void noteUpstreamGone(common::TimePoint Now) {
+    const bool Is = Flows.upstreamGone(Now);
+    if (std::exchange(UpstreamGone, Is) || !Is)
+      return;
+    common::log(common::LogLevel::Warning, "upstream_gone", {{"flows", Flows.flows()}});
+    perform(Flows.resetAll(), {}, Now);
+  }
+
   /// Balancers learn of a change at once.
   void noteState(common::TimePoint Now) {
     const auto Is = Flows.state(Now);
@@ -369,6 +382,7 @@
   common::TimePoint NextReport{};
   common::TimePoint NextContact{};
   std::uint64_t ReportNumber = 0;
+  bool UpstreamGone = false;
   relay::UpstreamState LastState = relay::UpstreamState::Unknown;
   common::LogRateLimit FlowLog{FlowLogLimit};
   common::LogRateLimit RejectLog{5};
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -44,6 +44,8 @@
 inline constexpr common::Duration MaxDrainTime = std::chrono::milliseconds(4500);
 /// Log lines per second about single flows.
 inline constexpr std::uint32_t FlowLogLimit = 50;
+/// Agents named in one log line.
+inline constexpr std::size_t MaxLoggedAgents = 5;
 /// Store keys below which nodes register; the value is the IPv4 address.
 inline constexpr const char *NodeRecords = "galenarelay/";
 inline constexpr const char *BalancerRecords = "galenarelay/balancers/";
@@ -154,10 +156,15 @@
     const auto Raw = relay::encode(Query->Message);
     for (const auto Agent : Query->Agents)
       PeerSocket->send(Raw, {Agent, Options.Peers.Port});
+    nlohmann::json Silent = nlohmann::json::array();
+    for (std::size_t I = 0; I < std::min(Query->Silent.size(), MaxLoggedAgents); ++I)
+      Silent.push_back(common::addressToString(Query->Silent[I]));
     common::log(common::LogLevel::Info, "flows_searched",
                 {{"query", Query->Message.Number},
-                 {"flows", Query->Message.Keys.size()},
-                 {"agents", Query->Agents.size()}});
+                 {"flows", Query->Message.Rows.size()},
+                 {"agents", Query->Agents.size()},
+                 {"unanswered_before", Query->Silent.size()},
+                 {"unanswered_by", std::move(Silent)}});
   }
 
   void perform(const relay::SteeringActions &Actions, std::span<std::uint8_t> Raw,
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -18,8 +18,8 @@
 
 /// Queries leave at most this often, so that one message asks for many flows.
 inline constexpr common::Duration QueryInterval = std::chrono::milliseconds(20);
-/// A flow that some agent has not answered for is asked for again after this time, if a packet
-/// comes: shorter than a caller's first retransmission.
+/// A flow that nobody is known to hold is asked for again after this time, while its caller may
+/// still wait: shorter than a caller's first retransmission.
 inline constexpr common::Duration SearchRepeat = std::chrono::milliseconds(150);
 /// A search without packets is given up after this time.
 inline constexpr common::Duration SearchRetention = std::chrono::seconds(4);
@@ -40,6 +40,8 @@
   struct Query {
     FlowQuery Message;
     std::vector<NodeAddress> Agents;
+    /// Agents that had not answered for a flow that is asked for again.
+    std::vector<NodeAddress> Silent;
   };
 
   /// What an answer settles.
@@ -50,7 +52,8 @@
   };
 
   /// Begins or continues a search; false if the packet had to be dropped.
-  bool add(const packet::FlowKey &Key, std::span<const std::uint8_t> Packet, common::TimePoint Now);
+  bool add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+           std::span<const std::uint8_t> Packet, common::TimePoint Now);
   [[nodiscard]] bool queryDue(common::TimePoint Now) const noexcept {
     return !Unasked.empty() && Now - LastQueryAt >= QueryInterval;
   }
@@ -64,11 +67,13 @@
   [[nodiscard]] std::shared_ptr<const Bytes> anyPacket(const packet::FlowKey &Key) const;
   /// Ends a search and returns the packets that waited.
   [[nodiscard]] Packets finish(const packet::FlowKey &Key);
-  void forgetOld(common::TimePoint Now);
+  /// Asks again for flows that are not settled; forgets those whose callers have gone.
+  void onTimer(common::TimePoint Now);
 
 private:
   struct Search {
     Packets Waiting;
+    std::uint32_t Acknowledgement = 0;
     std::vector<NodeAddress> Unanswered;
     common::TimePoint AskedAt{};
     common::TimePoint UsedAt{};
@@ -77,6 +82,8 @@
   };
   using SearchMap = std::unordered_map<packet::FlowKey, Search, packet::FlowKeyHash>;
 
+  void queueIfDue(const packet::FlowKey &Key, Search &Held, common::TimePoint Now);
+
   SearchMap Searches;
   std::deque<packet::FlowKey> Unasked;
   std::deque<FlowQuery> OpenQueries;
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -29,6 +29,11 @@
 inline constexpr common::Duration OpenTimeout = std::chrono::milliseconds(1400);
 /// Time for peers to name agents that are in no record of the store.
 inline constexpr common::Duration ListSettleTime = std::chrono::milliseconds(300);
+/// A first packet waits at most this long for an upstream that isn't full, before its caller stops
+/// waiting at OpenTimeout.
+inline constexpr common::Duration HoldTimeout = std::chrono::milliseconds(1200);
+/// First packets that wait. At the bound a new one is refused at once.
+inline constexpr std::size_t MaxHeldFlows = 1000;
 /// A flow that has been open for this time is told to the peers of the zone.
 inline constexpr common::Duration ShareAge = std::chrono::milliseconds(300);
 /// An ended flow is remembered for its last packets: longer than three retransmissions.
@@ -49,13 +54,15 @@
   Searched,      ///< Waits until agents have told which of them holds the flow.
   NoRoute,       ///< The configuration has no such service endpoint.
   NoUpstream,    ///< No upstream of the service takes the flow.
+  Held,          ///< All upstreams are full; the flow waits for one of them.
+  Overloaded,    ///< The flow has waited for as long as its caller does, or too many wait.
   NotReady,      ///< This node doesn't know enough yet.
   SearchLimited, ///< Dropped since too many packets wait for searches.
   TableFull,
   HeldNowhere, ///< All agents deny the flow: its upstream has ended.
   AgentLost    ///< The flow's agent is unreachable, and the caller may repeat its requests.
 };
-inline constexpr std::size_t SteeringReasons = 12;
+inline constexpr std::size_t SteeringReasons = 14;
 
 [[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
 
@@ -130,6 +137,10 @@
     std::vector<NodeAddress> Busy;  ///< Those of Tried that declined because they are busy.
     common::TimePoint StartedAt{};
     bool Waiting = false; ///< The last one of Tried has not declined yet.
+    bool Held = false;    ///< In HeldFlows.
+    bool WasHeld = false;
+    bool MetFull = false; ///< An agent declined because its upstream has enough work.
+    common::Duration LatencyObjective{};
   };
   enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
   struct Flow {
@@ -150,6 +161,9 @@
   void repeatFirstPacket(const PacketHead &Head, Flow &Held, common::TimePoint Now,
                          SteeringActions &Out);
   void place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
+  void hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
+  void releaseHeld(common::TimePoint Now, SteeringActions &Out);
+  [[nodiscard]] std::optional<NodeAddress> leastBusy(Opening &Open) const;
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out);
   void forwardOpen(const PacketHead &Head, Flow &Held, std::span<const std::uint8_t> Raw,
                    common::TimePoint Now, SteeringActions &Out);
@@ -176,6 +190,7 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
   FlowSearch Search;
+  std::deque<packet::FlowKey> HeldFlows; ///< In the order of their first packets.
   std::size_t SweepBucket = 0;
 };
 
--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -28,6 +28,11 @@
   friend bool operator==(const PacketHead &, const PacketHead &) = default;
 };
 
+/// Requests per slot that may wait or run at an upstream before new flows wait elsewhere. Two
+/// beyond the running one keep the slots busy between reports, and leave room in the upstream's
+/// queue for the requests of open flows.
+inline constexpr std::uint32_t FullRequestsPerSlot = 3;
+
 /// What a balancer writes into the free fields of a packet for the agent that receives it.
 struct Transit {
   std::uint32_t Balancer = 0;      ///< IPv4 address; the upstream keeps it in a returned packet.
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -21,8 +21,9 @@
   Unknown, ///< The agent has just started and has heard no heartbeat.
   Ready,
   Draining,
-  Silent,  ///< No recent heartbeat, or no answer to packets.
-  Stopping ///< The agent itself is about to stop.
+  Silent,   ///< No recent heartbeat, or no answer to packets.
+  Stopping, ///< The agent itself is about to stop; its upstream may live on.
+  Ended     ///< The upstream has ended, and its flows with it.
 };
 
 /// Work at an upstream as its agent sees it in the packets.
@@ -74,6 +75,7 @@
 /// Why an agent gives a packet back.
 enum class ReturnReason : std::uint8_t {
   Busy,         ///< All slots of the upstream are taken; another one may start earlier.
+  Full,         ///< As many requests wait at the upstream as are useful.
   Refused,      ///< The upstream handed the first packet back.
   Leaving,      ///< The upstream drains or ended, or the agent stops.
   Unanswered,   ///< The upstream did not answer the first packet in time.
@@ -92,8 +94,15 @@
 
 /// A balancer asks which of these flows the agent's upstream holds.
 struct FlowQuery {
+  /// The caller's last acknowledgement number tells upstreams apart that accepted one first packet.
+  struct Row {
+    packet::FlowKey Key;
+    std::uint32_t Acknowledgement = 0;
+
+    friend bool operator==(const Row &, const Row &) = default;
+  };
   std::uint64_t Number = 0;
-  std::vector<packet::FlowKey> Keys;
+  std::vector<Row> Rows;
 
   friend bool operator==(const FlowQuery &, const FlowQuery &) = default;
 };
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -22,6 +22,9 @@
 /// An agent that has said nothing for this time, and did not say that it stops, doesn't run or
 /// can't be reached: twenty intervals of reports, so that a late start after a plan isn't meant.
 inline constexpr common::Duration LostTime = std::chrono::milliseconds(1200);
+/// An agent that said that it stops is back after this time, or never: several times the second
+/// that a restart takes.
+inline constexpr common::Duration StoppedLostTime = std::chrono::milliseconds(2500);
 /// An agent that left a first packet unanswered gets no new flows for this time, unless it reports.
 inline constexpr common::Duration SuspicionTime = std::chrono::milliseconds(500);
 /// A flow placed this long before a load figure was made is part of it: the time from a caller's
@@ -68,10 +71,15 @@
   /// This process stood still: nobody is taken for lost before it could be heard again.
   void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
 
-  /// Chooses an agent of the service for a new flow, none of Excluded; empty without a usable one.
+  /// Chooses an agent of the service for a new flow, none of Excluded and none that is full; empty
+  /// without a usable one.
   [[nodiscard]] std::optional<NodeAddress> choose(const std::string &Service, FlowKind Kind,
                                                   std::span<const NodeAddress> Excluded,
                                                   common::TimePoint Now);
+  /// True if an agent of the service, none of Excluded, is usable but full.
+  [[nodiscard]] bool hasFull(const std::string &Service, std::span<const NodeAddress> Excluded,
+                             common::TimePoint Now) const;
+  [[nodiscard]] bool isFull(NodeAddress Agent) const;
   /// Counts a flow that was sent to an agent and is in no load figure yet.
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
@@ -103,6 +111,7 @@
   enum class Fitness : std::uint8_t { Good, Doubtful, Unfit };
 
   [[nodiscard]] Fitness fitness(const Known &Agent, common::TimePoint Now) const;
+  [[nodiscard]] static bool full(const Known &Agent);
   [[nodiscard]] double score(const Known &Agent, FlowKind Kind) const;
   [[nodiscard]] bool lost(const Known &Agent, common::TimePoint Now) const;
   static void dropCounted(Known &Agent);
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -88,7 +88,11 @@
   [[nodiscard]] FlowActions onUpstreamPacket(const PacketHead &Head, const Transit &Fields,
                                              common::TimePoint Now);
   /// Which of the flows are here.
-  [[nodiscard]] FlowAnswer onQuery(const FlowQuery &Query) const;
+  [[nodiscard]] FlowAnswer onQuery(const FlowQuery &Query, common::TimePoint Now) const;
+  /// True if the upstream has given no sign of life for so long that it has ended.
+  [[nodiscard]] bool upstreamGone(common::TimePoint Now) const;
+  /// This process stood still: the upstream's silence counts from now on.
+  void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
   [[nodiscard]] std::optional<common::TimePoint> nextAnswerCheck() const noexcept;
   /// Resets for the open flows of an upstream that has ended.
@@ -148,6 +152,8 @@
   common::Duration HeartbeatInterval;
   Registration Upstream;
   common::TimePoint StartedAt;
+  common::TimePoint LastSignAt; ///< Last heartbeat or packet of the upstream.
+  common::TimePoint ListeningSince;
   /// This process has run since before the upstream started, so that the table is complete.
   bool KnowsAllFlows = false;
   bool Stopping = false;
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -4,16 +4,14 @@
 
 namespace galenarelay::relay {
 
-bool FlowSearch::add(const packet::FlowKey &Key, std::span<const std::uint8_t> Packet,
-                     common::TimePoint Now) {
+bool FlowSearch::add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+                     std::span<const std::uint8_t> Packet, common::TimePoint Now) {
   if (Searches.size() >= MaxSearches && !Searches.contains(Key))
     return false;
   Search &Held = Searches[Key];
   Held.UsedAt = Now;
-  if (!Held.Queued && (!Held.Asked || Now - Held.AskedAt >= SearchRepeat)) {
-    Held.Queued = true;
-    Unasked.push_back(Key);
-  }
+  Held.Acknowledgement = Acknowledgement;
+  queueIfDue(Key, Held, Now);
   if (Held.Waiting.size() >= MaxHeldPerFlow || HeldPackets >= MaxHeldPackets)
     return false;
   Held.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
@@ -21,24 +19,33 @@
   return true;
 }
 
+void FlowSearch::queueIfDue(const packet::FlowKey &Key, Search &Held, common::TimePoint Now) {
+  if (Held.Queued || (Held.Asked && Now - Held.AskedAt < SearchRepeat))
+    return;
+  Held.Queued = true;
+  Unasked.push_back(Key);
+}
+
 std::optional<FlowSearch::Query> FlowSearch::takeQuery(const std::vector<NodeAddress> &Holders,
                                                        common::TimePoint Now) {
   if (!queryDue(Now) || Holders.empty())
     return std::nullopt;
-  Query Next{{NextNumber++, {}}, Holders};
-  while (!Unasked.empty() && Next.Message.Keys.size() < MaxQueriedFlows) {
+  Query Next{{NextNumber++, {}}, Holders, {}};
+  while (!Unasked.empty() && Next.Message.Rows.size() < MaxQueriedFlows) {
     const packet::FlowKey Key = Unasked.front();
     Unasked.pop_front();
     const auto Found = Searches.find(Key);
     if (Found == Searches.end())
       continue;
     Found->second.Queued = false;
+    if (Next.Silent.empty())
+      Next.Silent = Found->second.Unanswered;
     Found->second.Asked = true;
     Found->second.AskedAt = Now;
     Found->second.Unanswered = Holders;
-    Next.Message.Keys.push_back(Key);
+    Next.Message.Rows.push_back({Key, Found->second.Acknowledgement});
   }
-  if (Next.Message.Keys.empty())
+  if (Next.Message.Rows.empty())
     return std::nullopt;
   LastQueryAt = Now;
   OpenQueries.push_back(Next.Message);
@@ -57,8 +64,8 @@
   const auto Names = [](const std::vector<std::uint8_t> &List, std::size_t Index) {
     return std::find(List.begin(), List.end(), Index) != List.end();
   };
-  for (std::size_t I = 0; I < Asked->Keys.size(); ++I) {
-    const packet::FlowKey &Key = Asked->Keys[I];
+  for (std::size_t I = 0; I < Asked->Rows.size(); ++I) {
+    const packet::FlowKey &Key = Asked->Rows[I].Key;
     if (!Searches.contains(Key))
       continue;
     if (Names(Answer.Held, I))
@@ -95,9 +102,11 @@
   return Waiting;
 }
 
-void FlowSearch::forgetOld(common::TimePoint Now) {
+void FlowSearch::onTimer(common::TimePoint Now) {
   for (auto At = Searches.begin(); At != Searches.end();) {
-    if (Now - At->second.UsedAt <= SearchRetention) {
+    Search &Held = At->second;
+    if (Now - Held.UsedAt <= SearchRetention) {
+      queueIfDue(At->first, Held, Now);
       ++At;
       continue;
     }
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
+#include <utility>
 
 namespace galenarelay::relay {
 
@@ -10,16 +12,13 @@
 /// Buckets of the flow table that one timer call looks at for old flows.
 constexpr std::size_t SweepBuckets = 512;
 
-bool contains(const std::vector<NodeAddress> &List, NodeAddress Value) {
-  return std::find(List.begin(), List.end(), Value) != List.end();
-}
-
 } // namespace
 
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasons> Names{
-      "placed",      "placed_again", "insisted",       "known",      "searched",     "no_route",
-      "no_upstream", "not_ready",    "search_limited", "table_full", "held_nowhere", "agent_lost"};
+      "placed",         "placed_again", "insisted",     "known",      "searched",
+      "no_route",       "no_upstream",  "held",         "overloaded", "not_ready",
+      "search_limited", "table_full",   "held_nowhere", "agent_lost"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -96,6 +95,7 @@
   Held.Open->Kind = Found->Idempotent ? FlowKind::Long : FlowKind::Short;
   Held.Open->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
   Held.Open->StartedAt = Now;
+  Held.Open->LatencyObjective = Found->LatencyObjective;
   place(Head.Key, Held, Now, Out);
 }
 
@@ -113,6 +113,10 @@
                      .Fields = transitTo("", false, true)});
     return;
   }
+  if (Held.Open->Held) {
+    Out.push_back({.Reason = SteeringReason::Held, .Key = Head.Key});
+    return;
+  }
   if (Held.Open->Waiting && !Held.Open->Tried.empty())
     Directory.suspect(Held.Open->Tried.back(), Now);
   place(Head.Key, Held, Now, Out);
@@ -125,25 +129,17 @@
   bool Insist = false;
   if (Open.Tried.size() < MaxPlacements && Open.Busy.size() <= MaxBusyReturns)
     Chosen = Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
-  if (!Chosen && !Open.Busy.empty()) {
-    // All that were asked are busy; the one that is least so has to queue the flow's work.
-    const auto Least =
-        std::min_element(Open.Busy.begin(), Open.Busy.end(), [this](NodeAddress A, NodeAddress B) {
-          const AgentView *First = Directory.find(A);
-          const AgentView *Second = Directory.find(B);
-          return (First != nullptr ? First->Load.Unanswered : UINT32_MAX) <
-                 (Second != nullptr ? Second->Load.Unanswered : UINT32_MAX);
-        });
-    Chosen = *Least;
-    Insist = true;
-    Open.Busy.erase(Least);
+  if (!Chosen) {
+    Chosen = leastBusy(Open);
+    Insist = Chosen.has_value();
+  }
+  const bool Settled = Now - StartedAt >= ViewSettleTime;
+  if (!Chosen && (!Settled || Open.MetFull || Directory.hasFull(Open.Service, Open.Tried, Now))) {
+    hold(Key, Held, Now, Out);
+    return;
   }
   if (!Chosen) {
-    const bool Settled = Now - StartedAt >= ViewSettleTime;
-    if (Settled || !Open.Tried.empty())
-      refuse(Key, SteeringReason::NoUpstream, Out);
-    else
-      Out.push_back({.Reason = SteeringReason::NotReady, .Key = Key});
+    refuse(Key, SteeringReason::NoUpstream, Out);
     Flows.erase(Key);
     return;
   }
@@ -166,6 +162,77 @@
                  .Saved = Open.Packet});
 }
 
+/// All agents that were asked are busy: the one that is least so has to queue the flow's work.
+std::optional<NodeAddress> FlowSteering::leastBusy(Opening &Open) const {
+  std::erase_if(Open.Busy, [this](NodeAddress Agent) { return Directory.isFull(Agent); });
+  const auto Load = [this](NodeAddress Agent) {
+    const AgentView *View = Directory.find(Agent);
+    return View != nullptr ? View->Load.Unanswered : UINT32_MAX;
+  };
+  const auto Least =
+      std::min_element(Open.Busy.begin(), Open.Busy.end(),
+                       [&](NodeAddress A, NodeAddress B) { return Load(A) < Load(B); });
+  if (Least == Open.Busy.end())
+    return std::nullopt;
+  const NodeAddress Chosen = *Least;
+  Open.Busy.erase(Least);
+  return Chosen;
+}
+
+void FlowSteering::hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now,
+                        SteeringActions &Out) {
+  if (HeldFlows.size() >= MaxHeldFlows || Now - Held.Open->StartedAt >= HoldTimeout) {
+    refuse(Key, SteeringReason::Overloaded, Out);
+    Flows.erase(Key);
+    return;
+  }
+  Held.Agent = 0;
+  Held.Open->Held = true;
+  Held.Open->Waiting = false;
+  Held.Open->MetFull = false;
+  Held.Open->Tried.clear();
+  Held.Open->Busy.clear();
+  HeldFlows.push_back(Key);
+  if (!std::exchange(Held.Open->WasHeld, true))
+    Out.push_back({.Reason = SteeringReason::Held, .Key = Key});
+}
+
+// Flows that can still meet their latency objective go first, each group in the order of arrival:
+// the others are late whoever comes next.
+void FlowSteering::releaseHeld(common::TimePoint Now, SteeringActions &Out) {
+  std::deque<packet::FlowKey> Waiting;
+  Waiting.swap(HeldFlows);
+  std::erase_if(Waiting, [this](const packet::FlowKey &Key) {
+    const auto Found = Flows.find(Key);
+    return Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held;
+  });
+  const auto Late = [&](const packet::FlowKey &Key) {
+    const Opening &Open = *Flows.at(Key).Open;
+    return Now - Open.StartedAt >= Open.LatencyObjective;
+  };
+  std::stable_partition(Waiting.begin(), Waiting.end(),
+                        [&](const packet::FlowKey &Key) { return !Late(Key); });
+  std::set<std::string> Exhausted; // Services without an agent that could take another flow now.
+  for (const auto &Key : Waiting) {
+    const auto Found = Flows.find(Key);
+    // A key stands here twice if its caller has used it again.
+    if (Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held)
+      continue;
+    Flow &Held = Found->second;
+    const std::string Service = Held.Open->Service;
+    const bool Expired = Now - Held.Open->StartedAt >= HoldTimeout;
+    if (Exhausted.contains(Service) && !Expired) {
+      HeldFlows.push_back(Key);
+      continue;
+    }
+    Held.Open->Held = false;
+    place(Key, Held, Now, Out);
+    const auto After = Flows.find(Key);
+    if (After != Flows.end() && After->second.Open != nullptr && After->second.Open->Held)
+      Exhausted.insert(Service);
+  }
+}
+
 void FlowSteering::refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out) {
   Out.push_back({.What = SteeringAction::Kind::Reset, .Reason = Reason, .Key = Key});
 }
@@ -215,7 +282,7 @@
   Held.Open.reset();
   if (Held.State != Phase::Searching)
     setState(Held, Phase::Searching, Now);
-  const bool Kept = Search.add(Key, Raw, Now);
+  const bool Kept = Search.add(Key, Held.Acknowledgement, Raw, Now);
   Out.push_back(
       {.Reason = Kept ? SteeringReason::Searched : SteeringReason::SearchLimited, .Key = Key});
 }
@@ -320,6 +387,8 @@
       Directory.suspect(From, Now);
     if (Returned.Reason == ReturnReason::Busy)
       Open.Busy.push_back(From);
+    if (Returned.Reason == ReturnReason::Busy || Returned.Reason == ReturnReason::Full)
+      Open.MetFull = true;
     if (!Open.Tried.empty() && Open.Tried.back() != From)
       return Out; // A later agent has the packet already.
     Open.Waiting = false;
@@ -411,15 +480,16 @@
       continue;
     Flow &Held = Found->second;
     const bool Unanswered = Held.State == Phase::Opening && Held.Open->Waiting &&
-                            Now - Held.Open->StartedAt < OpenTimeout;
+                            !Held.Open->Held && Now - Held.Open->StartedAt < OpenTimeout;
     if (!Unanswered)
       continue;
     Directory.suspect(Held.Open->Tried.back(), Now);
     if (Directory.choose(Held.Open->Service, Held.Open->Kind, Held.Open->Tried, Now))
       place(Key, Held, Now, Out);
   }
+  releaseHeld(Now, Out);
   forgetOld(Now);
-  Search.forgetOld(Now);
+  Search.onTimer(Now);
   return Out;
 }
 
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -63,8 +63,8 @@
 
 json toJson(const FlowQuery &Query) {
   json Rows = json::array();
-  for (const auto &Key : Query.Keys)
-    Rows.push_back(keyJson(Key));
+  for (const auto &Row : Query.Rows)
+    Rows.push_back(json::array({keyJson(Row.Key), Row.Acknowledgement}));
   return json::array({Type::Query, Query.Number, std::move(Rows)});
 }
 
@@ -86,7 +86,7 @@
   Read.Incarnation = Fields.at(3).get<std::uint64_t>();
   Read.Number = Fields.at(4).get<std::uint64_t>();
   Read.Service = Fields.at(5).get<std::string>();
-  Read.State = enumOf(Fields.at(6), UpstreamState::Stopping);
+  Read.State = enumOf(Fields.at(6), UpstreamState::Ended);
   Read.UpstreamIncarnation = Fields.at(7).get<std::uint64_t>();
   Read.Slots = Fields.at(8).get<std::uint32_t>();
   Read.Load = loadOf(Fields.at(9));
@@ -116,7 +116,7 @@
 FlowQuery queryOf(const json &Fields) {
   FlowQuery Read{Fields.at(1).get<std::uint64_t>(), {}};
   for (const json &Row : Fields.at(2))
-    Read.Keys.push_back(keyOf(Row));
+    Read.Rows.push_back({keyOf(Row.at(0)), Row.at(1).get<std::uint32_t>()});
   return Read;
 }
 
@@ -148,14 +148,14 @@
 } // namespace
 
 std::string_view name(UpstreamState State) noexcept {
-  constexpr std::array<std::string_view, 5> Names{"unknown", "ready", "draining", "silent",
-                                                  "stopping"};
+  constexpr std::array<std::string_view, 6> Names{"unknown", "ready",    "draining",
+                                                  "silent",  "stopping", "ended"};
   return Names[static_cast<std::size_t>(State)];
 }
 
 std::string_view name(ReturnReason Reason) noexcept {
-  constexpr std::array<std::string_view, 6> Names{"busy",       "refused",       "leaving",
-                                                  "unanswered", "wrong_service", "not_held"};
+  constexpr std::array<std::string_view, 7> Names{
+      "busy", "full", "refused", "leaving", "unanswered", "wrong_service", "not_held"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -78,6 +78,7 @@
   case UpstreamState::Draining:
   case UpstreamState::Stopping:
   case UpstreamState::Silent:
+  case UpstreamState::Ended:
     return Fitness::Unfit;
   case UpstreamState::Unknown:
     return Now - View.HeardAt > ReportStale ? Fitness::Unfit : Fitness::Doubtful;
@@ -116,7 +117,7 @@
         std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
       continue;
     const Fitness Own = fitness(Agent, Now);
-    if (Own == Fitness::Unfit || Own > BestFitness)
+    if (Own == Fitness::Unfit || Own > BestFitness || full(Agent))
       continue;
     if (Own < BestFitness)
       Best.clear();
@@ -137,6 +138,27 @@
   return Chosen->View.Address;
 }
 
+bool UpstreamDirectory::full(const Known &Agent) {
+  const std::uint32_t Slots = Agent.View.Report.Slots;
+  return Slots != 0 &&
+         Agent.View.Load.Unanswered + Agent.Placements.size() >= Slots * FullRequestsPerSlot;
+}
+
+bool UpstreamDirectory::isFull(NodeAddress Agent) const {
+  const auto Found = Agents.find(Agent);
+  return Found != Agents.end() && full(Found->second);
+}
+
+bool UpstreamDirectory::hasFull(const std::string &Service, std::span<const NodeAddress> Excluded,
+                                common::TimePoint Now) const {
+  return std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
+    const auto &[Address, Agent] = Entry;
+    return Agent.View.Report.Service == Service && full(Agent) &&
+           fitness(Agent, Now) != Fitness::Unfit &&
+           std::find(Excluded.begin(), Excluded.end(), Address) == Excluded.end();
+  });
+}
+
 void UpstreamDirectory::notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now) {
   const auto Found = Agents.find(Agent);
   if (Found == Agents.end())
@@ -166,14 +188,15 @@
 }
 
 bool UpstreamDirectory::lost(const Known &Agent, common::TimePoint Now) const {
-  return Agent.View.Report.State != UpstreamState::Stopping &&
-         Now - std::max(Agent.View.HeardAt, ListeningSince) > LostTime;
+  const bool Announced = Agent.View.Report.State == UpstreamState::Stopping;
+  return Now - std::max(Agent.View.HeardAt, ListeningSince) >
+         (Announced ? StoppedLostTime : LostTime);
 }
 
 std::vector<NodeAddress> UpstreamDirectory::possibleHolders(common::TimePoint Now) const {
   std::vector<NodeAddress> Found;
   for (const auto &[Address, Agent] : Agents)
-    if (!lost(Agent, Now))
+    if (!lost(Agent, Now) && Agent.View.Report.State != UpstreamState::Ended)
       Found.push_back(Address);
   for (const auto &[Address, Since] : Expected)
     if (Now - Since <= LostTime)
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -10,9 +10,12 @@
 
 /// Buckets of the flow table that one timer call looks at for old flows.
 constexpr std::size_t SweepBuckets = 256;
-/// An agent that has just started takes new flows for this many heartbeat intervals without having
-/// heard its upstream, of which it knows the service from its settings.
-constexpr double UnheardIntervals = 1.5;
+/// An upstream that has given no sign of life for this many heartbeat intervals has ended: it would
+/// have tried twice.
+constexpr double GoneIntervals = 2.5;
+/// An upstream that lives calls within one heartbeat interval of its agent's start. Until this many
+/// have passed, an agent that has heard nothing relies on its settings.
+constexpr double UnheardIntervals = 1.4;
 
 } // namespace
 
@@ -33,6 +36,7 @@
   if (Effect == HeartbeatEffect::Outdated)
     return Effect;
   Mute = false;
+  LastSignAt = Now;
   // The upstream counts its heartbeats from its start, so that the number of this one tells how
   // long it has run.
   if (Effect == HeartbeatEffect::NewIncarnation)
@@ -47,6 +51,8 @@
 }
 
 UpstreamState UpstreamFlows::state(common::TimePoint Now) const {
+  if (upstreamGone(Now))
+    return UpstreamState::Ended;
   if (Stopping)
     return UpstreamState::Stopping;
   if (Upstream.leaving())
@@ -55,9 +61,7 @@
     return UpstreamState::Silent;
   if (Upstream.fresh(Now))
     return UpstreamState::Ready;
-  if (!Upstream.known() && Now - StartedAt < HeartbeatInterval * UnheardIntervals)
-    return UpstreamState::Unknown;
-  return UpstreamState::Silent;
+  return Upstream.known() ? UpstreamState::Silent : UpstreamState::Unknown;
 }
 
 FlowActions UpstreamFlows::onBalancerPacket(const PacketHead &Head, const Transit &Fields,
@@ -111,20 +115,32 @@
   return Out;
 }
 
-FlowAnswer UpstreamFlows::onQuery(const FlowQuery &Query) const {
+FlowAnswer UpstreamFlows::onQuery(const FlowQuery &Query, common::TimePoint Now) const {
   FlowAnswer Answer{Query.Number, {}, {}};
-  const std::size_t Size = std::min(Query.Keys.size(), MaxQueriedFlows);
+  // Nobody is left who could hold a flow.
+  if (upstreamGone(Now))
+    return Answer;
+  const std::size_t Size = std::min(Query.Rows.size(), MaxQueriedFlows);
   for (std::size_t I = 0; I < Size; ++I) {
-    const auto Found = Flows.find(Query.Keys[I]);
-    const bool Known = Found != Flows.end();
-    if (Known && (Found->second.State == Phase::Open || Found->second.State == Phase::Closed))
+    PacketHead Asked;
+    Asked.Bits.Ack = true;
+    Asked.Acknowledgement = Query.Rows[I].Acknowledgement;
+    const auto Found = Flows.find(Query.Rows[I].Key);
+    const bool Known = Found != Flows.end() && Found->second.State != Phase::Doubted;
+    if (Known && fits(Asked, Found->second))
       Answer.Held.push_back(static_cast<std::uint8_t>(I));
-    else if (!KnowsAllFlows)
+    else if (!Known && !KnowsAllFlows)
       Answer.Unsure.push_back(static_cast<std::uint8_t>(I));
   }
   return Answer;
 }
 
+bool UpstreamFlows::upstreamGone(common::TimePoint Now) const {
+  const double Intervals = Upstream.known() ? GoneIntervals : UnheardIntervals;
+  const auto Silence = std::chrono::duration_cast<common::Duration>(HeartbeatInterval * Intervals);
+  return Upstream.departed() || Now - std::max(LastSignAt, ListeningSince) > Silence;
+}
+
 std::optional<ReturnReason> UpstreamFlows::whyDeclined(const Transit &Fields,
                                                        common::TimePoint Now) const {
   if (Fields.ServiceDigest != 0 && Fields.ServiceDigest != serviceDigest(service()))
@@ -135,6 +151,8 @@
   if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
     return ReturnReason::Leaving;
   const std::uint32_t Slots = Upstream.last() ? Upstream.last()->Slots : 0;
+  if (Slots != 0 && Unanswered >= Slots * FullRequestsPerSlot)
+    return ReturnReason::Full;
   if (!Fields.Insist && Slots != 0 && Unanswered >= Slots)
     return ReturnReason::Busy;
   if (Flows.size() >= MaxUpstreamFlows)
@@ -180,7 +198,10 @@
 FlowActions UpstreamFlows::onUpstreamPacket(const PacketHead &Head, const Transit &Fields,
                                             common::TimePoint Now) {
   FlowActions Out;
-  Mute = false;
+  Mute = Mute && Head.Returned;
+  // A packet that comes back says nothing of the flows that the upstream holds.
+  if (!Head.Returned)
+    LastSignAt = Now;
   if (Head.Returned) {
     onReturnedByUpstream(Head, Fields, Out);
     return Out;
@@ -240,6 +261,8 @@
   if (Head.opensFlow()) {
     Back.Event = FlowEvent::OpenDeclined;
     Back.Reason = ReturnReason::Refused;
+    // An upstream that has said nothing of itself yet and refuses is one that ends.
+    Mute = Mute || !Upstream.known();
     if (Found != Flows.end() && Found->second.State == Phase::Offered)
       forget(Found);
     Out.push_back(std::move(Back));
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -185,7 +185,8 @@
     const auto Data = callerData(relayKey(1), 77);
     CPPUNIT_ASSERT(Balancer.send(Data)[0].What == Kind::Drop);
     const auto Query = Balancer.Steering.takeQuery(RelayStart);
-    CPPUNIT_ASSERT(Query && Query->Message.Keys == std::vector{relayKey(1)});
+    CPPUNIT_ASSERT(Query && Query->Message.Rows.size() == 1 &&
+                   Query->Message.Rows[0].Key == relayKey(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Query->Agents.size());
     (void)Balancer.send(Data);
     const auto Freed =
@@ -249,7 +250,7 @@
     for (common::TimePoint Now = RelayStart; Now < RelayStart + 1s; Now += 5ms)
       if (const auto Query = Balancer.Steering.takeQuery(Now)) {
         Messages += Query->Agents.size();
-        Flows += Query->Message.Keys.size();
+        Flows += Query->Message.Rows.size();
       }
     CPPUNIT_ASSERT_EQUAL(std::size_t{Count}, Flows);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3} * Count / relay::MaxQueriedFlows, Messages);
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -224,16 +224,16 @@
   void testQuery_flows_areHeldUnsureOrAbsent() {
     auto Complete = readyFlows();
     open(Complete, relayKey(1));
-    const relay::FlowQuery Query{7, {relayKey(1), relayKey(2)}};
-    CPPUNIT_ASSERT((Complete.onQuery(Query) == relay::FlowAnswer{7, {0}, {}}));
+    const relay::FlowQuery Query{7, {{relayKey(1), Sequence}, {relayKey(2), Sequence}}};
+    CPPUNIT_ASSERT((Complete.onQuery(Query, RelayStart) == relay::FlowAnswer{7, {0}, {}}));
     UpstreamFlows Restarted("desk", 1200ms, RelayStart);
     (void)Restarted.onHeartbeat(heartbeat(30), RelayStart);
     open(Restarted, relayKey(1));
-    CPPUNIT_ASSERT((Restarted.onQuery(Query) == relay::FlowAnswer{7, {0}, {1}}));
+    CPPUNIT_ASSERT((Restarted.onQuery(Query, RelayStart) == relay::FlowAnswer{7, {0}, {1}}));
     // The first heartbeat of all is heard by the agent that the upstream started beside.
     UpstreamFlows Together("desk", 1200ms, RelayStart);
     (void)Together.onHeartbeat(heartbeat(1), RelayStart);
-    CPPUNIT_ASSERT((Together.onQuery(Query) == relay::FlowAnswer{7, {}, {}}));
+    CPPUNIT_ASSERT((Together.onQuery(Query, RelayStart) == relay::FlowAnswer{7, {}, {}}));
   }
 
   void testFlow_ofDrainingUpstream_goesOn() {
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -162,7 +162,7 @@
         relay::ReturnedPacket{ReturnReason::Busy, {3, 4}, {0, 255, 7}},
         relay::FlowShare{{{relayKey(1), 9}, {relayKey(2), 8}}},
         relay::FlowAbsence{relayKey(4)},
-        relay::FlowQuery{7, {relayKey(1), relayKey(2)}},
+        relay::FlowQuery{7, {{relayKey(1), 5}, {relayKey(2), 6}}},
         relay::FlowAnswer{7, {0}, {1}}};
     for (const auto &Message : Messages) {
       const auto Read = relay::decodeMessage(relay::encode(Message));
