Limit open questions of a balancer and repeat searches with growing pauses

Change: at most three open questions, late answers still count, a flow is asked for after 150, 300, 600 ms and so on.

--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -18,17 +18,22 @@
 
 /// Queries leave at most this often, so that one message asks for many flows.
 inline constexpr common::Duration QueryInterval = std::chrono::milliseconds(20);
-/// A flow that nobody is known to hold is asked for again after this time, while its caller may
-/// still wait: shorter than a caller's first retransmission.
+/// A flow that nobody is known to hold is asked for again after this time, doubled with each
+/// question up to MaxSearchRepeat: first shorter than a caller's first retransmission.
 inline constexpr common::Duration SearchRepeat = std::chrono::milliseconds(150);
+inline constexpr common::Duration MaxSearchRepeat = std::chrono::milliseconds(1200);
 /// A search without packets is given up after this time.
 inline constexpr common::Duration SearchRetention = std::chrono::seconds(4);
 /// Bounds; beyond them packets are dropped, and their callers repeat them.
 inline constexpr std::size_t MaxSearches = 4000;
 inline constexpr std::size_t MaxHeldPerFlow = 16; ///< A sender's packets in flight.
 inline constexpr std::size_t MaxHeldPackets = 2000;
-/// Queries whose answers are awaited.
-inline constexpr std::size_t MaxOpenQueries = 64;
+/// Queries that may await answers at a time, so that a busy node isn't asked faster than it and the
+/// balancer can follow; one that isn't answered in full counts for this time.
+inline constexpr std::size_t MaxOpenQueries = 3;
+inline constexpr common::Duration QueryTimeout = std::chrono::milliseconds(400);
+/// Queries that late answers are still accepted for.
+inline constexpr std::size_t RememberedQueries = 64;
 
 /// Flows whose agent a balancer doesn't know, the packets that wait for it, and the questions to
 /// all agents that could hold them.
@@ -54,9 +59,7 @@
   /// Begins or continues a search; false if the packet had to be dropped.
   bool add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
            std::span<const std::uint8_t> Packet, common::TimePoint Now);
-  [[nodiscard]] bool queryDue(common::TimePoint Now) const noexcept {
-    return !Unasked.empty() && Now - LastQueryAt >= QueryInterval;
-  }
+  [[nodiscard]] bool queryDue(common::TimePoint Now) const noexcept;
   /// The next question, if one is due.
   [[nodiscard]] std::optional<Query> takeQuery(const std::vector<NodeAddress> &Holders,
                                                common::TimePoint Now);
@@ -78,7 +81,12 @@
     common::TimePoint AskedAt{};
     common::TimePoint UsedAt{};
     bool Queued = false; ///< In Unasked.
-    bool Asked = false;
+    std::uint32_t TimesAsked = 0;
+  };
+  struct OpenQuery {
+    FlowQuery Message;
+    std::size_t Missing = 0; ///< Answers.
+    common::TimePoint SentAt{};
   };
   using SearchMap = std::unordered_map<packet::FlowKey, Search, packet::FlowKeyHash>;
 
@@ -86,7 +94,7 @@
 
   SearchMap Searches;
   std::deque<packet::FlowKey> Unasked;
-  std::deque<FlowQuery> OpenQueries;
+  std::deque<OpenQuery> Queries;
   std::uint64_t NextNumber = 1;
   std::size_t HeldPackets = 0;
   common::TimePoint LastQueryAt{};
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -20,12 +20,23 @@
 }
 
 void FlowSearch::queueIfDue(const packet::FlowKey &Key, Search &Held, common::TimePoint Now) {
-  if (Held.Queued || (Held.Asked && Now - Held.AskedAt < SearchRepeat))
+  constexpr std::uint32_t MostDoublings = 3; // MaxSearchRepeat / SearchRepeat
+  const auto Pause = SearchRepeat * (1U << std::min(Held.TimesAsked, MostDoublings)) / 2;
+  if (Held.Queued || (Held.TimesAsked > 0 && Now - Held.AskedAt < std::min(Pause, MaxSearchRepeat)))
     return;
   Held.Queued = true;
   Unasked.push_back(Key);
 }
 
+bool FlowSearch::queryDue(common::TimePoint Now) const noexcept {
+  if (Unasked.empty() || Now - LastQueryAt < QueryInterval)
+    return false;
+  const auto Open = std::count_if(Queries.begin(), Queries.end(), [Now](const OpenQuery &Each) {
+    return Each.Missing > 0 && Now - Each.SentAt < QueryTimeout;
+  });
+  return static_cast<std::size_t>(Open) < MaxOpenQueries;
+}
+
 std::optional<FlowSearch::Query> FlowSearch::takeQuery(const std::vector<NodeAddress> &Holders,
                                                        common::TimePoint Now) {
   if (!queryDue(Now) || Holders.empty())
@@ -40,7 +51,7 @@
     Found->second.Queued = false;
     if (Next.Silent.empty())
       Next.Silent = Found->second.Unanswered;
-    Found->second.Asked = true;
+    ++Found->second.TimesAsked;
     Found->second.AskedAt = Now;
     Found->second.Unanswered = Holders;
     Next.Message.Rows.push_back({Key, Found->second.Acknowledgement});
@@ -48,24 +59,26 @@
   if (Next.Message.Rows.empty())
     return std::nullopt;
   LastQueryAt = Now;
-  OpenQueries.push_back(Next.Message);
-  if (OpenQueries.size() > MaxOpenQueries)
-    OpenQueries.pop_front();
+  Queries.push_back({Next.Message, Holders.size(), Now});
+  if (Queries.size() > RememberedQueries)
+    Queries.pop_front();
   return Next;
 }
 
 FlowSearch::Outcome FlowSearch::onAnswer(const FlowAnswer &Answer, NodeAddress From) {
   Outcome Settled;
-  const auto Asked =
-      std::find_if(OpenQueries.begin(), OpenQueries.end(),
-                   [&](const FlowQuery &Each) { return Each.Number == Answer.Number; });
-  if (Asked == OpenQueries.end())
+  const auto Asked = std::find_if(Queries.begin(), Queries.end(), [&](const OpenQuery &Each) {
+    return Each.Message.Number == Answer.Number;
+  });
+  if (Asked == Queries.end())
     return Settled;
+  Asked->Missing -= Asked->Missing > 0 ? 1 : 0;
+  const auto &Rows = Asked->Message.Rows;
   const auto Names = [](const std::vector<std::uint8_t> &List, std::size_t Index) {
     return std::find(List.begin(), List.end(), Index) != List.end();
   };
-  for (std::size_t I = 0; I < Asked->Rows.size(); ++I) {
-    const packet::FlowKey &Key = Asked->Rows[I].Key;
+  for (std::size_t I = 0; I < Rows.size(); ++I) {
+    const packet::FlowKey &Key = Rows[I].Key;
     if (!Searches.contains(Key))
       continue;
     if (Names(Answer.Held, I))
@@ -80,7 +93,7 @@
 
 bool FlowSearch::onAbsence(const packet::FlowKey &Key, NodeAddress From) {
   const auto Found = Searches.find(Key);
-  if (Found == Searches.end() || !Found->second.Asked)
+  if (Found == Searches.end() || Found->second.TimesAsked == 0)
     return false;
   return std::erase(Found->second.Unanswered, From) > 0 && Found->second.Unanswered.empty();
 }
