Count requests of adopted flows from their own numbers

Change: the first number that is seen is the origin. The test of long flows' spread placed more flows than two upstreams may be given without a report; it now reports, and checks the same shares.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -117,6 +117,8 @@
     bool Searched = false;    ///< The last packet went to several agents.
     bool Noticed = false;     ///< The balancer knows that the flow is here.
     bool HasFirstSequence = false;
+    bool HasCallerSequence = false;
+    bool HasUpstreamSequence = false;
     bool Established = false; ///< The upstream went on after its answer to the first packet.
     bool RequestPending = false;
     bool Long = false;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -183,6 +183,7 @@
   Held.UsedAt = Now;
   if (!Repeated) {
     Held.State = Phase::Offered;
+    Held.HasCallerSequence = true;
     Held.CallerSequence = Head.Sequence;
     Held.FirstPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
     // A flow opens for a request that follows within the caller's round trip.
@@ -222,6 +223,7 @@
     Held.State = Phase::Open;
     Held.HasFirstSequence = true;
     Held.FirstSequence = Head.Sequence;
+    Held.HasUpstreamSequence = true;
     Held.UpstreamSequence = Head.Sequence;
     Held.FirstPacket.reset();
   }
@@ -309,8 +311,10 @@
   if (Head.Bits.Ack)
     Held.CallerAcknowledgement = Head.Acknowledgement;
   const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
-  if (Head.PayloadBytes == 0 || !sequenceBefore(Held.CallerSequence, End))
+  const bool New = !Held.HasCallerSequence || sequenceBefore(Held.CallerSequence, End);
+  if (Head.PayloadBytes == 0 || !New)
     return;
+  Held.HasCallerSequence = true;
   Held.CallerSequence = End;
   if (Held.State == Phase::Closed || (Held.RequestPending && Held.Requests > 0))
     return;
@@ -331,8 +335,10 @@
 
 void UpstreamFlows::noteUpstreamData(const PacketHead &Head, Flow &Held) {
   const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
-  if (Head.PayloadBytes == 0 || !sequenceBefore(Held.UpstreamSequence, End))
+  const bool New = !Held.HasUpstreamSequence || sequenceBefore(Held.UpstreamSequence, End);
+  if (Head.PayloadBytes == 0 || !New)
     return;
+  Held.HasUpstreamSequence = true;
   Held.UpstreamSequence = End;
   endRequest(Held);
 }
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -26,6 +26,9 @@
   CPPUNIT_TEST(testTimeout_ofPlacement_placesAgainBeforeTheCopy);
   CPPUNIT_TEST(testReturn_untilAllRefuse_endsWithReset);
   CPPUNIT_TEST(testReturn_allBusy_insistsOnTheLeastBusy);
+  CPPUNIT_TEST(testFirstPacket_allFull_waitsForCapacity);
+  CPPUNIT_TEST(testHeld_flowsThatCanBeInTime_goFirst);
+  CPPUNIT_TEST(testHeld_untilCallerStopsWaiting_isRefused);
   CPPUNIT_TEST(testPacket_ofUnknownFlow_isSearchedAndThenKnown);
   CPPUNIT_TEST(testSearch_unsureAgent_getsThePacket);
   CPPUNIT_TEST(testSearch_allDeny_resetsNearAcknowledgement);
@@ -127,6 +130,57 @@
     CPPUNIT_ASSERT(Refused[0].Reason == SteeringReason::NoUpstream);
   }
 
+  /// Makes both upstreams of desk full.
+  static void fill(Node &Balancer, common::TimePoint Now) {
+    for (const auto Agent : {AgentOne, AgentTwo})
+      Balancer.Directory.onLoad(Agent, {2 * relay::FullRequestsPerSlot, 0}, Now);
+  }
+
+  void testFirstPacket_allFull_waitsForCapacity() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    const auto Held = Balancer.send(firstPacket(relayKey(1)));
+    CPPUNIT_ASSERT(Held[0].What == Kind::Drop && Held[0].Reason == SteeringReason::Held);
+    CPPUNIT_ASSERT(Balancer.Steering.onTimer(RelayStart + 20ms).empty());
+    Balancer.Directory.onLoad(AgentTwo, {1, 0}, RelayStart + 30ms);
+    const auto Placed = Balancer.Steering.onTimer(RelayStart + 40ms);
+    CPPUNIT_ASSERT(Placed.size() == 1 && Placed[0].Agent == AgentTwo);
+  }
+
+  void testHeld_flowsThatCanBeInTime_goFirst() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1)), RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(2)), RelayStart + 250ms);
+    (void)Balancer.send(firstPacket(relayKey(3)), RelayStart + 260ms);
+    // Room for one flow, then for the next ones; the objective is 200 ms.
+    std::vector<std::uint16_t> Order;
+    for (common::TimePoint Now = RelayStart + 300ms; Now < RelayStart + 400ms; Now += 30ms) {
+      Balancer.Directory.onLoad(AgentTwo, {2 * relay::FullRequestsPerSlot - 1, 0}, Now);
+      for (const auto &Each : Balancer.Steering.onTimer(Now))
+        if (Each.What == Kind::Forward && Each.Reason == SteeringReason::Placed)
+          Order.push_back(Each.Key.Caller.Port);
+    }
+    CPPUNIT_ASSERT((Order == std::vector<std::uint16_t>{2, 3, 1}));
+  }
+
+  void testHeld_untilCallerStopsWaiting_isRefused() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1)));
+    common::TimePoint Now = RelayStart;
+    SteeringActions Last;
+    for (; Last.empty() && Now < RelayStart + 2s; Now += 20ms) {
+      fill(Balancer, Now);
+      Balancer.report(AgentOne, 2 + static_cast<std::uint64_t>((Now - RelayStart).count()), Now);
+      fill(Balancer, Now);
+      Last = Balancer.Steering.onTimer(Now);
+    }
+    CPPUNIT_ASSERT(Last.size() == 1 && Last[0].What == Kind::Reset);
+    CPPUNIT_ASSERT(Last[0].Reason == SteeringReason::Overloaded);
+    CPPUNIT_ASSERT(Now < RelayStart + relay::OpenTimeout);
+  }
+
   void testFirstPacket_justAfterStart_isNotRefused() {
     UpstreamDirectory Nobody("a", 1);
     FlowSteering Fresh(BalancerOne, Nobody, RelayStart);
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(testQuery_flows_areHeldUnsureOrAbsent);
   CPPUNIT_TEST(testFlow_ofDrainingUpstream_goesOn);
   CPPUNIT_TEST(testLoad_requestsAndFlows_areCounted);
+  CPPUNIT_TEST(testLoad_adoptedFlow_isWorkUntilAnswered);
   CPPUNIT_TEST(testLoad_flowWithoutRequest_isNoWorkForLong);
   CPPUNIT_TEST(testDeparture_openFlows_areResetNearAcknowledgement);
   CPPUNIT_TEST_SUITE_END();
@@ -261,6 +262,19 @@
     CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{0, 0}));
   }
 
+  // burbuja-xela scale-1: after all processes had been killed, agents counted requests of adopted
+  // flows for ever, took their upstreams for full, and declined new flows.
+  void testLoad_adoptedFlow_isWorkUntilAnswered() {
+    for (const std::uint32_t Origin : {5U, 0x7fffff00U, 0x80000100U, 0xfffffff0U}) {
+      UpstreamFlows Flows("desk", 1200ms, RelayStart);
+      (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+      (void)fromBalancer(Flows, callerData(relayKey(1), Origin, Origin));
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
+      (void)fromUpstream(Flows, upstreamData(relayKey(1), Origin));
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+    }
+  }
+
   void testLoad_flowWithoutRequest_isNoWorkForLong() {
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(testChoice_unusableAgents_arePassedOver);
   CPPUNIT_TEST(testChoice_doubtfulAgents_areUsedOnlyWithoutBetter);
   CPPUNIT_TEST(testChoice_longFlows_spreadOverSlots);
+  CPPUNIT_TEST(testChoice_fullAgents_areLeftUntilTheyReport);
   CPPUNIT_TEST(testChoice_ownPlacements_countUntilReported);
   CPPUNIT_TEST(testChoice_equalAgents_preferOwnZone);
   CPPUNIT_TEST(testLost_mostAgentsSilent_blamesOwnNode);
@@ -75,14 +76,39 @@
     auto Large = agentReport(2);
     Large.Slots = 6;
     (void)Directory.onReport(AgentTwo, Large, RelayStart);
-    std::map<relay::NodeAddress, int> Placed;
-    for (int I = 0; I < 40; ++I) {
-      const auto Agent = Directory.choose("desk", FlowKind::Long, {}, RelayStart);
+    // Own placements count before a report does: two and six slots take two and six flows.
+    std::map<relay::NodeAddress, std::uint32_t> Placed;
+    const auto Place = [&](common::TimePoint Now) {
+      const auto Agent = Directory.choose("desk", FlowKind::Long, {}, Now);
+      CPPUNIT_ASSERT(Agent.has_value());
       ++Placed[*Agent];
-      Directory.notePlacement(*Agent, FlowKind::Long, RelayStart);
+      Directory.notePlacement(*Agent, FlowKind::Long, Now);
+      return *Agent;
+    };
+    for (int I = 0; I < 8; ++I)
+      (void)Place(RelayStart);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, Placed[AgentOne]);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{6}, Placed[AgentTwo]);
+    auto Now = RelayStart + 50ms;
+    for (int I = 8; I < 40; ++I, Now += 50ms)
+      for (const auto Agent : {AgentOne, AgentTwo, Place(Now)})
+        Directory.onLoad(Agent, {0, Placed[Agent]}, Now + 30ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{10}, Placed[AgentOne]);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{30}, Placed[AgentTwo]);
+  }
+
+  // The queue behind a full upstream is left to the requests of its open flows.
+  void testChoice_fullAgents_areLeftUntilTheyReport() {
+    auto Directory = directory();
+    for (std::uint32_t I = 0; I < 2 * 2 * relay::FullRequestsPerSlot; ++I) {
+      const auto Agent = Directory.choose("desk", FlowKind::Short, {}, RelayStart);
+      CPPUNIT_ASSERT(Agent.has_value());
+      Directory.notePlacement(*Agent, FlowKind::Short, RelayStart);
     }
-    CPPUNIT_ASSERT_EQUAL(10, Placed[AgentOne]);
-    CPPUNIT_ASSERT_EQUAL(30, Placed[AgentTwo]);
+    CPPUNIT_ASSERT(!Directory.choose("desk", FlowKind::Short, {}, RelayStart));
+    CPPUNIT_ASSERT(Directory.hasFull("desk", {}, RelayStart));
+    Directory.onLoad(AgentTwo, {1, 0}, RelayStart + 1s);
+    CPPUNIT_ASSERT(Directory.choose("desk", FlowKind::Short, {}, RelayStart) == AgentTwo);
   }
 
   void testChoice_ownPlacements_countUntilReported() {
