--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -31,6 +31,8 @@
 inline constexpr common::Duration ContactInterval = std::chrono::milliseconds(1000);
 /// The store is asked for balancers again if none has been heard when this time has passed.
 inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
+/// An answer that took this long gets a log line: about a latency objective.
+inline constexpr common::Duration SlowAnswer = std::chrono::milliseconds(300);
 /// A stopping agent ends after this time, in which its last messages leave.
 inline constexpr common::Duration AgentStopTime = std::chrono::milliseconds(20);
 
@@ -48,6 +50,9 @@
         Ticker(Io), LastTick(StartedAt), FlowGauge(Metrics.gauge("flows", "Flows in the table")),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
+        AnswerSeconds(Metrics.histogram("upstream_answer_seconds",
+                                        "Time from a request to the first data of its answer",
+                                        {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10})),
         SuppressedLines(
             Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
         MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")) {
@@ -262,10 +267,26 @@
     if (Now >= NextReport)
       sendReports(Now);
     Peers.forgetOld(Now);
+    for (const auto &Answer : Flows.takeAnswerTimes())
+      noteAnswer(Answer, Now);
     FlowGauge.Set(static_cast<double>(Flows.flows()));
     UnansweredGauge.Set(Flows.load().Unanswered);
   }
 
+  void noteAnswer(const relay::AnswerTime &Answer, common::TimePoint Now) {
+    AnswerSeconds.Observe(std::chrono::duration<double>(Answer.Time).count());
+    if (Answer.Time < SlowAnswer)
+      return;
+    if (!FlowLog.allow(Now))
+      return SuppressedLines.Increment();
+    common::log(
+        common::LogLevel::Info, "slow_answer",
+        {{"flow", packet::toString(Answer.Key)},
+         {"answer_ms", std::chrono::duration_cast<std::chrono::milliseconds>(Answer.Time).count()},
+         {"unanswered", Flows.load().Unanswered},
+         {"state", name(Flows.state(Now))}});
+  }
+
   /// The flows of an upstream that has ended are reset, so that their callers can use the time
   /// left.
   void noteUpstreamGone(common::TimePoint Now) {
@@ -390,6 +411,7 @@
   std::array<prometheus::Counter *, relay::FlowEvents> EventCounters{};
   prometheus::Gauge &FlowGauge;
   prometheus::Gauge &UnansweredGauge;
+  prometheus::Histogram &AnswerSeconds;
   prometheus::Counter &SuppressedLines;
   prometheus::Counter &MalformedPackets;
 };
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -66,6 +66,9 @@
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
         FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+        OpeningSeconds(Metrics.histogram(
+            "flow_opening_seconds", "Time from a flow's first packet to its acceptance",
+            {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1})),
         SuppressedLines(
             Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
         MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")) {
@@ -371,6 +374,8 @@
       for (const auto Peer : Peers.live(Now))
         if (Peers.find(Peer)->Zone == Options.Zone)
           sendTo(Peer, Share);
+    for (const auto Time : Steering.takeOpeningTimes())
+      OpeningSeconds.Observe(std::chrono::duration<double>(Time).count());
     Directory.forgetSilent(Now);
     Peers.forgetOld(Now);
     noteReadiness(Now);
@@ -586,6 +591,7 @@
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &AgentGauge;
   prometheus::Gauge &FlowGauge;
+  prometheus::Histogram &OpeningSeconds;
   prometheus::Counter &SuppressedLines;
   prometheus::Counter &MalformedPackets;
 };
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -14,6 +14,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenarelay::relay {
@@ -40,6 +41,8 @@
 inline constexpr common::Duration EndedRetention = std::chrono::seconds(4);
 /// A flow without packets is forgotten after this time; a search finds it again.
 inline constexpr common::Duration IdleRetention = std::chrono::seconds(60);
+/// Opening times kept until they are taken; further ones are left out of the metrics.
+inline constexpr std::size_t MaxOpeningTimes = 1000;
 /// Flows in the table. At the bound a new flow is dropped, and its caller tries again.
 inline constexpr std::size_t MaxSteeredFlows = 500'000;
 /// A node that started less than this ago may not know all agents, and refuses nothing finally.
@@ -118,6 +121,10 @@
   [[nodiscard]] SteeringActions onNotice(const FlowNotice &Notice, NodeAddress From,
                                          common::TimePoint Now);
   [[nodiscard]] SteeringActions onShare(const FlowShare &Share, common::TimePoint Now);
+  /// Times from first packets to their acceptance, since the last call.
+  [[nodiscard]] std::vector<common::Duration> takeOpeningTimes() {
+    return std::exchange(OpeningTimes, {});
+  }
   /// Places flows again whose agent has not answered; forgets old flows.
   [[nodiscard]] SteeringActions onTimer(common::TimePoint Now);
   /// When onTimer has something to place.
@@ -191,6 +198,7 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
   FlowSearch Search;
   std::deque<packet::FlowKey> HeldFlows; ///< In the order of their first packets.
+  std::vector<common::Duration> OpeningTimes;
   std::size_t SweepBucket = 0;
 };
 
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenarelay::relay {
@@ -28,6 +29,9 @@
 /// A flow that has opened without a request for this time isn't counted as work: its caller gave up
 /// or answered another upstream.
 inline constexpr common::Duration RequestExpectation = std::chrono::milliseconds(500);
+/// A flow without packets for this time is no load any more: its caller gave up without a word.
+/// Longer than a sender's longest retransmission interval (1.6 s) and any request's work.
+inline constexpr common::Duration AbandonedAge = std::chrono::seconds(10);
 /// A packet of an unknown flow that the upstream has not answered is forgotten after this time.
 inline constexpr common::Duration DoubtRetention = std::chrono::seconds(2);
 
@@ -70,6 +74,17 @@
 
 using FlowActions = std::vector<FlowAction>;
 
+/// Time from a request's first packet to the upstream's first data.
+struct AnswerTime {
+  packet::FlowKey Key;
+  common::Duration Time{};
+
+  friend bool operator==(const AnswerTime &, const AnswerTime &) = default;
+};
+
+/// Answer times kept until they are taken; further ones are left out of the metrics.
+inline constexpr std::size_t MaxAnswerTimes = 1000;
+
 /// An agent's decisions on the packets of its upstream's flows. The upstream is the authority on
 /// its flows: what this table has forgotten is found out by giving it the packet.
 class UpstreamFlows {
@@ -95,6 +110,8 @@
   void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
   [[nodiscard]] std::optional<common::TimePoint> nextAnswerCheck() const noexcept;
+  /// Answers since the last call.
+  [[nodiscard]] std::vector<AnswerTime> takeAnswerTimes() { return std::exchange(Answers, {}); }
   /// Resets for the open flows of an upstream that has ended.
   [[nodiscard]] FlowActions resetAll();
 
@@ -130,6 +147,7 @@
     std::uint32_t CallerAcknowledgement = 0;
     std::uint32_t UpstreamSequence = 0; ///< End of the upstream's data so far.
     common::TimePoint UsedAt{};
+    common::TimePoint RequestAt{};
     std::shared_ptr<const Bytes> FirstPacket; ///< While offered.
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
@@ -140,12 +158,13 @@
   [[nodiscard]] std::optional<ReturnReason> whyDeclined(const Transit &Fields,
                                                         common::TimePoint Now) const;
   void onReturnedByUpstream(const PacketHead &Head, const Transit &Fields, FlowActions &Out);
-  void noteCallerData(const PacketHead &Head, Flow &Held);
-  void noteUpstreamData(const PacketHead &Head, Flow &Held);
+  void noteCallerData(const PacketHead &Head, Flow &Held, common::TimePoint Now);
+  void noteUpstreamData(const PacketHead &Head, Flow &Held, common::TimePoint Now);
   [[nodiscard]] static bool fits(const PacketHead &Head, const Flow &Held) noexcept;
   void expectRequest(Flow &Held);
   void endRequest(Flow &Held);
   void setLong(Flow &Held);
+  void endLong(Flow &Held);
   void close(Flow &Held);
   void forget(FlowMap::iterator Entry);
   void forgetOld(common::TimePoint Now);
@@ -165,6 +184,7 @@
   std::uint32_t Unanswered = 0;
   std::uint32_t LongFlows = 0;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerChecks;
+  std::vector<AnswerTime> Answers;
   std::size_t SweepBucket = 0;
 };
 
--- a/programs/relay-agent/main.cpp
+++ b/programs/relay-agent/main.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr node::RelayProgram Program{
+constexpr node::RelayProgram<node::RelayAgentOptions> Program{
     "galenarelay-relay-agent", "Serves the relayed flows of the upstream on the same instance.",
     node::relayAgentRules, node::relayAgentOptionsFrom};
 
--- a/programs/relay-balancer/main.cpp
+++ b/programs/relay-balancer/main.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr node::RelayProgram Program{"galenarelay-relay-balancer",
-                                     "Places relayed flows and forwards their packets to agents.",
-                                     node::relayRules, node::relayOptionsFrom};
+constexpr node::RelayProgram<node::RelayOptions> Program{
+    "galenarelay-relay-balancer", "Places relayed flows and forwards their packets to agents.",
+    node::relayRules, node::relayOptionsFrom};
 
 } // namespace
 
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -8,7 +8,6 @@
 
 namespace galenarelay::platform {
 
-using common::Error;
 using common::HttpRequest;
 using common::HttpResponse;
 using common::Outcome;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -435,6 +435,8 @@
     return Out;
   }
   const bool New = Held.State != Phase::Open;
+  if (Held.Open != nullptr && OpeningTimes.size() < MaxOpeningTimes)
+    OpeningTimes.push_back(Now - Held.Open->StartedAt);
   Held.Agent = From;
   Held.Open.reset();
   Held.UsedAt = Now;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -87,7 +87,7 @@
     Doubt.Balancer = Balancer;
     Doubt.Searched = Fields.Search;
     Doubt.UsedAt = Now;
-    noteCallerData(Head, Doubt);
+    noteCallerData(Head, Doubt, Now);
     Out.push_back(
         {.What = FlowAction::Kind::Deliver, .Event = FlowEvent::Doubted, .Key = Head.Key});
     return Out;
@@ -102,11 +102,12 @@
                    .Balancer = Balancer});
   Known.Balancer = Balancer;
   Known.Searched = Fields.Search;
-  noteCallerData(Head, Known);
+  noteCallerData(Head, Known, Now);
   if (Head.Bits.Rst) {
     close(Known);
   } else if (Head.Bits.Fin) {
     Known.CallerEnded = true;
+    endLong(Known);
     if (Known.UpstreamEnded)
       close(Known);
   }
@@ -239,13 +240,14 @@
                    .Key = Head.Key,
                    .Balancer = Held.Balancer});
   }
-  noteUpstreamData(Head, Held);
+  noteUpstreamData(Head, Held, Now);
   Out.push_back(
       {.What = FlowAction::Kind::SendToCaller, .Event = FlowEvent::ToCaller, .Key = Head.Key});
   if (Head.Bits.Rst) {
     close(Held);
   } else if (Head.Bits.Fin) {
     Held.UpstreamEnded = true;
+    endLong(Held);
     if (Held.CallerEnded)
       close(Held);
   }
@@ -307,7 +309,7 @@
 }
 
 // A request begins with new data from the caller after the upstream has answered the one before.
-void UpstreamFlows::noteCallerData(const PacketHead &Head, Flow &Held) {
+void UpstreamFlows::noteCallerData(const PacketHead &Head, Flow &Held, common::TimePoint Now) {
   if (Head.Bits.Ack)
     Held.CallerAcknowledgement = Head.Acknowledgement;
   const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
@@ -319,6 +321,7 @@
   if (Held.State == Phase::Closed || (Held.RequestPending && Held.Requests > 0))
     return;
   expectRequest(Held);
+  Held.RequestAt = Now;
   if (Held.Requests < UINT16_MAX && ++Held.Requests > 1)
     setLong(Held);
 }
@@ -333,13 +336,15 @@
     --Unanswered;
 }
 
-void UpstreamFlows::noteUpstreamData(const PacketHead &Head, Flow &Held) {
+void UpstreamFlows::noteUpstreamData(const PacketHead &Head, Flow &Held, common::TimePoint Now) {
   const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
   const bool New = !Held.HasUpstreamSequence || sequenceBefore(Held.UpstreamSequence, End);
   if (Head.PayloadBytes == 0 || !New)
     return;
   Held.HasUpstreamSequence = true;
   Held.UpstreamSequence = End;
+  if (Held.RequestPending && Held.Requests > 0 && Answers.size() < MaxAnswerTimes)
+    Answers.push_back({Head.Key, Now - Held.RequestAt});
   endRequest(Held);
 }
 
@@ -348,10 +353,14 @@
     ++LongFlows;
 }
 
-void UpstreamFlows::close(Flow &Held) {
-  endRequest(Held);
+void UpstreamFlows::endLong(Flow &Held) {
   if (std::exchange(Held.Long, false))
     --LongFlows;
+}
+
+void UpstreamFlows::close(Flow &Held) {
+  endRequest(Held);
+  endLong(Held);
   Held.State = Phase::Closed;
   Held.FirstPacket.reset();
 }
@@ -397,6 +406,10 @@
       const common::Duration Unused = Now - Held.UsedAt;
       if (Held.Requests == 0 && Unused > RequestExpectation)
         endRequest(Held);
+      if (Unused > AbandonedAge) {
+        endRequest(Held);
+        endLong(Held);
+      }
       const bool Expired = (Held.State == Phase::Closed && Unused > ClosedRetention) ||
                            (Held.State == Phase::Doubted && Unused > DoubtRetention) ||
                            (Held.State == Phase::Offered && Unused > DoubtRetention) ||
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -6,7 +6,6 @@
 
 using relay::FlowAction;
 using relay::FlowActions;
-using relay::FlowEvent;
 using relay::ReturnReason;
 using relay::Transit;
 using relay::UpstreamFlows;
@@ -30,6 +29,7 @@
   CPPUNIT_TEST(testFlow_ofDrainingUpstream_goesOn);
   CPPUNIT_TEST(testLoad_requestsAndFlows_areCounted);
   CPPUNIT_TEST(testLoad_adoptedFlow_isWorkUntilAnswered);
+  CPPUNIT_TEST(testLoad_endedOrAbandonedFlow_isNone);
   CPPUNIT_TEST(testLoad_flowWithoutRequest_isNoWorkForLong);
   CPPUNIT_TEST(testDeparture_openFlows_areResetNearAcknowledgement);
   CPPUNIT_TEST_SUITE_END();
@@ -275,6 +275,23 @@
     }
   }
 
+  // sunbox-relay-grown trouble-2: agents reported 88 long flows where 30 were open, since callers
+  // that give up end their flows without a word.
+  void testLoad_endedOrAbandonedFlow_isNone() {
+    auto Flows = readyFlows();
+    for (const std::uint16_t Port : {1, 2})
+      open(Flows, relayKey(Port), {.Long = true});
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, Flows.load().LongFlows);
+    auto End = upstreamData(relayKey(1), Sequence, 0);
+    End.Bits.Fin = true;
+    (void)fromUpstream(Flows, End);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().LongFlows);
+    (void)fromBalancer(Flows, callerData(relayKey(2), Sequence));
+    for (common::TimePoint Now = RelayStart; Now < RelayStart + 11s; Now += 20ms)
+      (void)Flows.onTimer(Now);
+    CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{0, 0}));
+  }
+
   void testLoad_flowWithoutRequest_isNoWorkForLong() {
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
