--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -27,9 +27,9 @@
 inline constexpr common::Duration StoppedLostTime = std::chrono::milliseconds(2500);
 /// An agent that left a first packet unanswered gets no new flows for this time, unless it reports.
 inline constexpr common::Duration SuspicionTime = std::chrono::milliseconds(500);
-/// A flow placed this long before a load figure was made is part of it: the time from a caller's
-/// first packet to its first request, two ways of up to 10 ms each.
-inline constexpr common::Duration PlacementDelay = std::chrono::milliseconds(20);
+/// A flow placed this long before a load figure came is part of it, since an agent counts a flow
+/// from its first packet: two ways between zones and the agent's turn.
+inline constexpr common::Duration PlacementDelay = std::chrono::milliseconds(5);
 /// Agents compared for one placement: the power of two choices (Mitzenmacher 2001).
 inline constexpr std::size_t PlacementChoices = 2;
 
