Give the relay's nodes one base, and drop what nothing uses

Cause: the last reading of the diff of the relay found two copies of the tick, the record reading, the reload and the pause line, the seed of the random engine read in two places, functions that only tests called (nextPlacementCheck, nextAnswerCheck) or nothing (knowsService, markLost), a choice made twice for one placement, and a vector allocated for each packet.

Change: node/impl/relay_node.h holds what balancers and agents share. Settings::seed reads a seed. placeAt takes a choice that has been made. Actions are in a small vector of two. Tests take the times from the named constants and check also that nothing happens before them.

Ruled out: a base with virtual hooks; the nodes differ in what they do at each tick, and a callback says so where it is used.

--- a/include/galenarelay/common/settings.h
+++ b/include/galenarelay/common/settings.h
@@ -44,6 +44,9 @@
   [[nodiscard]] Endpoint endpoint(std::string_view Section, std::string_view Key) const;
   [[nodiscard]] std::vector<Endpoint> endpoints(std::string_view Section,
                                                 std::string_view Key) const;
+  /// A seed of a random engine: the setting, or one from the system if it is 0, so that processes
+  /// that share their settings don't act in step.
+  [[nodiscard]] std::uint64_t seed(std::string_view Section, std::string_view Key) const;
 
   friend bool operator==(const Settings &, const Settings &) = default;
 
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -1,15 +1,12 @@
 #ifndef GALENARELAY_NODE_RELAY_AGENT_H
 #define GALENARELAY_NODE_RELAY_AGENT_H
 
-#include "galenarelay/common/log.h"
-#include "galenarelay/common/udp_socket.h"
-#include "galenarelay/node/impl/relay_store.h"
-#include "galenarelay/node/relay_balancer.h"
-#include "galenarelay/node/relay_platform.h"
-#include "galenarelay/node/relay_settings.h"
-#include "galenarelay/relay/balancer_peers.h"
+#include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/upstream_flows.h"
 
+#include <algorithm>
+#include <array>
+
 #include <memory>
 #include <string>
 #include <utility>
@@ -17,8 +14,6 @@
 
 namespace galenarelay::node {
 
-/// Interval of the agent's timer.
-inline constexpr common::Duration AgentTick = std::chrono::milliseconds(20);
 /// Shortest interval of reports to a balancer. With many balancers it grows, so that reports stay
 /// below ReportsPerSecond in all.
 inline constexpr common::Duration MinReportInterval = std::chrono::milliseconds(60);
@@ -37,63 +32,50 @@
 inline constexpr common::Duration AgentStopTime = std::chrono::milliseconds(20);
 
 /// An agent of relayed flows: connects its decisions to sockets, timers and the store.
-template <RelayPlatform Platform> class RelayAgent {
+template <RelayPlatform Platform> class RelayAgent : impl::RelayNode<Platform> {
+  using Base = impl::RelayNode<Platform>;
+  template <typename T> using Awaitable = typename Base::template Awaitable<T>;
+
 public:
   RelayAgent(boost::asio::io_context &Io, RelayAgentOptions Settings, common::Metrics &Metrics)
-      : Io(Io), Options(std::move(Settings)), Metrics(Metrics), Random(Options.Node.Seed),
-        StartedAt(common::suspendAwareNow()),
-        Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
-        Flows(Options.Service, Options.HeartbeatInterval, StartedAt),
-        Peers(Options.Node.Packets.Address), Store(Options.Node.Store, Metrics),
-        Record(Store, AgentRecords + Options.Node.Id,
-               common::addressToString(Options.Node.Packets.Address)),
-        Ticker(Io), LastTick(StartedAt), FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+      : Base(Io, std::move(Settings.Node), Metrics, impl::AgentRecords),
+        Upstream(Settings.Upstream), FromUpstream(Settings.FromUpstream),
+        Flows(std::move(Settings.Service), Settings.HeartbeatInterval, StartedAt),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
         AnswerSeconds(Metrics.histogram("upstream_answer_seconds",
                                         "Time from a request to the first data of its answer",
-                                        {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10})),
-        SuppressedLines(
-            Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
-        MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")) {
+                                        {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10})) {
     for (std::size_t I = 0; I < relay::FlowEvents; ++I)
       EventCounters[I] =
           &Metrics.counter("packets_total", "Packets by event",
                            {{"event", std::string(name(static_cast<relay::FlowEvent>(I)))}});
-    for (const auto &Seed : Options.Node.Seeds)
-      Peers.addSeed(Seed.Address);
   }
 
   void start() {
     Packets = std::make_unique<common::UdpSocket>(
-        Io, Options.Node.Packets, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
+        Io, Options.Packets, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
           onBalancerPacket(Raw, From.Address);
         });
     Outbound = std::make_unique<common::UdpSocket>(
-        Io, Options.FromUpstream,
+        Io, FromUpstream,
         [this](std::span<std::uint8_t> Raw, common::Endpoint) { onUpstreamPacket(Raw); });
-    PeerSocket = std::make_unique<common::UdpSocket>(
-        Io, Options.Node.Peers, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
-          onPeerDatagram(Raw, From.Address);
-        });
-    const auto Serve = [this](common::HttpRequest Request) { return serve(std::move(Request)); };
-    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Node.Control, Serve));
-    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Node.Readiness, Serve));
-    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Node.Admin, Serve));
+    this->listen([this](std::span<std::uint8_t> Raw,
+                        common::Endpoint From) { onPeerDatagram(Raw, From.Address); },
+                 [this](common::HttpRequest Request) { return serve(std::move(Request)); });
     common::log(common::LogLevel::Info, "started",
-                {{"id", Options.Node.Id},
-                 {"zone", Options.Node.Zone},
-                 {"service", Options.Service},
+                {{"id", Options.Id},
+                 {"zone", Options.Zone},
+                 {"service", Flows.service()},
                  {"incarnation", Incarnation},
                  {"version", GALENARELAY_VERSION}});
-    boost::asio::co_spawn(Io, findBalancers(), boost::asio::detached);
-    boost::asio::co_spawn(Io, Record.keep(Random), boost::asio::detached);
-    tick();
+    spawn(findBalancers());
+    this->startTimer([this](common::TimePoint Now, common::Duration Pause) { onTick(Now, Pause); });
   }
 
   /// The upstream goes on without this process if it lives: flows wait until the agent is back, so
   /// that it ends soon. The flows of an upstream that has ended are reset.
-  boost::asio::awaitable<void> drain() {
+  Awaitable<void> drain() {
     Flows.stop();
     const auto Now = common::suspendAwareNow();
     const bool UpstreamEnded = Flows.registration().departed();
@@ -109,13 +91,28 @@
     common::log(common::LogLevel::Info, "stopped");
   }
 
-  void reload(const RelayAgentOptions &Fresh) {
-    for (const auto &Seed : Fresh.Node.Seeds)
-      Peers.addSeed(Seed.Address);
-    common::log(common::LogLevel::Info, "reloaded", {{"seeds", Fresh.Node.Seeds.size()}});
-  }
+  void reload(const RelayAgentOptions &Fresh) { this->takeSeeds(Fresh.Node); }
 
 private:
+  using Base::FlowGauge;
+  using Base::FlowLog;
+  using Base::Incarnation;
+  using Base::Io;
+  using Base::MalformedPackets;
+  using Base::Metrics;
+  using Base::milliseconds;
+  using Base::Options;
+  using Base::Packets;
+  using Base::Peers;
+  using Base::Random;
+  using Base::Record;
+  using Base::RejectLog;
+  using Base::sendTo;
+  using Base::spawn;
+  using Base::StartedAt;
+  using Base::Store;
+  using Base::SuppressedLines;
+
   // --- packets
 
   void onBalancerPacket(std::span<std::uint8_t> Raw, relay::NodeAddress From) {
@@ -147,10 +144,10 @@
 
   void performOne(const relay::FlowAction &Action, std::span<std::uint8_t> Raw) {
     using Kind = relay::FlowAction::Kind;
-    const common::Endpoint Caller{Action.Key.Caller.Address, Options.Node.Packets.Port};
+    const common::Endpoint Caller{Action.Key.Caller.Address, Options.Packets.Port};
     switch (Action.What) {
     case Kind::Deliver:
-      return Outbound->send(Raw, Options.Upstream);
+      return Outbound->send(Raw, Upstream);
     case Kind::SendToCaller:
       return Packets->send(Raw, Caller);
     case Kind::ResetCaller:
@@ -206,16 +203,11 @@
     NextContact = Now;
   }
 
-  void sendTo(relay::NodeAddress To, const relay::PeerMessage &Message) {
-    if (To != 0)
-      PeerSocket->send(relay::encode(Message), {To, Options.Node.Peers.Port});
-  }
-
   relay::AgentReport report(common::TimePoint Now) {
     const auto &Last = Flows.registration().last();
     relay::AgentReport Made;
-    Made.Id = Options.Node.Id;
-    Made.Zone = Options.Node.Zone;
+    Made.Id = Options.Id;
+    Made.Zone = Options.Zone;
     Made.Incarnation = Incarnation;
     Made.Number = ++ReportNumber;
     Made.Service = Flows.service();
@@ -242,26 +234,10 @@
       sendTo(Contact, Message);
   }
 
-  void tick() {
-    Ticker.expires_after(AgentTick);
-    Ticker.async_wait([this](boost::system::error_code Failure) {
-      if (Failure)
-        return;
-      onTick(common::suspendAwareNow());
-      tick();
-    });
-  }
-
-  void onTick(common::TimePoint Now) {
-    if (Now - LastTick > PauseGap) {
-      common::log(
-          common::LogLevel::Warning, "resumed_after_pause",
-          {{"pause_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(Now - LastTick).count()}});
+  void onTick(common::TimePoint Now, common::Duration Pause) {
+    if (Pause > common::Duration::zero())
       Flows.restartListening(Now);
-    }
     noteUpstreamGone(Now);
-    LastTick = Now;
     perform(Flows.onTimer(Now), {}, Now);
     noteState(Now);
     if (Now >= NextReport)
@@ -279,12 +255,11 @@
       return;
     if (!FlowLog.allow(Now))
       return SuppressedLines.Increment();
-    common::log(
-        common::LogLevel::Info, "slow_answer",
-        {{"flow", packet::toString(Answer.Key)},
-         {"answer_ms", std::chrono::duration_cast<std::chrono::milliseconds>(Answer.Time).count()},
-         {"unanswered", Flows.load().Unanswered},
-         {"state", name(Flows.state(Now))}});
+    common::log(common::LogLevel::Info, "slow_answer",
+                {{"flow", packet::toString(Answer.Key)},
+                 {"answer_ms", milliseconds(Answer.Time)},
+                 {"unanswered", Flows.load().Unanswered},
+                 {"state", name(Flows.state(Now))}});
   }
 
   /// The flows of an upstream that has ended are reset, so that their callers can use the time
@@ -312,7 +287,7 @@
 
   // --- heartbeats and admin
 
-  boost::asio::awaitable<common::HttpResponse> serve(common::HttpRequest Request) {
+  Awaitable<common::HttpResponse> serve(common::HttpRequest Request) {
     const auto Now = common::suspendAwareNow();
     if (auto Id = Platform::Calls::heartbeatId(Request); !Id.empty())
       co_return takeHeartbeat(std::move(Id), Request.Body, Now);
@@ -356,11 +331,11 @@
 
   // --- balancers in the store
 
-  boost::asio::awaitable<void> findBalancers() {
+  Awaitable<void> findBalancers() {
     common::Duration Pause = impl::MinCallPause;
     while (true) {
       if (Peers.live(common::suspendAwareNow()).empty()) {
-        const auto Page = co_await Store.list(BalancerRecords);
+        const auto Page = co_await Store.list(impl::BalancerRecords);
         if (Page)
           takeRecords(*Page);
         co_await impl::pauseFor(impl::jittered(Pause, Random));
@@ -374,46 +349,25 @@
 
   void takeRecords(const relay::StorePage &Page) {
     const auto Now = common::suspendAwareNow();
-    for (const auto &Item : Page.Items) {
-      const auto Parsed = common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
-      if (Parsed)
-        Peers.addContact(Parsed->Address, Now);
-      else
-        common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
-    }
+    this->readRecords(Page, [&](const std::string &, relay::NodeAddress Address) {
+      Peers.addContact(Address, Now);
+    });
     NextContact = {};
   }
 
-  boost::asio::io_context &Io;
-  RelayAgentOptions Options;
-  common::Metrics &Metrics;
-  common::Engine Random;
-  common::TimePoint StartedAt;
-  std::uint64_t Incarnation;
+  common::Endpoint Upstream;     ///< UDP, packets for the upstream.
+  common::Endpoint FromUpstream; ///< UDP, packets of the upstream.
   relay::UpstreamFlows Flows;
-  relay::BalancerPeers Peers;
-  impl::RelayStore<typename Platform::Store> Store;
-  impl::StoreRecord<typename Platform::Store> Record;
-  std::unique_ptr<common::UdpSocket> Packets;
   std::unique_ptr<common::UdpSocket> Outbound;
-  std::unique_ptr<common::UdpSocket> PeerSocket;
-  std::vector<std::unique_ptr<common::HttpServer>> Servers;
-  boost::asio::steady_timer Ticker;
-  common::TimePoint LastTick;
   common::TimePoint NextReport{};
   common::TimePoint NextContact{};
   std::uint64_t ReportNumber = 0;
   bool UpstreamGone = false;
   relay::UpstreamState LastState = relay::UpstreamState::Unknown;
-  common::LogRateLimit FlowLog{FlowLogLimit};
-  common::LogRateLimit RejectLog{5};
 
   std::array<prometheus::Counter *, relay::FlowEvents> EventCounters{};
-  prometheus::Gauge &FlowGauge;
   prometheus::Gauge &UnansweredGauge;
   prometheus::Histogram &AnswerSeconds;
-  prometheus::Counter &SuppressedLines;
-  prometheus::Counter &MalformedPackets;
 };
 
 } // namespace galenarelay::node
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -1,19 +1,9 @@
 #ifndef GALENARELAY_NODE_RELAY_BALANCER_H
 #define GALENARELAY_NODE_RELAY_BALANCER_H
 
-#include "galenarelay/common/log.h"
-#include "galenarelay/common/udp_socket.h"
-#include "galenarelay/node/impl/relay_store.h"
-#include "galenarelay/node/relay_platform.h"
-#include "galenarelay/node/relay_settings.h"
-#include "galenarelay/relay/balancer_peers.h"
+#include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/flow_steering.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <array>
 #include <memory>
@@ -24,10 +14,6 @@
 
 namespace galenarelay::node {
 
-/// Interval of the timer that repeats placements and sends what is due.
-inline constexpr common::Duration BalancerTick = std::chrono::milliseconds(20);
-/// A gap of this length between two ticks means that the process stood still.
-inline constexpr common::Duration PauseGap = std::chrono::milliseconds(500);
 /// Interval of beacons to other balancers, and to agents and addresses that have not answered.
 inline constexpr common::Duration PeerBeaconInterval = std::chrono::milliseconds(300);
 inline constexpr common::Duration AgentBeaconInterval = std::chrono::milliseconds(1000);
@@ -42,56 +28,36 @@
 /// It ends once no packet has come for this time, or after MaxDrainTime, below the grace time.
 inline constexpr common::Duration QuietTime = std::chrono::milliseconds(400);
 inline constexpr common::Duration MaxDrainTime = std::chrono::milliseconds(4500);
-/// Log lines per second about single flows.
-inline constexpr std::uint32_t FlowLogLimit = 50;
 /// Agents named in one log line.
 inline constexpr std::size_t MaxLoggedAgents = 5;
-/// Store keys below which nodes register; the value is the IPv4 address.
-inline constexpr const char *NodeRecords = "galenarelay/";
-inline constexpr const char *BalancerRecords = "galenarelay/balancers/";
-inline constexpr const char *AgentRecords = "galenarelay/agents/";
 
 /// A balancer of relayed flows: connects its decisions to sockets, timers and the store.
-template <RelayPlatform Platform> class RelayBalancer {
+template <RelayPlatform Platform> class RelayBalancer : impl::RelayNode<Platform> {
+  using Base = impl::RelayNode<Platform>;
+  template <typename T> using Awaitable = typename Base::template Awaitable<T>;
+
 public:
   RelayBalancer(boost::asio::io_context &Io, RelayOptions Settings, common::Metrics &Metrics)
-      : Io(Io), Options(std::move(Settings)), Metrics(Metrics), Random(Options.Seed),
-        StartedAt(common::suspendAwareNow()),
-        Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
+      : Base(Io, std::move(Settings), Metrics, impl::BalancerRecords),
         Directory(Options.Zone, Random()), Steering(Options.Packets.Address, Directory, StartedAt),
-        Peers(Options.Packets.Address), Store(Options.Store, Metrics),
-        Record(Store, BalancerRecords + Options.Id,
-               common::addressToString(Options.Packets.Address)),
-        Ticker(Io), LastTick(StartedAt),
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
-        FlowGauge(Metrics.gauge("flows", "Flows in the table")),
         OpeningSeconds(Metrics.histogram(
             "flow_opening_seconds", "Time from a flow's first packet to its acceptance",
-            {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1})),
-        SuppressedLines(
-            Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
-        MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")) {
+            {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1})) {
     for (std::size_t I = 0; I < relay::SteeringReasons; ++I)
       PacketCounters[I] = &Metrics.counter(
           "packets_total", "Packets from callers by decision",
           {{"decision", std::string(name(static_cast<relay::SteeringReason>(I)))}});
-    for (const auto &Seed : Options.Seeds)
-      Peers.addSeed(Seed.Address);
   }
 
   void start() {
     Packets = std::make_unique<common::UdpSocket>(
         Io, Options.Packets,
         [this](std::span<std::uint8_t> Raw, common::Endpoint) { onCallerPacket(Raw); });
-    PeerSocket = std::make_unique<common::UdpSocket>(
-        Io, Options.Peers, [this](std::span<std::uint8_t> Raw, common::Endpoint From) {
-          onPeerDatagram(Raw, From.Address);
-        });
-    const auto Serve = [this](common::HttpRequest Request) { return serve(std::move(Request)); };
-    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Readiness, Serve));
-    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Admin, Serve));
-    Servers.push_back(std::make_unique<common::HttpServer>(Io, Options.Control, Serve));
+    this->listen([this](std::span<std::uint8_t> Raw,
+                        common::Endpoint From) { onPeerDatagram(Raw, From.Address); },
+                 [this](common::HttpRequest Request) { return serve(std::move(Request)); });
     common::log(common::LogLevel::Info, "started",
                 {{"id", Options.Id},
                  {"zone", Options.Zone},
@@ -99,8 +65,7 @@
                  {"version", GALENARELAY_VERSION}});
     spawn(followConfiguration());
     spawn(lookUpNodes());
-    spawn(Record.keep(Random));
-    tick();
+    this->startTimer([this](common::TimePoint Now, common::Duration Pause) { onTick(Now, Pause); });
   }
 
   /// Tells routers and peers, and forwards until the routers have turned away.
@@ -111,7 +76,7 @@
     sendBeacons(Begin, true);
     spawn(Record.remove());
     while (true) {
-      co_await impl::pauseFor(BalancerTick);
+      co_await impl::pauseFor(impl::RelayTick);
       const auto Now = common::suspendAwareNow();
       const bool Quiet = Now - LastPacketAt >= QuietTime && Now - Begin >= MinDrainTime;
       if (Quiet || Now - Begin >= MaxDrainTime)
@@ -121,24 +86,27 @@
                 {{"drain_ms", milliseconds(common::suspendAwareNow() - Begin)}});
   }
 
-  /// The settings file has changed. Addresses are fixed for the life of the process, so that only
-  /// the seeds are taken over.
-  void reload(const RelayOptions &Fresh) {
-    for (const auto &Seed : Fresh.Seeds)
-      Peers.addSeed(Seed.Address);
-    common::log(common::LogLevel::Info, "reloaded", {{"seeds", Fresh.Seeds.size()}});
-  }
+  void reload(const RelayOptions &Fresh) { this->takeSeeds(Fresh); }
 
 private:
-  template <typename T> using Awaitable = boost::asio::awaitable<T>;
-
-  static std::int64_t milliseconds(common::Duration Value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-  }
-
-  void spawn(Awaitable<void> Task) {
-    boost::asio::co_spawn(Io, std::move(Task), boost::asio::detached);
-  }
+  using Base::FlowGauge;
+  using Base::FlowLog;
+  using Base::Incarnation;
+  using Base::Io;
+  using Base::MalformedPackets;
+  using Base::Metrics;
+  using Base::milliseconds;
+  using Base::Options;
+  using Base::Packets;
+  using Base::Peers;
+  using Base::Random;
+  using Base::Record;
+  using Base::RejectLog;
+  using Base::sendTo;
+  using Base::spawn;
+  using Base::StartedAt;
+  using Base::Store;
+  using Base::SuppressedLines;
 
   // --- packets
 
@@ -156,9 +124,9 @@
     const auto Query = Steering.takeQuery(Now);
     if (!Query)
       return;
-    const auto Raw = relay::encode(Query->Message);
+    const relay::PeerMessage Message = Query->Message;
     for (const auto Agent : Query->Agents)
-      PeerSocket->send(Raw, {Agent, Options.Peers.Port});
+      sendTo(Agent, Message);
     nlohmann::json Silent = nlohmann::json::array();
     for (std::size_t I = 0; I < std::min(Query->Silent.size(), MaxLoggedAgents); ++I)
       Silent.push_back(common::addressToString(Query->Silent[I]));
@@ -307,10 +275,6 @@
     perform(Steering.onShare(Share, Now), {}, Now);
   }
 
-  void sendTo(relay::NodeAddress To, const relay::PeerMessage &Message) {
-    PeerSocket->send(relay::encode(Message), {To, Options.Peers.Port});
-  }
-
   relay::BalancerBeacon beacon(common::TimePoint Now, bool WithAgents) const {
     relay::BalancerBeacon Made{
         Options.Id, Options.Zone,    Incarnation, Steering.routes().revision(),
@@ -324,9 +288,10 @@
 
   void sendBeacons(common::TimePoint Now, bool Everyone) {
     const relay::PeerMessage Message = beacon(Now, false);
+    const auto Live = Peers.live(Now);
     if (Everyone || Now >= NextPeerBeacon) {
       NextPeerBeacon = Now + PeerBeaconInterval;
-      for (const auto Peer : Peers.live(Now))
+      for (const auto Peer : Live)
         sendTo(Peer, Message);
     }
     if (Everyone || Now >= NextAgentBeacon) {
@@ -334,32 +299,18 @@
       for (const auto Agent : Directory.agentsOf(""))
         sendTo(Agent, Message);
     }
-    const bool Alone = Peers.live(Now).empty();
     if (Everyone || Now >= NextContact) {
-      NextContact = Now + (Alone ? PeerBeaconInterval : AgentBeaconInterval);
+      NextContact = Now + (Live.empty() ? PeerBeaconInterval : AgentBeaconInterval);
       for (const auto Contact : Peers.contacts(Now))
         sendTo(Contact, Message);
     }
   }
 
-  void tick() {
-    Ticker.expires_after(BalancerTick);
-    Ticker.async_wait([this](boost::system::error_code Failure) {
-      if (Failure)
-        return;
-      onTick(common::suspendAwareNow());
-      tick();
-    });
-  }
-
-  void onTick(common::TimePoint Now) {
-    if (Now - LastTick > PauseGap) {
-      common::log(common::LogLevel::Warning, "resumed_after_pause",
-                  {{"pause_ms", milliseconds(Now - LastTick)}});
+  void onTick(common::TimePoint Now, common::Duration Pause) {
+    if (Pause > common::Duration::zero()) {
       Steering.restartSettling(Now);
       Directory.restartListening(Now);
     }
-    LastTick = Now;
     Steering.setRoutesCurrent(routesCurrent(Now));
     perform(Steering.onTimer(Now), {}, Now);
     sendQueries(Now);
@@ -370,10 +321,12 @@
       perform(Steering.onAgentLost(Agent), {}, Now);
     }
     sendBeacons(Now, false);
-    for (auto &Share : Steering.takeShares(Now))
+    const auto Shares = Steering.takeShares(Now);
+    if (!Shares.empty())
       for (const auto Peer : Peers.live(Now))
-        if (Peers.find(Peer)->Zone == Options.Zone)
-          sendTo(Peer, Share);
+        for (const auto &Share : Shares)
+          if (Peers.find(Peer)->Zone == Options.Zone)
+            sendTo(Peer, Share);
     for (const auto Time : Steering.takeOpeningTimes())
       OpeningSeconds.Observe(std::chrono::duration<double>(Time).count());
     Directory.forgetSilent(Now);
@@ -531,7 +484,7 @@
   Awaitable<void> lookUpNodes() {
     common::Duration Pause = impl::MinCallPause;
     while (!Leaving) {
-      const auto Page = co_await Store.list(NodeRecords);
+      const auto Page = co_await Store.list(impl::NodeRecords);
       if (Page) {
         takeRecords(*Page);
         co_return;
@@ -543,38 +496,21 @@
 
   void takeRecords(const relay::StorePage &Page) {
     const auto Now = common::suspendAwareNow();
-    for (const auto &Item : Page.Items) {
-      const auto Parsed = common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
-      if (!Parsed) {
-        common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
-      } else if (Item.Key.starts_with(BalancerRecords)) {
-        Peers.addContact(Parsed->Address, Now);
-      } else if (Item.Key.starts_with(AgentRecords)) {
-        Directory.expect(Parsed->Address, Now);
-        sendTo(Parsed->Address, beacon(Now, false));
+    this->readRecords(Page, [&](const std::string &Key, relay::NodeAddress Address) {
+      if (Key.starts_with(impl::BalancerRecords)) {
+        Peers.addContact(Address, Now);
+      } else if (Key.starts_with(impl::AgentRecords)) {
+        Directory.expect(Address, Now);
+        sendTo(Address, beacon(Now, false));
       }
-    }
+    });
     NextContact = {};
     if (!Page.More)
       Steering.setAgentsListed(Now);
   }
 
-  boost::asio::io_context &Io;
-  RelayOptions Options;
-  common::Metrics &Metrics;
-  common::Engine Random;
-  common::TimePoint StartedAt;
-  std::uint64_t Incarnation;
   relay::UpstreamDirectory Directory;
   relay::FlowSteering Steering;
-  relay::BalancerPeers Peers;
-  impl::RelayStore<typename Platform::Store> Store;
-  impl::StoreRecord<typename Platform::Store> Record;
-  std::unique_ptr<common::UdpSocket> Packets;
-  std::unique_ptr<common::UdpSocket> PeerSocket;
-  std::vector<std::unique_ptr<common::HttpServer>> Servers;
-  boost::asio::steady_timer Ticker;
-  common::TimePoint LastTick;
   common::TimePoint LastPacketAt{};
   common::TimePoint NextPeerBeacon{};
   common::TimePoint NextAgentBeacon{};
@@ -584,16 +520,11 @@
   bool Fetching = false;
   bool Leaving = false;
   bool WasReady = false;
-  common::LogRateLimit FlowLog{FlowLogLimit};
-  common::LogRateLimit RejectLog{5};
 
   std::array<prometheus::Counter *, relay::SteeringReasons> PacketCounters{};
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &AgentGauge;
-  prometheus::Gauge &FlowGauge;
   prometheus::Histogram &OpeningSeconds;
-  prometheus::Counter &SuppressedLines;
-  prometheus::Counter &MalformedPackets;
 };
 
 } // namespace galenarelay::node
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -7,6 +7,8 @@
 #include "galenarelay/relay/route_table.h"
 #include "galenarelay/relay/upstream_directory.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -83,7 +85,8 @@
   std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
 };
 
-using SteeringActions = std::vector<SteeringAction>;
+/// Most packets lead to one or two actions, which then need no memory of their own.
+using SteeringActions = boost::container::small_vector<SteeringAction, 2>;
 
 /// A balancer's decisions on packets from callers: places new flows, and forwards the others to
 /// the agent whose upstream holds their flow. All its state may be lost at any time.
@@ -127,8 +130,6 @@
   }
   /// Places flows again whose agent has not answered; forgets old flows.
   [[nodiscard]] SteeringActions onTimer(common::TimePoint Now);
-  /// When onTimer has something to place.
-  [[nodiscard]] std::optional<common::TimePoint> nextPlacementCheck() const noexcept;
   /// Open flows that the peers of the zone have not been told of.
   [[nodiscard]] std::vector<FlowShare> takeShares(common::TimePoint Now);
   /// All open flows, for a peer that has just started.
@@ -168,6 +169,10 @@
   void repeatFirstPacket(const PacketHead &Head, Flow &Held, common::TimePoint Now,
                          SteeringActions &Out);
   void place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
+  void placeAt(NodeAddress Agent, bool Insist, const packet::FlowKey &Key, Flow &Held,
+               common::TimePoint Now, SteeringActions &Out);
+  /// An agent that has not been tried and isn't full; empty if there is none, or enough were tried.
+  [[nodiscard]] std::optional<NodeAddress> nextChoice(const Opening &Open, common::TimePoint Now);
   void hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
   void releaseHeld(common::TimePoint Now, SteeringActions &Out);
   [[nodiscard]] std::optional<NodeAddress> leastBusy(Opening &Open) const;
--- a/include/galenarelay/relay/registration.h
+++ b/include/galenarelay/relay/registration.h
@@ -49,8 +49,6 @@
   [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Heard, common::TimePoint Now);
   /// The upstream says that it ends. False if the ID is another's.
   bool onDeparture(const std::string &Id);
-  /// The upstream was found dead, as by a refused connection.
-  void markLost() noexcept { Lost = true; }
 
   [[nodiscard]] bool known() const noexcept { return Last.has_value(); }
   [[nodiscard]] const std::optional<Heartbeat> &last() const noexcept { return Last; }
@@ -71,7 +69,6 @@
   std::optional<Heartbeat> Last;
   common::TimePoint HeardAt{};
   bool Departed = false;
-  bool Lost = false;
 };
 
 } // namespace galenarelay::relay
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -93,8 +93,6 @@
   [[nodiscard]] std::vector<NodeAddress> takeLost(common::TimePoint Now);
   /// True if any agent has reported lately.
   [[nodiscard]] bool hearsAgents(common::TimePoint Now) const;
-  /// True if the service has an agent, usable or not, that could still take flows.
-  [[nodiscard]] bool knowsService(const std::string &Service) const;
   [[nodiscard]] std::size_t size() const noexcept { return Agents.size(); }
 
 private:
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -5,6 +5,8 @@
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/registration.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -72,7 +74,8 @@
   std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
 };
 
-using FlowActions = std::vector<FlowAction>;
+/// Most packets lead to one or two actions, which then need no memory of their own.
+using FlowActions = boost::container::small_vector<FlowAction, 2>;
 
 /// Time from a request's first packet to the upstream's first data.
 struct AnswerTime {
@@ -109,7 +112,6 @@
   /// This process stood still: the upstream's silence counts from now on.
   void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
-  [[nodiscard]] std::optional<common::TimePoint> nextAnswerCheck() const noexcept;
   /// Answers since the last call.
   [[nodiscard]] std::vector<AnswerTime> takeAnswerTimes() { return std::exchange(Answers, {}); }
   /// Resets for the open flows of an upstream that has ended.
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <random>
 #include <set>
 
 namespace galenarelay::common {
@@ -113,6 +114,14 @@
   return std::strtoll(text(Section, Key).c_str(), nullptr, 10);
 }
 
+std::uint64_t Settings::seed(std::string_view Section, std::string_view Key) const {
+  const auto Given = static_cast<std::uint64_t>(integer(Section, Key));
+  if (Given != 0)
+    return Given;
+  std::random_device Source;
+  return (std::uint64_t{Source()} << 32U) | Source();
+}
+
 double Settings::real(std::string_view Section, std::string_view Key) const {
   return std::strtod(text(Section, Key).c_str(), nullptr);
 }
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -1,7 +1,5 @@
 #include "galenarelay/node/node_settings.h"
 
-#include <random>
-
 namespace galenarelay::node {
 
 using common::SettingKind;
@@ -35,11 +33,7 @@
   Options.Self.Admin = Values.endpoint("node", "admin");
   Options.Seeds = Values.endpoints("node", "seeds");
   Options.Store = Values.endpoint("store", "address");
-  Options.Seed = static_cast<std::uint64_t>(Values.integer("node", "seed"));
-  if (Options.Seed == 0) {
-    std::random_device Source;
-    Options.Seed = (std::uint64_t{Source()} << 32U) | Source();
-  }
+  Options.Seed = Values.seed("node", "seed");
   return Options;
 }
 
--- a/src/node/relay_settings.cpp
+++ b/src/node/relay_settings.cpp
@@ -1,7 +1,5 @@
 #include "galenarelay/node/relay_settings.h"
 
-#include <random>
-
 namespace galenarelay::node {
 
 using common::SettingKind;
@@ -50,11 +48,7 @@
   Options.Readiness = Values.endpoint("node", "readiness");
   Options.Seeds = Values.endpoints("node", "seeds");
   Options.Store = Values.endpoint("store", "address");
-  Options.Seed = static_cast<std::uint64_t>(Values.integer("node", "seed"));
-  if (Options.Seed == 0) {
-    std::random_device Source;
-    Options.Seed = (std::uint64_t{Source()} << 32U) | Source();
-  }
+  Options.Seed = Values.seed("node", "seed");
   return Options;
 }
 
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -125,14 +125,10 @@
 void FlowSteering::place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now,
                          SteeringActions &Out) {
   Opening &Open = *Held.Open;
-  std::optional<NodeAddress> Chosen;
-  bool Insist = false;
-  if (Open.Tried.size() < MaxPlacements && Open.Busy.size() <= MaxBusyReturns)
-    Chosen = Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
-  if (!Chosen) {
+  std::optional<NodeAddress> Chosen = nextChoice(Open, Now);
+  const bool Insist = !Chosen;
+  if (!Chosen)
     Chosen = leastBusy(Open);
-    Insist = Chosen.has_value();
-  }
   const bool Settled = Now - StartedAt >= ViewSettleTime;
   if (!Chosen && (!Settled || Open.MetFull || Directory.hasFull(Open.Service, Open.Tried, Now))) {
     hold(Key, Held, Now, Out);
@@ -143,20 +139,32 @@
     Flows.erase(Key);
     return;
   }
+  placeAt(*Chosen, Insist, Key, Held, Now, Out);
+}
+
+std::optional<NodeAddress> FlowSteering::nextChoice(const Opening &Open, common::TimePoint Now) {
+  if (Open.Tried.size() >= MaxPlacements || Open.Busy.size() > MaxBusyReturns)
+    return std::nullopt;
+  return Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
+}
+
+void FlowSteering::placeAt(NodeAddress Agent, bool Insist, const packet::FlowKey &Key, Flow &Held,
+                           common::TimePoint Now, SteeringActions &Out) {
+  Opening &Open = *Held.Open;
   const SteeringReason Reason = Insist               ? SteeringReason::Insisted
                                 : Open.Tried.empty() ? SteeringReason::Placed
                                                      : SteeringReason::PlacedAgain;
-  Open.Tried.push_back(*Chosen);
+  Open.Tried.push_back(Agent);
   Open.Waiting = true;
-  Held.Agent = *Chosen;
-  Directory.notePlacement(*Chosen, Open.Kind, Now);
+  Held.Agent = Agent;
+  Directory.notePlacement(Agent, Open.Kind, Now);
   PlacementChecks.emplace_back(Now + PlacementTimeout, Key);
   Transit Fields = transitTo(Open.Service, false, Insist);
   Fields.Long = Open.Kind == FlowKind::Long;
   Out.push_back({.What = SteeringAction::Kind::Forward,
                  .Reason = Reason,
                  .Key = Key,
-                 .Agent = *Chosen,
+                 .Agent = Agent,
                  .Fields = Fields,
                  .Attempt = static_cast<std::uint8_t>(Open.Tried.size()),
                  .Saved = Open.Packet});
@@ -466,12 +474,6 @@
   return Out;
 }
 
-std::optional<common::TimePoint> FlowSteering::nextPlacementCheck() const noexcept {
-  if (PlacementChecks.empty())
-    return std::nullopt;
-  return PlacementChecks.front().first;
-}
-
 SteeringActions FlowSteering::onTimer(common::TimePoint Now) {
   SteeringActions Out;
   while (!PlacementChecks.empty() && PlacementChecks.front().first <= Now) {
@@ -486,8 +488,9 @@
     if (!Unanswered)
       continue;
     Directory.suspect(Held.Open->Tried.back(), Now);
-    if (Directory.choose(Held.Open->Service, Held.Open->Kind, Held.Open->Tried, Now))
-      place(Key, Held, Now, Out);
+    // Without another agent, the late answer of this one is better than none.
+    if (const auto Next = nextChoice(*Held.Open, Now))
+      placeAt(*Next, false, Key, Held, Now, Out);
   }
   releaseHeld(Now, Out);
   forgetOld(Now);
--- a/src/relay/registration.cpp
+++ b/src/relay/registration.cpp
@@ -34,14 +34,12 @@
       Last = Heard;
       Last->Draining = Last->Draining || StillLeaves;
       HeardAt = Now;
-      Lost = false;
       return Same ? HeartbeatEffect::Refreshed : HeartbeatEffect::Changed;
     }
   }
   Last = Heard;
   HeardAt = Now;
   Departed = false;
-  Lost = false;
   return HeartbeatEffect::NewIncarnation;
 }
 
@@ -53,7 +51,7 @@
 }
 
 bool Registration::fresh(common::TimePoint Now) const noexcept {
-  return Last && !Lost &&
+  return Last &&
          Now - HeardAt <= std::chrono::duration_cast<common::Duration>(Interval * SilentIntervals);
 }
 
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -222,10 +222,4 @@
   });
 }
 
-bool UpstreamDirectory::knowsService(const std::string &Service) const {
-  return std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
-    return Entry.second.View.Report.Service == Service;
-  });
-}
-
 } // namespace galenarelay::relay
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -370,12 +370,6 @@
   Flows.erase(Entry);
 }
 
-std::optional<common::TimePoint> UpstreamFlows::nextAnswerCheck() const noexcept {
-  if (AnswerChecks.empty())
-    return std::nullopt;
-  return AnswerChecks.front().first;
-}
-
 FlowActions UpstreamFlows::onTimer(common::TimePoint Now) {
   FlowActions Out;
   while (!AnswerChecks.empty() && AnswerChecks.front().first <= Now) {
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -206,9 +206,10 @@
   void testTimeout_ofPlacement_placesAgainBeforeTheCopy() {
     Node Balancer;
     const auto First = Balancer.send(firstPacket(relayKey(1)))[0].Agent;
-    const auto Due = Balancer.Steering.nextPlacementCheck();
-    CPPUNIT_ASSERT(Due && *Due < RelayStart + 200ms);
-    const auto Again = Balancer.Steering.onTimer(*Due);
+    const auto Due = RelayStart + relay::PlacementTimeout;
+    CPPUNIT_ASSERT(Due < RelayStart + 200ms);
+    CPPUNIT_ASSERT(Balancer.Steering.onTimer(Due - 1ms).empty());
+    const auto Again = Balancer.Steering.onTimer(Due);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Again.size());
     CPPUNIT_ASSERT(Again[0].Agent != First && Again[0].Saved->size() == 3);
   }
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -135,14 +135,15 @@
   void testFirstPacket_unansweredByUpstream_goesBackInTime() {
     auto Flows = readyFlows();
     (void)fromBalancer(Flows, firstPacket(relayKey(1)));
-    const auto Due = Flows.nextAnswerCheck();
-    CPPUNIT_ASSERT(Due && *Due < RelayStart + 200ms);
-    const auto Given = Flows.onTimer(*Due);
+    const auto Due = RelayStart + relay::FirstAnswerTimeout;
+    CPPUNIT_ASSERT(Due < RelayStart + 200ms);
+    CPPUNIT_ASSERT(Flows.onTimer(Due - 1ms).empty());
+    const auto Given = Flows.onTimer(Due);
     CPPUNIT_ASSERT(Given.size() == 1 && Given[0].What == Kind::Return);
     CPPUNIT_ASSERT(Given[0].Reason == ReturnReason::Unanswered && Given[0].Saved->size() == 3);
-    CPPUNIT_ASSERT(Flows.state(*Due) == UpstreamState::Silent);
-    (void)Flows.onHeartbeat(heartbeat(2), *Due);
-    CPPUNIT_ASSERT(Flows.state(*Due) == UpstreamState::Ready);
+    CPPUNIT_ASSERT(Flows.state(Due) == UpstreamState::Silent);
+    (void)Flows.onHeartbeat(heartbeat(2), Due);
+    CPPUNIT_ASSERT(Flows.state(Due) == UpstreamState::Ready);
   }
 
   void testFirstPacket_refusedByUpstream_isGivenBack() {
