Order held flows by urgency and age, tell balancers of room, and stop waiting for agents that are gone

After the cut of all power the store still named two agents whose upstreams had ended seconds before. They never answered, so that each question waited for its timeout (three in 400 ms) and no flow of a dead upstream was reset before 1.2 s. 2. Held flows were released in the order of arrival, so that under sustained load all of them waited for as long as the latency objective and were late. The priority of routes was read and not used, and a new flow overtook those that waited. 3. A balancer learned of a free slot from a report every 60 to 190 ms, and counted a flow that an agent had given back as placed there until the next figure.

Ruled out: idle slots (agents had four requests for two slots at each answer; the upstreams were cold, 2.5 times slower), the search itself (61 agents answered). The bound is now two per slot and one on its way.

Change: an agent removes its record from the store when its upstream has ended, and writes it again when there is a new one. Questions don't wait for agents that have never reported. Held flows go in time before late, then by priority, then the newest in time and the oldest of the late; a new flow joins them. An agent that had no room tells one of the balancers it declined for each place that becomes free. A returned flow is no longer counted at the agent.

Tests: simulated load at twice the capacity over four seconds, callers counted. The goodput test counts the four seconds alone instead of also what was held at the end, which is stricter. testHeld_flowsThatCanBeInTime_goFirst had the order of arrival as its bound, which the load test shows to be wrong; it now wants the newest first, and another test wants the urgent first.

--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -50,7 +50,7 @@
         StartedAt(common::suspendAwareNow()),
         Incarnation(static_cast<std::uint64_t>(common::wallMilliseconds())),
         Peers(Options.Packets.Address), Store(Options.Store, Metrics),
-        Record(Store, Records + Options.Id, common::addressToString(Options.Packets.Address)),
+        Record(Io, Store, Records + Options.Id, common::addressToString(Options.Packets.Address)),
         FlowGauge(Metrics.gauge("flows", "Flows in the table")),
         SuppressedLines(
             Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -112,55 +112,82 @@
 /// The record by which other nodes find this one: its key holds its address for as long as it runs.
 template <relay::StoreProtocol Protocol> class StoreRecord {
 public:
-  StoreRecord(RelayStore<Protocol> &Store, std::string Key, std::string Value)
-      : Store(Store), Key(std::move(Key)), Value(std::move(Value)) {}
+  StoreRecord(boost::asio::io_context &Io, RelayStore<Protocol> &Store, std::string Key,
+              std::string Value)
+      : Store(Store), Key(std::move(Key)), Value(std::move(Value)), Wake(Io) {}
 
-  /// Writes the record and renews its lease until remove() is called.
+  /// Keeps the record in the store while it is wanted, and removes it while it isn't.
   boost::asio::awaitable<void> keep(common::Engine &Random) {
-    std::uint64_t Lease = 0;
     common::Duration Pause = MinCallPause;
-    while (!Removed) {
+    while (true) {
+      const bool Intended = Wanted;
       bool Done = false;
-      if (Lease != 0) {
-        const auto Renewed = co_await Store.renewLease(Lease);
-        Done = static_cast<bool>(Renewed);
-        if (!Done && Renewed.Failure.Code == common::ResultCode::StoreKeyNotFound) {
-          common::log(common::LogLevel::Warning, "record_lapsed", {{"key", Key}});
-          Lease = 0;
-          continue;
-        }
-      } else {
-        Lease = co_await write();
-        Done = Lease != 0;
-      }
-      co_await pauseFor(jittered(Done ? RecordRenewal : Pause, Random));
+      // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
+      if (Intended)
+        Done = co_await renew();
+      else
+        Done = co_await erase();
+      if (Intended != Wanted)
+        continue;
+      Wake.expires_after(jittered(Done ? RecordRenewal : Pause, Random));
+      co_await Wake.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
       Pause = Done ? MinCallPause : std::min(Pause * 2, RecordRetry);
     }
   }
 
+  /// Whether other nodes should find this one.
+  void want(bool Is) {
+    if (std::exchange(Wanted, Is) != Is)
+      Wake.cancel();
+  }
+
   /// Removes the record, which would otherwise last until its lease ends.
   boost::asio::awaitable<void> remove() {
-    Removed = true;
-    const auto Result = co_await Store.remove(Key);
-    if (!Result)
-      common::log(common::LogLevel::Warning, "record_not_removed",
-                  {{"key", Key}, {"detail", Result.Failure.Detail}});
+    Wanted = false;
+    co_await erase();
   }
 
 private:
-  /// Returns the lease, 0 if the store didn't take the record.
-  boost::asio::awaitable<std::uint64_t> write() {
+  /// True if the record is in the store.
+  boost::asio::awaitable<bool> renew() {
+    if (Lease != 0) {
+      const auto Renewed = co_await Store.renewLease(Lease);
+      if (Renewed || Renewed.Failure.Code != common::ResultCode::StoreKeyNotFound)
+        co_return static_cast<bool>(Renewed);
+      common::log(common::LogLevel::Warning, "record_lapsed", {{"key", Key}});
+      Lease = 0;
+    }
     const auto Granted = co_await Store.grantLease(RecordLease);
     if (!Granted)
-      co_return 0;
-    const auto Written = co_await Store.put(Key, Value, Granted->Id);
-    co_return Written ? Granted->Id : 0;
+      co_return false;
+    Written = true;
+    const auto Result = co_await Store.put(Key, Value, Granted->Id);
+    if (Result)
+      Lease = Granted->Id;
+    co_return static_cast<bool>(Result);
+  }
+
+  /// True if the record isn't in the store.
+  boost::asio::awaitable<bool> erase() {
+    if (!Written)
+      co_return true;
+    Lease = 0;
+    const auto Result = co_await Store.remove(Key);
+    if (Result)
+      Written = false;
+    else
+      common::log(common::LogLevel::Warning, "record_not_removed",
+                  {{"key", Key}, {"detail", Result.Failure.Detail}});
+    co_return static_cast<bool>(Result);
   }
 
   RelayStore<Protocol> &Store;
   std::string Key;
   std::string Value;
-  bool Removed = false;
+  boost::asio::steady_timer Wake;
+  bool Wanted = true;
+  bool Written = false; ///< The store may hold the record.
+  std::uint64_t Lease = 0;
 };
 
 } // namespace galenarelay::node::impl
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -138,11 +138,12 @@
     for (const auto &Action : Actions) {
       EventCounters[static_cast<std::size_t>(Action.Event)]->Increment();
       logEvent(Action, Now);
-      performOne(Action, Raw);
+      performOne(Action, Raw, Now);
     }
   }
 
-  void performOne(const relay::FlowAction &Action, std::span<std::uint8_t> Raw) {
+  void performOne(const relay::FlowAction &Action, std::span<std::uint8_t> Raw,
+                  common::TimePoint Now) {
     using Kind = relay::FlowAction::Kind;
     const common::Endpoint Caller{Action.Key.Caller.Address, Options.Packets.Port};
     switch (Action.What) {
@@ -162,6 +163,8 @@
       return sendTo(Action.Balancer, relay::FlowNotice{Action.Key, Flows.load()});
     case Kind::Deny:
       return sendTo(Action.Balancer, relay::FlowAbsence{Action.Key});
+    case Kind::Report:
+      return sendTo(Action.Balancer, report(Now));
     case Kind::Drop:
       return;
     }
@@ -169,7 +172,8 @@
 
   void logEvent(const relay::FlowAction &Action, common::TimePoint Now) {
     using Event = relay::FlowEvent;
-    if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller)
+    if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller ||
+        Action.Event == Event::RoomAgain)
       return;
     if (!FlowLog.allow(Now))
       return SuppressedLines.Increment();
@@ -282,6 +286,8 @@
                  {"service", Flows.service()},
                  {"flows", Flows.flows()},
                  {"unanswered", Flows.load().Unanswered}});
+    // A balancer that starts waits for every agent in the store before it takes a flow for ended.
+    Record.want(Is != relay::UpstreamState::Ended);
     sendReports(Now);
   }
 
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -215,6 +215,7 @@
                    {"incarnation", Report.Incarnation},
                    {"upstream_incarnation", Report.UpstreamIncarnation},
                    {"report", Report.Number}});
+    perform(Steering.onRoom(Now), {}, Now);
   }
 
   void take(const relay::BalancerBeacon &Beacon, relay::NodeAddress From, common::TimePoint Now) {
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -60,8 +60,10 @@
   bool add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
            std::span<const std::uint8_t> Packet, common::TimePoint Now);
   [[nodiscard]] bool queryDue(common::TimePoint Now) const noexcept;
-  /// The next question, if one is due.
-  [[nodiscard]] std::optional<Query> takeQuery(const std::vector<NodeAddress> &Holders,
+  /// The next question, if one is due. Agents in Expected may not run: their answers settle flows
+  /// as those of the others do, but the next question doesn't wait for them.
+  [[nodiscard]] std::optional<Query> takeQuery(const std::vector<NodeAddress> &Reporting,
+                                               const std::vector<NodeAddress> &Expected,
                                                common::TimePoint Now);
   [[nodiscard]] Outcome onAnswer(const FlowAnswer &Answer, NodeAddress From);
   /// The agent's upstream doesn't hold the flow. True if nobody is left who could.
@@ -85,7 +87,7 @@
   };
   struct OpenQuery {
     FlowQuery Message;
-    std::size_t Missing = 0; ///< Answers.
+    std::size_t Missing = 0; ///< Answers of agents that have reported.
     common::TimePoint SentAt{};
   };
   using SearchMap = std::unordered_map<packet::FlowKey, Search, packet::FlowKeyHash>;
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -124,6 +124,8 @@
   [[nodiscard]] SteeringActions onNotice(const FlowNotice &Notice, NodeAddress From,
                                          common::TimePoint Now);
   [[nodiscard]] SteeringActions onShare(const FlowShare &Share, common::TimePoint Now);
+  /// An agent may have room for a flow that waits.
+  [[nodiscard]] SteeringActions onRoom(common::TimePoint Now);
   /// Times from first packets to their acceptance, since the last call.
   [[nodiscard]] std::vector<common::Duration> takeOpeningTimes() {
     return std::exchange(OpeningTimes, {});
@@ -149,6 +151,7 @@
     bool WasHeld = false;
     bool MetFull = false; ///< An agent declined because its upstream has enough work.
     common::Duration LatencyObjective{};
+    std::uint32_t Priority = 0; ///< 0 is the most urgent.
   };
   enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
   struct Flow {
@@ -174,6 +177,7 @@
   /// An agent that has not been tried and isn't full; empty if there is none, or enough were tried.
   [[nodiscard]] std::optional<NodeAddress> nextChoice(const Opening &Open, common::TimePoint Now);
   void hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
+  void keepHeld(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
   void releaseHeld(common::TimePoint Now, SteeringActions &Out);
   [[nodiscard]] std::optional<NodeAddress> leastBusy(Opening &Open) const;
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out);
@@ -202,7 +206,7 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
   FlowSearch Search;
-  std::deque<packet::FlowKey> HeldFlows; ///< In the order of their first packets.
+  std::vector<packet::FlowKey> HeldFlows;
   std::vector<common::Duration> OpeningTimes;
   std::size_t SweepBucket = 0;
 };
--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -28,10 +28,12 @@
   friend bool operator==(const PacketHead &, const PacketHead &) = default;
 };
 
-/// Requests per slot that may wait or run at an upstream before new flows wait elsewhere. Two
-/// beyond the running one keep the slots busy between reports, and leave room in the upstream's
-/// queue for the requests of open flows.
-inline constexpr std::uint32_t FullRequestsPerSlot = 3;
+/// Requests that may run or wait at an upstream before new flows wait elsewhere: one that runs and
+/// one that waits for each slot, so that no slot is idle between two, and one on its way from a
+/// balancer. More would only wait where no more urgent request can overtake them.
+[[nodiscard]] constexpr std::uint32_t usefulRequests(std::uint32_t Slots) noexcept {
+  return 2 * Slots + 1;
+}
 
 /// What a balancer writes into the free fields of a packet for the agent that receives it.
 struct Transit {
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -83,11 +83,16 @@
   /// Counts a flow that was sent to an agent and is in no load figure yet.
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
+  /// The agent gave a flow back that was noted as placed there.
+  void dropPlacement(NodeAddress Agent, FlowKind Kind);
+
   [[nodiscard]] const AgentView *find(NodeAddress Agent) const;
   /// Agents that have reported for a service; for any if it is empty.
   [[nodiscard]] std::vector<NodeAddress> agentsOf(const std::string &Service) const;
-  /// Agents that may hold any flow: those known and expected, without those that are lost.
-  [[nodiscard]] std::vector<NodeAddress> possibleHolders(common::TimePoint Now) const;
+  /// Agents that may hold any flow: those that have reported and aren't lost.
+  [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
+  /// Those that are in a record of the store, have not reported, and may still do so.
+  [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
   /// Agents that have become lost since the last call. None are while most agents are silent: then
   /// this node is the one that is cut off.
   [[nodiscard]] std::vector<NodeAddress> takeLost(common::TimePoint Now);
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -34,6 +34,8 @@
 /// A flow without packets for this time is no load any more: its caller gave up without a word.
 /// Longer than a sender's longest retransmission interval (1.6 s) and any request's work.
 inline constexpr common::Duration AbandonedAge = std::chrono::seconds(10);
+/// Balancers that are told of room at the upstream; further ones learn of it from the next report.
+inline constexpr std::size_t MaxDeclinedBalancers = 100;
 /// A packet of an unknown flow that the upstream has not answered is forgotten after this time.
 inline constexpr common::Duration DoubtRetention = std::chrono::seconds(2);
 
@@ -45,11 +47,12 @@
   Delivered,      ///< Packet of a flow that the upstream holds.
   Doubted,        ///< Packet of an unknown flow, given to the upstream to find out.
   NotHeld,        ///< Packet of a flow that the upstream doesn't hold.
+  RoomAgain,      ///< The upstream can take a flow after it had to decline one.
   LostByUpstream, ///< The upstream no longer holds a flow that it had: it started again.
   Adopted,        ///< The upstream holds a flow that this process has not seen open.
   ToCaller
 };
-inline constexpr std::size_t FlowEvents = 9;
+inline constexpr std::size_t FlowEvents = 10;
 
 [[nodiscard]] std::string_view name(FlowEvent Event) noexcept;
 
@@ -62,13 +65,14 @@
     Return, ///< The packet itself, to a balancer.
     Notify, ///< The flow is here.
     Deny,   ///< The flow is not here; the answer to a search.
+    Report, ///< The upstream has room again, to a balancer whose flow it had none for.
     Drop
   };
 
   Kind What = Kind::Drop;
   FlowEvent Event = FlowEvent::NotHeld;
   packet::FlowKey Key;
-  NodeAddress Balancer = 0; ///< For Return, Notify and Deny.
+  NodeAddress Balancer = 0; ///< For Return, Notify, Deny and Report.
   ReturnReason Reason = ReturnReason::NotHeld;
   std::uint32_t Sequence = 0;         ///< For ResetCaller.
   std::shared_ptr<const Bytes> Saved; ///< The packet, if it isn't the one that just arrived.
@@ -159,6 +163,9 @@
                      FlowActions &Out);
   [[nodiscard]] std::optional<ReturnReason> whyDeclined(const Transit &Fields,
                                                         common::TimePoint Now) const;
+  [[nodiscard]] bool full() const noexcept;
+  void noteDeclined(NodeAddress Balancer);
+  void tellOfRoom(FlowActions &Out);
   void onReturnedByUpstream(const PacketHead &Head, const Transit &Fields, FlowActions &Out);
   void noteCallerData(const PacketHead &Head, Flow &Held, common::TimePoint Now);
   void noteUpstreamData(const PacketHead &Head, Flow &Held, common::TimePoint Now);
@@ -186,6 +193,7 @@
   std::uint32_t Unanswered = 0;
   std::uint32_t LongFlows = 0;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerChecks;
+  std::deque<NodeAddress> Declined; ///< Balancers that wait for room, the first one first.
   std::vector<AnswerTime> Answers;
   std::size_t SweepBucket = 0;
 };
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -37,8 +37,11 @@
   return static_cast<std::size_t>(Open) < MaxOpenQueries;
 }
 
-std::optional<FlowSearch::Query> FlowSearch::takeQuery(const std::vector<NodeAddress> &Holders,
+std::optional<FlowSearch::Query> FlowSearch::takeQuery(const std::vector<NodeAddress> &Reporting,
+                                                       const std::vector<NodeAddress> &Expected,
                                                        common::TimePoint Now) {
+  std::vector<NodeAddress> Holders = Reporting;
+  Holders.insert(Holders.end(), Expected.begin(), Expected.end());
   if (!queryDue(Now) || Holders.empty())
     return std::nullopt;
   Query Next{{NextNumber++, {}}, Holders, {}};
@@ -59,7 +62,7 @@
   if (Next.Message.Rows.empty())
     return std::nullopt;
   LastQueryAt = Now;
-  Queries.push_back({Next.Message, Holders.size(), Now});
+  Queries.push_back({Next.Message, Reporting.size(), Now});
   if (Queries.size() > RememberedQueries)
     Queries.pop_front();
   return Next;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace galenarelay::relay {
@@ -96,7 +97,13 @@
   Held.Open->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
   Held.Open->StartedAt = Now;
   Held.Open->LatencyObjective = Found->LatencyObjective;
-  place(Head.Key, Held, Now, Out);
+  Held.Open->Priority = Found->Priority;
+  if (HeldFlows.empty())
+    return place(Head.Key, Held, Now, Out);
+  // Others wait already: the next one to be placed is chosen among all.
+  Held.Open->Held = true;
+  HeldFlows.push_back(Head.Key);
+  releaseHeld(Now, Out);
 }
 
 // A caller repeats its first packet if it has seen no answer. The upstream that accepted the flow
@@ -195,33 +202,41 @@
     return;
   }
   Held.Agent = 0;
-  Held.Open->Held = true;
   Held.Open->Waiting = false;
   Held.Open->MetFull = false;
   Held.Open->Tried.clear();
   Held.Open->Busy.clear();
-  HeldFlows.push_back(Key);
-  if (!std::exchange(Held.Open->WasHeld, true))
-    Out.push_back({.Reason = SteeringReason::Held, .Key = Key});
+  keepHeld(Key, Held, Out);
 }
 
-// Flows that can still meet their latency objective go first, each group in the order of arrival:
-// the others are late whoever comes next.
+// While upstreams are full, the order of release decides who is served in time. Flows that can
+// still meet their latency objective go before late ones. Among them the more urgent go first, then
+// the newest: in the order of arrival all would wait for as long as the objective allows, and be
+// late. Late ones go by urgency and arrival.
 void FlowSteering::releaseHeld(common::TimePoint Now, SteeringActions &Out) {
-  std::deque<packet::FlowKey> Waiting;
-  Waiting.swap(HeldFlows);
-  std::erase_if(Waiting, [this](const packet::FlowKey &Key) {
+  struct Candidate {
+    bool Late;
+    std::uint32_t Priority;
+    common::Duration Order;
+    packet::FlowKey Key;
+  };
+  std::vector<Candidate> Waiting;
+  Waiting.reserve(HeldFlows.size());
+  for (const auto &Key : HeldFlows) {
     const auto Found = Flows.find(Key);
-    return Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held;
+    if (Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held)
+      continue;
+    const Opening &Open = *Found->second.Open;
+    const auto Age = Now - Open.StartedAt;
+    const bool Late = Age >= Open.LatencyObjective;
+    Waiting.push_back({Late, Open.Priority, Late ? -Age : Age, Key});
+  }
+  HeldFlows.clear();
+  std::sort(Waiting.begin(), Waiting.end(), [](const Candidate &A, const Candidate &B) {
+    return std::tie(A.Late, A.Priority, A.Order) < std::tie(B.Late, B.Priority, B.Order);
   });
-  const auto Late = [&](const packet::FlowKey &Key) {
-    const Opening &Open = *Flows.at(Key).Open;
-    return Now - Open.StartedAt >= Open.LatencyObjective;
-  };
-  std::stable_partition(Waiting.begin(), Waiting.end(),
-                        [&](const packet::FlowKey &Key) { return !Late(Key); });
   std::set<std::string> Exhausted; // Services without an agent that could take another flow now.
-  for (const auto &Key : Waiting) {
+  for (const auto &[Late, Priority, Order, Key] : Waiting) {
     const auto Found = Flows.find(Key);
     // A key stands here twice if its caller has used it again.
     if (Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held)
@@ -230,7 +245,7 @@
     const std::string Service = Held.Open->Service;
     const bool Expired = Now - Held.Open->StartedAt >= HoldTimeout;
     if (Exhausted.contains(Service) && !Expired) {
-      HeldFlows.push_back(Key);
+      keepHeld(Key, Held, Out);
       continue;
     }
     Held.Open->Held = false;
@@ -241,6 +256,13 @@
   }
 }
 
+void FlowSteering::keepHeld(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out) {
+  Held.Open->Held = true;
+  HeldFlows.push_back(Key);
+  if (!std::exchange(Held.Open->WasHeld, true))
+    Out.push_back({.Reason = SteeringReason::Held, .Key = Key});
+}
+
 void FlowSteering::refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out) {
   Out.push_back({.What = SteeringAction::Kind::Reset, .Reason = Reason, .Key = Key});
 }
@@ -298,7 +320,7 @@
 std::optional<FlowSearch::Query> FlowSteering::takeQuery(common::TimePoint Now) {
   if (!Search.queryDue(Now))
     return std::nullopt;
-  return Search.takeQuery(Directory.possibleHolders(Now), Now);
+  return Search.takeQuery(Directory.reportingHolders(Now), Directory.expectedHolders(Now), Now);
 }
 
 SteeringActions FlowSteering::onAnswer(const FlowAnswer &Answer, NodeAddress From,
@@ -391,6 +413,7 @@
         Found->second.Open == nullptr)
       return Out; // Another upstream has accepted the flow meanwhile, or the caller gave up.
     Opening &Open = *Found->second.Open;
+    Directory.dropPlacement(From, Open.Kind);
     if (Returned.Reason == ReturnReason::Unanswered)
       Directory.suspect(From, Now);
     if (Returned.Reason == ReturnReason::Busy)
@@ -474,6 +497,13 @@
   return Out;
 }
 
+SteeringActions FlowSteering::onRoom(common::TimePoint Now) {
+  SteeringActions Out;
+  if (!HeldFlows.empty())
+    releaseHeld(Now, Out);
+  return Out;
+}
+
 SteeringActions FlowSteering::onTimer(common::TimePoint Now) {
   SteeringActions Out;
   while (!PlacementChecks.empty() && PlacementChecks.front().first <= Now) {
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -141,7 +141,7 @@
 bool UpstreamDirectory::full(const Known &Agent) {
   const std::uint32_t Slots = Agent.View.Report.Slots;
   return Slots != 0 &&
-         Agent.View.Load.Unanswered + Agent.Placements.size() >= Slots * FullRequestsPerSlot;
+         Agent.View.Load.Unanswered + Agent.Placements.size() >= usefulRequests(Slots);
 }
 
 bool UpstreamDirectory::isFull(NodeAddress Agent) const {
@@ -169,6 +169,17 @@
     Placements.pop_front();
 }
 
+void UpstreamDirectory::dropPlacement(NodeAddress Agent, FlowKind Kind) {
+  const auto Found = Agents.find(Agent);
+  if (Found == Agents.end())
+    return;
+  auto &Placements = Found->second.Placements;
+  const auto Newest = std::find_if(Placements.rbegin(), Placements.rend(),
+                                   [Kind](const Placement &Each) { return Each.Kind == Kind; });
+  if (Newest != Placements.rend())
+    Placements.erase(std::next(Newest).base());
+}
+
 const AgentView *UpstreamDirectory::find(NodeAddress Agent) const {
   const auto Found = Agents.find(Agent);
   return Found == Agents.end() ? nullptr : &Found->second.View;
@@ -193,11 +204,16 @@
          (Announced ? StoppedLostTime : LostTime);
 }
 
-std::vector<NodeAddress> UpstreamDirectory::possibleHolders(common::TimePoint Now) const {
+std::vector<NodeAddress> UpstreamDirectory::reportingHolders(common::TimePoint Now) const {
   std::vector<NodeAddress> Found;
   for (const auto &[Address, Agent] : Agents)
     if (!lost(Agent, Now) && Agent.View.Report.State != UpstreamState::Ended)
       Found.push_back(Address);
+  return Found;
+}
+
+std::vector<NodeAddress> UpstreamDirectory::expectedHolders(common::TimePoint Now) const {
+  std::vector<NodeAddress> Found;
   for (const auto &[Address, Since] : Expected)
     if (Now - Since <= LostTime)
       Found.push_back(Address);
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -21,8 +21,8 @@
 
 std::string_view name(FlowEvent Event) noexcept {
   constexpr std::array<std::string_view, FlowEvents> Names{
-      "open_offered", "open_declined",    "accepted", "delivered", "doubted",
-      "not_held",     "lost_by_upstream", "adopted",  "to_caller"};
+      "open_offered", "open_declined", "accepted",         "delivered", "doubted",
+      "not_held",     "room_again",    "lost_by_upstream", "adopted",   "to_caller"};
   return Names[static_cast<std::size_t>(Event)];
 }
 
@@ -152,7 +152,7 @@
   if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
     return ReturnReason::Leaving;
   const std::uint32_t Slots = Upstream.last() ? Upstream.last()->Slots : 0;
-  if (Slots != 0 && Unanswered >= Slots * FullRequestsPerSlot)
+  if (full())
     return ReturnReason::Full;
   if (!Fields.Insist && Slots != 0 && Unanswered >= Slots)
     return ReturnReason::Busy;
@@ -161,6 +161,28 @@
   return std::nullopt;
 }
 
+bool UpstreamFlows::full() const noexcept {
+  const std::uint32_t Slots = Upstream.last() ? Upstream.last()->Slots : 0;
+  return Slots != 0 && Unanswered >= usefulRequests(Slots);
+}
+
+void UpstreamFlows::noteDeclined(NodeAddress Balancer) {
+  if (Declined.size() < MaxDeclinedBalancers &&
+      std::find(Declined.begin(), Declined.end(), Balancer) == Declined.end())
+    Declined.push_back(Balancer);
+}
+
+// One balancer for each place that becomes free, in the order in which they were declined, so that
+// not all of them send a flow for the same place.
+void UpstreamFlows::tellOfRoom(FlowActions &Out) {
+  if (Declined.empty() || full())
+    return;
+  Out.push_back({.What = FlowAction::Kind::Report,
+                 .Event = FlowEvent::RoomAgain,
+                 .Balancer = Declined.front()});
+  Declined.pop_front();
+}
+
 void UpstreamFlows::onFirstPacket(const PacketHead &Head, const Transit &Fields,
                                   std::span<const std::uint8_t> Raw, NodeAddress Balancer,
                                   common::TimePoint Now, FlowActions &Out) {
@@ -169,6 +191,8 @@
                                                  Found->second.State == Phase::Open);
   if (!Repeated) {
     if (const auto Reason = whyDeclined(Fields, Now)) {
+      if (*Reason == ReturnReason::Full)
+        noteDeclined(Balancer);
       Out.push_back({.What = FlowAction::Kind::Return,
                      .Event = FlowEvent::OpenDeclined,
                      .Key = Head.Key,
@@ -240,9 +264,12 @@
                    .Key = Head.Key,
                    .Balancer = Held.Balancer});
   }
+  const bool Pending = Held.RequestPending;
   noteUpstreamData(Head, Held, Now);
   Out.push_back(
       {.What = FlowAction::Kind::SendToCaller, .Event = FlowEvent::ToCaller, .Key = Head.Key});
+  if (Pending && !Held.RequestPending)
+    tellOfRoom(Out);
   if (Head.Bits.Rst) {
     close(Held);
   } else if (Head.Bits.Fin) {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -22,6 +22,8 @@
 inline constexpr relay::NodeAddress AgentThree = 0x0a020003;
 inline constexpr common::Endpoint DeskAddress{0xc6120001, 443};
 inline constexpr common::Endpoint IntakeAddress{0xc6120002, 443};
+/// Endpoint of desk for requests that are more urgent and may not be repeated.
+inline constexpr common::Endpoint OrdersAddress{0xc6120001, 8080};
 
 inline packet::FlowKey relayKey(std::uint16_t Port, common::Endpoint Service = DeskAddress) {
   return {{0x64400007, Port}, Service};
@@ -101,11 +103,12 @@
   return Made;
 }
 
-/// Two services, "desk" and "intake", of which only desk's requests may be repeated.
+/// Two services, "desk" and "intake". Only requests to DeskAddress may be repeated.
 inline std::shared_ptr<const relay::RouteTable> relayRoutes(relay::Revision Number = 1) {
   relay::Configuration Document;
   Document.Number = Number;
   Document.Routes.push_back({"desk", DeskAddress, {{"desk", 1}}, true, 3s, 200ms, 1});
+  Document.Routes.push_back({"orders", OrdersAddress, {{"desk", 1}}, false, 3s, 200ms, 0});
   Document.Routes.push_back({"intake", IntakeAddress, {{"intake", 1}}, false, 3s, 200ms, 1});
   return std::make_shared<const relay::RouteTable>(std::move(Document));
 }
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -22,16 +22,22 @@
     std::uint32_t Slots = 2;
     std::size_t QueuePerSlot = 4; ///< Requests that wait at an upstream; beyond it sheds them.
     common::Duration Work = 40ms;
+    double UrgentShare = 0; ///< Part of the requests that goes to OrdersAddress.
     std::uint64_t Seed = 1;
   };
 
-  /// What one caller got.
+  /// What one caller, or one kind of request, got.
   struct Caller {
     std::size_t Asked = 0;
     std::size_t Served = 0;
     std::size_t InTime = 0;
     std::size_t Refused = 0; ///< Reset before the flow opened.
     std::size_t Shed = 0;    ///< Refused by an upstream whose queue was full.
+
+    friend Caller operator-(const Caller &A, const Caller &B) {
+      return {A.Asked - B.Asked, A.Served - B.Served, A.InTime - B.InTime, A.Refused - B.Refused,
+              A.Shed - B.Shed};
+    }
   };
 
   explicit RelayFleet(Options Chosen) : Chosen(Chosen), Random(Chosen.Seed) {
@@ -52,7 +58,8 @@
       runUntil(Now +
                std::chrono::duration_cast<common::Duration>(std::chrono::duration<double>(Gap)));
       const auto Who = static_cast<std::uint32_t>(common::uniformBelow(Random, CallerCount));
-      start({{0x64400000U + Who, ++NextPort}, DeskAddress});
+      const bool Urgent = common::uniformUnit(Random) < Chosen.UrgentShare;
+      start({{0x64400000U + Who, ++NextPort}, Urgent ? OrdersAddress : DeskAddress});
     }
   }
 
@@ -68,6 +75,11 @@
   void runFor(common::Duration Time) { runUntil(Now + Time); }
 
   [[nodiscard]] const std::map<std::uint32_t, Caller> &callers() const { return Callers; }
+  /// What requests to a service endpoint got.
+  [[nodiscard]] Caller kind(common::Endpoint Service) const {
+    const auto Found = Kinds.find(Service.Port);
+    return Found == Kinds.end() ? Caller{} : Found->second;
+  }
   [[nodiscard]] Caller total() const {
     Caller Sum;
     for (const auto &[Who, Each] : Callers) {
@@ -136,6 +148,11 @@
     Events.push({Now + Delay, ++EventOrder, std::move(Run)});
   }
 
+  void count(const packet::FlowKey &Key, std::size_t Caller::*Field) {
+    ++(Callers[Key.Caller.Address].*Field);
+    ++(Kinds[Key.Service.Port].*Field);
+  }
+
   relay::Heartbeat upstreamHeartbeat(AgentNode &Node) const {
     auto Made = heartbeat(++Node.Sequence);
     Made.Slots = Chosen.Slots;
@@ -157,7 +174,7 @@
   }
 
   void start(const packet::FlowKey &Key) {
-    ++Callers[Key.Caller.Address].Asked;
+    count(Key, &Caller::Asked);
     Requests[Key] = {Now, false};
     for (std::uint32_t Copy = 0; Copy < 3; ++Copy)
       after(Copy == 0 ? 0ms : (Copy == 1 ? 200ms : 600ms), [this, Key, Copy] {
@@ -200,6 +217,8 @@
         toUpstream(At, load(Packet));
       else if (Action.What == Kind::SendToCaller)
         after(CallerHop, [this, Head = load(Packet)] { toCaller(Head); });
+      else if (Action.What == Kind::Report)
+        report(At, Action.Balancer);
       else if (Action.What == Kind::Notify)
         after(Hop, [this, At, Action, Load] {
           auto &Node = balancer(Action.Balancer);
@@ -231,7 +250,7 @@
       return begin(At, Head.Key);
     if (Node.Queue.size() < Chosen.QueuePerSlot * Chosen.Slots)
       return Node.Queue.push_back(Head.Key);
-    ++Callers[Head.Key.Caller.Address].Shed;
+    count(Head.Key, &Caller::Shed);
     finish(At, Head.Key, false);
   }
 
@@ -267,23 +286,35 @@
       Found->second.Opened = true;
       return fromCaller(callerData(Head.Key, FirstSequence));
     }
-    auto &Who = Callers[Head.Key.Caller.Address];
     const auto Took = Now - Found->second.AskedAt;
     Requests.erase(Found);
     if (Head.PayloadBytes < 100 || Took > Deadline)
       return;
-    ++Who.Served;
-    Who.InTime += Took <= Objective ? 1 : 0;
+    count(Head.Key, &Caller::Served);
+    if (Took <= Objective)
+      count(Head.Key, &Caller::InTime);
   }
 
   void onReset(const packet::FlowKey &Key) {
     const auto Found = Requests.find(Key);
     if (Found == Requests.end())
       return;
-    ++Callers[Key.Caller.Address].Refused;
+    count(Key, &Caller::Refused);
     Requests.erase(Found);
   }
 
+  void report(relay::NodeAddress From, relay::NodeAddress To) {
+    auto &Node = agent(From);
+    auto Report = agentReport(++Node.Reports);
+    Report.State = Node.Flows.state(Now);
+    Report.Slots = Chosen.Slots;
+    Report.Load = Node.Flows.load();
+    after(Hop, [this, From, To, Report] {
+      (void)balancer(To).Directory.onReport(From, Report, Now);
+      steer(To, balancer(To).Steering.onRoom(Now), {});
+    });
+  }
+
   void tick() {
     const bool Reports = ++Ticks % 3 == 1; // Every 60 ms.
     for (std::size_t I = 0; I < Agents.size(); ++I) {
@@ -291,16 +322,8 @@
       if (Ticks % 50 == 0)
         (void)Node.Flows.onHeartbeat(upstreamHeartbeat(Node), Now);
       act(agentAddress(I), Node.Flows.onTimer(Now), {});
-      if (!Reports)
-        continue;
-      auto Report = agentReport(++Node.Reports);
-      Report.State = Node.Flows.state(Now);
-      Report.Slots = Chosen.Slots;
-      Report.Load = Node.Flows.load();
-      for (std::size_t B = 0; B < Balancers.size(); ++B)
-        after(Hop, [this, I, B, Report] {
-          (void)Balancers[B]->Directory.onReport(agentAddress(I), Report, Now);
-        });
+      for (std::size_t B = 0; Reports && B < Balancers.size(); ++B)
+        report(agentAddress(I), balancerAddress(B));
     }
     for (std::size_t I = 0; I < Balancers.size(); ++I)
       steer(balancerAddress(I), Balancers[I]->Steering.onTimer(Now), {});
@@ -321,6 +344,7 @@
   std::vector<relay::PacketHead> Packets;
   std::map<packet::FlowKey, Request> Requests;
   std::map<std::uint32_t, Caller> Callers;
+  std::map<std::uint16_t, Caller> Kinds; ///< By the port of the service endpoint.
 };
 
 } // namespace galenarelay::tests
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -5,19 +5,38 @@
 namespace galenarelay::tests {
 
 /// What callers get from placing, queueing and refusing under load. The bounds are the targets of
-/// docs/design.md, 1.4: goodput of 0.95 of capacity, and 0.8 of the mean for the worst caller.
+/// docs/design.md, 1.4: goodput of 0.95 of capacity, of which 0.8 within the latency objective,
+/// and 0.8 of the mean for the worst caller.
 class RelayLoadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayLoadTest);
   CPPUNIT_TEST(testLoad_halfOfCapacity_isServedInTime);
   CPPUNIT_TEST(testLoad_twiceCapacity_keepsGoodputAndShedsNothing);
   CPPUNIT_TEST(testLoad_twiceCapacity_treatsCallersEqually);
+  CPPUNIT_TEST(testLoad_twiceCapacity_isInTimeForMostOfWhatIsServed);
+  CPPUNIT_TEST(testLoad_twiceCapacity_keepsUrgentRequestsInTime);
   CPPUNIT_TEST(testLoad_afterBurst_isInTimeAgainWithinTwoSeconds);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr double GoodputTarget = 0.95;
+  static constexpr double InTimeTarget = 0.8;
   static constexpr double WorstCallerTarget = 0.8;
   static constexpr std::size_t CallerCount = 8;
 
+  /// Offers a load for a second, then for four more; returns what these four seconds brought.
+  struct Steady {
+    RelayFleet::Caller All;
+    RelayFleet::Caller Urgent;
+    double Capacity = 0; ///< Requests that could be served in the time.
+  };
+  static Steady steadyLoad(RelayFleet &Fleet, double Load) {
+    Fleet.runFor(200ms);
+    Fleet.offer(Load * Fleet.capacity(), 1s, CallerCount);
+    const auto All = Fleet.total();
+    const auto Urgent = Fleet.kind(OrdersAddress);
+    Fleet.offer(Load * Fleet.capacity(), 4s, CallerCount);
+    return {Fleet.total() - All, Fleet.kind(OrdersAddress) - Urgent, 4 * Fleet.capacity()};
+  }
+
   template <typename F> static void forSeeds(F &&Check) {
     for (const std::uint64_t Seed : {1, 2, 3})
       Check(RelayFleet::Options{.Seed = Seed});
@@ -40,13 +59,12 @@
   void testLoad_twiceCapacity_keepsGoodputAndShedsNothing() {
     forSeeds([](const RelayFleet::Options &Chosen) {
       RelayFleet Fleet(Chosen);
-      Fleet.runFor(200ms);
-      Fleet.offer(2 * Fleet.capacity(), 5s, CallerCount);
+      const auto Got = steadyLoad(Fleet, 2);
+      CPPUNIT_ASSERT(static_cast<double>(Got.All.Served) >= GoodputTarget * Got.Capacity);
       Fleet.runFor(4s);
       const auto All = Fleet.total();
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, All.Shed);
       CPPUNIT_ASSERT_EQUAL(All.Asked, All.Served + All.Refused);
-      CPPUNIT_ASSERT(static_cast<double>(All.Served) >= GoodputTarget * 5 * Fleet.capacity());
     });
   }
 
@@ -64,6 +82,26 @@
     });
   }
 
+  void testLoad_twiceCapacity_isInTimeForMostOfWhatIsServed() {
+    forSeeds([](const RelayFleet::Options &Chosen) {
+      RelayFleet Fleet(Chosen);
+      const auto Got = steadyLoad(Fleet, 2);
+      CPPUNIT_ASSERT(static_cast<double>(Got.All.InTime) >= InTimeTarget * Got.Capacity);
+    });
+  }
+
+  // The urgent requests alone need 0.4 of the capacity; the others get the rest of it.
+  void testLoad_twiceCapacity_keepsUrgentRequestsInTime() {
+    forSeeds([](RelayFleet::Options Chosen) {
+      Chosen.UrgentShare = 0.2;
+      RelayFleet Fleet(Chosen);
+      const auto Got = steadyLoad(Fleet, 2);
+      CPPUNIT_ASSERT(static_cast<double>(Got.Urgent.InTime) >=
+                     GoodputTarget * static_cast<double>(Got.Urgent.Asked));
+      CPPUNIT_ASSERT(static_cast<double>(Got.All.Served) >= GoodputTarget * Got.Capacity);
+    });
+  }
+
   void testLoad_afterBurst_isInTimeAgainWithinTwoSeconds() {
     forSeeds([](const RelayFleet::Options &Chosen) {
       RelayFleet Fleet(Chosen);
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -28,11 +28,14 @@
   CPPUNIT_TEST(testReturn_allBusy_insistsOnTheLeastBusy);
   CPPUNIT_TEST(testFirstPacket_allFull_waitsForCapacity);
   CPPUNIT_TEST(testHeld_flowsThatCanBeInTime_goFirst);
+  CPPUNIT_TEST(testHeld_urgentFlows_goBeforeOthersInTime);
+  CPPUNIT_TEST(testFirstPacket_whileUrgentFlowsWait_doesNotOvertakeThem);
   CPPUNIT_TEST(testHeld_untilCallerStopsWaiting_isRefused);
   CPPUNIT_TEST(testPacket_ofUnknownFlow_isSearchedAndThenKnown);
   CPPUNIT_TEST(testSearch_unsureAgent_getsThePacket);
   CPPUNIT_TEST(testSearch_allDeny_resetsNearAcknowledgement);
   CPPUNIT_TEST(testSearch_manyFlowsAtOnce_shareQuestions);
+  CPPUNIT_TEST(testSearch_expectedAgentSilent_doesNotDelayQuestions);
   CPPUNIT_TEST(testSearch_oneSilent_neverResets);
   CPPUNIT_TEST(testSearch_justAfterStart_doesNotReset);
   CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
@@ -133,7 +136,7 @@
   /// Makes both upstreams of desk full.
   static void fill(Node &Balancer, common::TimePoint Now) {
     for (const auto Agent : {AgentOne, AgentTwo})
-      Balancer.Directory.onLoad(Agent, {2 * relay::FullRequestsPerSlot, 0}, Now);
+      Balancer.Directory.onLoad(Agent, {relay::usefulRequests(2), 0}, Now);
   }
 
   void testFirstPacket_allFull_waitsForCapacity() {
@@ -156,7 +159,23 @@
     // Room for one flow, then for the next ones; the objective is 200 ms.
     std::vector<std::uint16_t> Order;
     for (common::TimePoint Now = RelayStart + 300ms; Now < RelayStart + 400ms; Now += 30ms) {
-      Balancer.Directory.onLoad(AgentTwo, {2 * relay::FullRequestsPerSlot - 1, 0}, Now);
+      Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 1, 0}, Now);
+      for (const auto &Each : Balancer.Steering.onTimer(Now))
+        if (Each.What == Kind::Forward && Each.Reason == SteeringReason::Placed)
+          Order.push_back(Each.Key.Caller.Port);
+    }
+    CPPUNIT_ASSERT((Order == std::vector<std::uint16_t>{3, 2, 1}));
+  }
+
+  void testHeld_urgentFlows_goBeforeOthersInTime() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1, OrdersAddress)), RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(2, OrdersAddress)), RelayStart + 250ms);
+    (void)Balancer.send(firstPacket(relayKey(3)), RelayStart + 260ms);
+    std::vector<std::uint16_t> Order;
+    for (common::TimePoint Now = RelayStart + 300ms; Now < RelayStart + 400ms; Now += 30ms) {
+      Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 1, 0}, Now);
       for (const auto &Each : Balancer.Steering.onTimer(Now))
         if (Each.What == Kind::Forward && Each.Reason == SteeringReason::Placed)
           Order.push_back(Each.Key.Caller.Port);
@@ -164,6 +183,18 @@
     CPPUNIT_ASSERT((Order == std::vector<std::uint16_t>{2, 3, 1}));
   }
 
+  void testFirstPacket_whileUrgentFlowsWait_doesNotOvertakeThem() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1, OrdersAddress)), RelayStart);
+    // Room for one flow.
+    Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 1, 0}, RelayStart + 30ms);
+    const auto Next = Balancer.send(firstPacket(relayKey(2)), RelayStart + 30ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Next.size());
+    CPPUNIT_ASSERT(Next[0].What == Kind::Forward && Next[0].Key == relayKey(1, OrdersAddress));
+    CPPUNIT_ASSERT(Next[1].What == Kind::Drop && Next[1].Key == relayKey(2));
+  }
+
   void testHeld_untilCallerStopsWaiting_isRefused() {
     Node Balancer;
     fill(Balancer, RelayStart);
@@ -311,6 +342,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3} * Count / relay::MaxQueriedFlows, Messages);
   }
 
+  // After the cut of all power on sunbox-relay-grown trouble-1 the store still had records of two
+  // agents that were gone, and only three questions left every 400 ms.
+  void testSearch_expectedAgentSilent_doesNotDelayQuestions() {
+    Node Balancer;
+    Balancer.Directory.expect(0x0a020009, RelayStart);
+    constexpr std::uint16_t Count = 400;
+    for (std::uint16_t Port = 1; Port <= Count; ++Port)
+      (void)Balancer.send(callerData(relayKey(Port), 77));
+    std::size_t Flows = 0;
+    for (common::TimePoint Now = RelayStart; Now < RelayStart + relay::QueryTimeout; Now += 5ms)
+      if (const auto Query = Balancer.Steering.takeQuery(Now)) {
+        Flows += Query->Message.Rows.size();
+        for (const auto Agent : {AgentOne, AgentTwo, AgentThree})
+          (void)Balancer.Steering.onAnswer({Query->Message.Number, {}, {}}, Agent, Now);
+      }
+    CPPUNIT_ASSERT(Flows >= Count);
+  }
+
   void testNotHeld_secondAcceptingAgent_getsThePacket() {
     Node Balancer;
     const auto Head = firstPacket(relayKey(1));
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -100,7 +100,7 @@
   // The queue behind a full upstream is left to the requests of its open flows.
   void testChoice_fullAgents_areLeftUntilTheyReport() {
     auto Directory = directory();
-    for (std::uint32_t I = 0; I < 2 * 2 * relay::FullRequestsPerSlot; ++I) {
+    for (std::uint32_t I = 0; I < 2 * relay::usefulRequests(2); ++I) {
       const auto Agent = Directory.choose("desk", FlowKind::Short, {}, RelayStart);
       CPPUNIT_ASSERT(Agent.has_value());
       Directory.notePlacement(*Agent, FlowKind::Short, RelayStart);
@@ -136,7 +136,7 @@
     auto Directory = directory();
     CPPUNIT_ASSERT(Directory.takeLost(RelayStart + 5s).empty());
     Directory.restartListening(RelayStart + 5s);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Directory.possibleHolders(RelayStart + 5s).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Directory.reportingHolders(RelayStart + 5s).size());
   }
 
   void testLost_announcedStop_isNotLost() {
