--- a/src/platform/store_protocol.cpp
+++ b/src/platform/store_protocol.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/platform/store_protocol.h"
 
-#include <boost/beast/core/detail/base64.hpp>
+#include "galenarelay/common/base64.h"
+
 #include <nlohmann/json.hpp>
 
 namespace galenarelay::platform {
@@ -13,8 +14,6 @@
 
 namespace {
 
-namespace base64 = boost::beast::detail::base64;
-
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusGone = 410;
@@ -22,18 +21,6 @@
 constexpr unsigned StatusRateLimited = 429;
 constexpr unsigned FirstServerError = 500;
 
-std::string encode(const std::string &Value) {
-  std::string Text(base64::encoded_size(Value.size()), '\0');
-  Text.resize(base64::encode(Text.data(), Value.data(), Value.size()));
-  return Text;
-}
-
-std::string decode(const std::string &Text) {
-  std::string Value(base64::decoded_size(Text.size()), '\0');
-  Value.resize(base64::decode(Value.data(), Text.data(), Text.size()).first);
-  return Value;
-}
-
 std::int64_t wholeMilliseconds(common::Duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
@@ -73,7 +60,7 @@
   Item.Revision = Document.at("revision").get<std::uint64_t>();
   Item.Removed = Document.value("tombstone", false);
   if (!Item.Removed)
-    Item.Value = decode(Document.at("value").get<std::string>());
+    Item.Value = common::decodeBase64(Document.at("value").get<std::string>());
   return Item;
 }
 
@@ -108,9 +95,10 @@
 
 relay::StoreCall StoreProtocol::put(const std::string &Key, const std::string &Value,
                                     std::uint64_t Lease) {
-  return transaction({{"expected", json::array()},
-                      {"puts", {{{"key", Key}, {"value", encode(Value)}, {"lease", Lease}}}},
-                      {"delete", json::array()}});
+  return transaction(
+      {{"expected", json::array()},
+       {"puts", {{{"key", Key}, {"value", common::encodeBase64(Value)}, {"lease", Lease}}}},
+       {"delete", json::array()}});
 }
 
 relay::StoreCall StoreProtocol::remove(const std::string &Key) {
