Don't take a new agent's upstream for ended, and keep the log going after a burst

Cause 1, found by a new test: the time of the upstream's last sign began at zero, so that an agent took its upstream for ended from its start until the first packet or heartbeat. In that time it denied flows of an upstream that lives, and a balancer that searched one could reset it (open flows are promised not to be reset). Now the time begins at the agent's start. Cause 2, from reasoning about a finding of the soak: an agent that stood still before the first heartbeat relied on settings that may name the service of an earlier upstream. It waits for the heartbeat now. Cause 3: the limit of log lines a second was used up within 0.2 s of a cut of all power, and the rest of that second was not logged. The limit is now an average with bursts of the same size.

The soak keeps more idle flows, and gives addresses of ended upstreams to other services.

--- a/include/galenarelay/common/log.h
+++ b/include/galenarelay/common/log.h
@@ -23,7 +23,8 @@
 void log(LogLevel Level, std::string_view Event,
          const nlohmann::json &Fields = nlohmann::json::object());
 
-/// Lets at most Limit events a second through, so that bad input can't flood the log.
+/// Lets at most Limit events a second through on average, and as many at once, so that neither bad
+/// input nor load floods the log, and a burst doesn't silence it for the rest of the second.
 class LogRateLimit {
 public:
   explicit LogRateLimit(std::uint32_t Limit) noexcept : Limit(Limit) {}
@@ -32,8 +33,8 @@
 
 private:
   std::uint32_t Limit;
-  std::uint32_t Used = 0;
-  TimePoint WindowStart{};
+  double Saved = 0; ///< Events that may pass now.
+  TimePoint SavedAt{};
 };
 
 } // namespace galenarelay::common
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -113,8 +113,12 @@
   [[nodiscard]] FlowAnswer onQuery(const FlowQuery &Query, common::TimePoint Now) const;
   /// True if the upstream has given no sign of life for so long that it has ended.
   [[nodiscard]] bool upstreamGone(common::TimePoint Now) const;
-  /// This process stood still: the upstream's silence counts from now on.
-  void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
+  /// This process stood still: the upstream's silence counts from now on, and the settings may name
+  /// the service of an earlier upstream.
+  void restartListening(common::TimePoint Now) noexcept {
+    ListeningSince = Now;
+    SettingsTrusted = false;
+  }
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
   /// Answers since the last call.
   [[nodiscard]] std::vector<AnswerTime> takeAnswerTimes() { return std::exchange(Answers, {}); }
@@ -187,6 +191,7 @@
   /// This process has run since before the upstream started, so that the table is complete.
   bool KnowsAllFlows = false;
   bool Stopping = false;
+  bool SettingsTrusted = true; ///< The settings describe the upstream until its first heartbeat.
   /// The upstream left first packets unanswered; anything that it says clears this.
   bool Mute = false;
   FlowMap Flows;
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <mutex>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -114,13 +115,11 @@
 }
 
 bool LogRateLimit::allow(TimePoint Now) noexcept {
-  if (Now - WindowStart >= std::chrono::seconds(1)) {
-    WindowStart = Now;
-    Used = 0;
-  }
-  if (Used >= Limit)
+  const double Passed = std::chrono::duration<double>(Now - std::exchange(SavedAt, Now)).count();
+  Saved = std::min<double>(Limit, Saved + Passed * Limit);
+  if (Saved < 1)
     return false;
-  ++Used;
+  Saved -= 1;
   return true;
 }
 
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -29,7 +29,8 @@
 UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
                              common::TimePoint StartedAt)
     : SettingsService(std::move(SettingsService)), HeartbeatInterval(HeartbeatInterval),
-      Upstream(HeartbeatInterval), StartedAt(StartedAt) {}
+      Upstream(HeartbeatInterval), StartedAt(StartedAt), LastSignAt(StartedAt),
+      ListeningSince(StartedAt) {}
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Heard, common::TimePoint Now) {
   const auto Effect = Upstream.onHeartbeat(Heard, Now);
@@ -61,7 +62,7 @@
     return UpstreamState::Silent;
   if (Upstream.fresh(Now))
     return UpstreamState::Ready;
-  return Upstream.known() ? UpstreamState::Silent : UpstreamState::Unknown;
+  return Upstream.known() || !SettingsTrusted ? UpstreamState::Silent : UpstreamState::Unknown;
 }
 
 FlowActions UpstreamFlows::onBalancerPacket(const PacketHead &Head, const Transit &Fields,
--- a/tests/common_test.cpp
+++ b/tests/common_test.cpp
@@ -1,5 +1,6 @@
 #include "galenarelay/common/endpoint.h"
 #include "galenarelay/common/http.h"
+#include "galenarelay/common/log.h"
 #include "galenarelay/common/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,30 @@
 
 using namespace common;
 
+class LogRateLimitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogRateLimitTest);
+  CPPUNIT_TEST(testAllow_afterBurst_goesOnAtTheRate);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // After a cut of all power the limit of a second was used up in a fifth of it, and the log said
+  // nothing of the rest.
+  void testAllow_afterBurst_goesOnAtTheRate() {
+    LogRateLimit Limit(50);
+    TimePoint Now{std::chrono::seconds(100)};
+    std::size_t Burst = 0;
+    while (Limit.allow(Now))
+      ++Burst;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50}, Burst);
+    for (int Tenth = 0; Tenth < 10; ++Tenth) {
+      std::size_t Passed = 0;
+      for (int I = 0; I < 100; ++I, Now += std::chrono::milliseconds(1))
+        Passed += Limit.allow(Now) ? 1 : 0;
+      CPPUNIT_ASSERT(Passed >= 4 && Passed <= 6);
+    }
+  }
+};
+
 class SettingsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SettingsTest);
   CPPUNIT_TEST(testLoad_faultyFile_namesCodeAndKey);
@@ -78,6 +103,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(LogRateLimitTest);
 
 class HttpTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTest);
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(testFirstPacket_readyUpstream_opensAndNotifies);
   CPPUNIT_TEST(testFirstPacket_whileUpstreamCantTakeIt_isGivenBack);
   CPPUNIT_TEST(testFirstPacket_busyUpstream_isGivenBackUnlessInsisted);
+  CPPUNIT_TEST(testFirstPacket_afterPauseBeforeFirstHeartbeat_isGivenBack);
+  CPPUNIT_TEST(testAnswer_afterFullDeclines_tellsOneBalancerForEachPlace);
   CPPUNIT_TEST(testFirstPacket_unansweredByUpstream_goesBackInTime);
   CPPUNIT_TEST(testFirstPacket_refusedByUpstream_isGivenBack);
   CPPUNIT_TEST(testPacket_ofFlowThatAnotherUpstreamTook_isGivenBack);
@@ -26,6 +28,7 @@
   CPPUNIT_TEST(testPacket_unknownAfterRestart_asksUpstream);
   CPPUNIT_TEST(testPacket_unknownToCompleteTable_isDenied);
   CPPUNIT_TEST(testQuery_flows_areHeldUnsureOrAbsent);
+  CPPUNIT_TEST(testQuery_justAfterStart_isUnsureUntilUpstreamMustHaveCalled);
   CPPUNIT_TEST(testFlow_ofDrainingUpstream_goesOn);
   CPPUNIT_TEST(testLoad_requestsAndFlows_areCounted);
   CPPUNIT_TEST(testLoad_adoptedFlow_isWorkUntilAnswered);
@@ -132,6 +135,41 @@
     CPPUNIT_ASSERT(Taken[0].What == Kind::Deliver);
   }
 
+  // While the agent stood still, its address may have been given to another service.
+  void testFirstPacket_afterPauseBeforeFirstHeartbeat_isGivenBack() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    const Transit Fields{BalancerOne, relay::serviceDigest("desk")};
+    CPPUNIT_ASSERT(fromBalancer(Flows, firstPacket(relayKey(1)), Fields)[0].What == Kind::Deliver);
+    Flows.restartListening(RelayStart + 3s);
+    const auto Later = fromBalancer(Flows, firstPacket(relayKey(2)), Fields, RelayStart + 3s);
+    CPPUNIT_ASSERT(Later[0].What == Kind::Return && Later[0].Reason == ReturnReason::Unanswered);
+    (void)Flows.onHeartbeat(heartbeat(4), RelayStart + 3s);
+    const auto Known = fromBalancer(Flows, firstPacket(relayKey(3)), Fields, RelayStart + 3s);
+    CPPUNIT_ASSERT(Known[0].What == Kind::Deliver);
+  }
+
+  void testAnswer_afterFullDeclines_tellsOneBalancerForEachPlace() {
+    auto Flows = readyFlows();
+    const auto Places = static_cast<std::uint16_t>(relay::usefulRequests(2));
+    for (std::uint16_t Port = 1; Port <= Places; ++Port) {
+      (void)fromBalancer(Flows, firstPacket(relayKey(Port)), {.Insist = true});
+      (void)fromUpstream(Flows, upstreamAccept(relayKey(Port), Sequence));
+      (void)fromBalancer(Flows, callerData(relayKey(Port), Sequence));
+    }
+    const relay::Bytes Raw{1, 2, 3};
+    for (const auto Balancer : {BalancerOne, BalancerTwo, BalancerOne}) {
+      const auto Declined =
+          Flows.onBalancerPacket(firstPacket(relayKey(50)), {}, Raw, Balancer, RelayStart);
+      CPPUNIT_ASSERT(Declined[0].Reason == ReturnReason::Full);
+    }
+    std::vector<relay::NodeAddress> Told;
+    for (const std::uint16_t Port : {1, 2, 3})
+      for (const auto &Each : fromUpstream(Flows, upstreamData(relayKey(Port), Sequence)))
+        if (Each.What == Kind::Report)
+          Told.push_back(Each.Balancer);
+    CPPUNIT_ASSERT((Told == std::vector{BalancerOne, BalancerTwo}));
+  }
+
   void testFirstPacket_unansweredByUpstream_goesBackInTime() {
     auto Flows = readyFlows();
     (void)fromBalancer(Flows, firstPacket(relayKey(1)));
@@ -238,6 +276,18 @@
     CPPUNIT_ASSERT((Together.onQuery(Query, RelayStart) == relay::FlowAnswer{7, {}, {}}));
   }
 
+  // A new agent took its upstream for ended until the first heartbeat, and denied flows of an
+  // upstream that lives, so that a balancer could reset them.
+  void testQuery_justAfterStart_isUnsureUntilUpstreamMustHaveCalled() {
+    UpstreamFlows Flows("desk", 1000ms, RelayStart);
+    const relay::FlowQuery Query{1, {{relayKey(1), 77}}};
+    CPPUNIT_ASSERT(Flows.state(RelayStart + 10ms) == UpstreamState::Unknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, RelayStart + 10ms).Unsure.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, RelayStart + 1300ms).Unsure.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Flows.onQuery(Query, RelayStart + 1500ms).Unsure.size());
+    CPPUNIT_ASSERT(Flows.state(RelayStart + 1500ms) == UpstreamState::Ended);
+  }
+
   void testFlow_ofDrainingUpstream_goesOn() {
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(testChoice_unusableAgents_arePassedOver);
   CPPUNIT_TEST(testChoice_doubtfulAgents_areUsedOnlyWithoutBetter);
   CPPUNIT_TEST(testChoice_longFlows_spreadOverSlots);
+  CPPUNIT_TEST(testChoice_returnedFlow_isNotCountedAtItsAgent);
   CPPUNIT_TEST(testChoice_fullAgents_areLeftUntilTheyReport);
   CPPUNIT_TEST(testChoice_ownPlacements_countUntilReported);
   CPPUNIT_TEST(testChoice_equalAgents_preferOwnZone);
@@ -97,6 +98,17 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{30}, Placed[AgentTwo]);
   }
 
+  void testChoice_returnedFlow_isNotCountedAtItsAgent() {
+    auto Directory = directory();
+    Directory.onLoad(AgentTwo, {1, 0}, RelayStart);
+    Directory.notePlacement(AgentOne, FlowKind::Short, RelayStart);
+    Directory.notePlacement(AgentOne, FlowKind::Short, RelayStart);
+    CPPUNIT_ASSERT(Directory.choose("desk", FlowKind::Short, {}, RelayStart) == AgentTwo);
+    Directory.dropPlacement(AgentOne, FlowKind::Short);
+    Directory.dropPlacement(AgentOne, FlowKind::Short);
+    CPPUNIT_ASSERT(Directory.choose("desk", FlowKind::Short, {}, RelayStart) == AgentOne);
+  }
+
   // The queue behind a full upstream is left to the requests of its open flows.
   void testChoice_fullAgents_areLeftUntilTheyReport() {
     auto Directory = directory();
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -16,6 +16,10 @@
 constexpr int Retries = 2;
 /// A flow of feeds is closed after some of its answers.
 constexpr double CloseShare = 0.1;
+/// Flows that a caller keeps for feeds, and how often it opens another one up to that: pauses
+/// between the requests of a flow are then as long as a restart.
+constexpr std::size_t KeptFlows = 20;
+constexpr double OpenShare = 0.4;
 /// An ended flow is kept for its last packets.
 constexpr milliseconds EndRetention(2000);
 
@@ -49,12 +53,10 @@
   const auto Who = common::uniformBelow(Random, Addresses.size());
   const auto To = KindEndpoints[static_cast<std::size_t>(Next.What)];
   if (Next.What == Kind::Feed)
-    for (auto &[Key, Each] : Flows)
-      if (Key.Caller.Address == Addresses[Who].Address && Key.Service == To && Each.Data &&
-          !Each.Current && !Each.Ending) {
-        Each.Current = Next;
-        return sendRequest(Each);
-      }
+    if (Flow *Idle = idleFlow(Addresses[Who], To)) {
+      Idle->Current = Next;
+      return sendRequest(*Idle);
+    }
   NextPort = NextPort == UINT16_MAX ? 1024 : static_cast<std::uint16_t>(NextPort + 1);
   const packet::FlowKey Key{{Addresses[Who].Address, NextPort}, To};
   Flow Made;
@@ -68,6 +70,16 @@
   sendFirst(Held);
 }
 
+Callers::Flow *Callers::idleFlow(common::Endpoint Caller, common::Endpoint Service) {
+  std::vector<Flow *> Idle;
+  for (auto &[Key, Each] : Flows)
+    if (Key.Caller.Address == Caller.Address && Key.Service == Service && Each.Data &&
+        !Each.Current && !Each.Ending)
+      Idle.push_back(&Each);
+  const bool OpenAnother = Idle.size() < KeptFlows && common::uniformUnit(Random) < OpenShare;
+  return Idle.empty() || OpenAnother ? nullptr : Idle[common::uniformBelow(Random, Idle.size())];
+}
+
 void Callers::sendFirst(Flow &Held) {
   relay::PacketHead First;
   First.Key = Held.Key;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -56,6 +56,8 @@
   void onReply(Flow &Held, const std::string &Text);
   void onReset(const packet::FlowKey &Key, bool BySystem);
   void attempt(Asked Next);
+  /// A flow for another feed; null if a new one is to be opened.
+  Flow *idleFlow(common::Endpoint Caller, common::Endpoint Service);
   void sendFirst(Flow &Held);
   void sendRequest(Flow &Held);
   /// The attempt on a flow has ended without an answer; tries again where that does no harm.
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -50,6 +50,8 @@
 constexpr auto RestartDelay = std::chrono::milliseconds(150);
 /// Addresses of ended upstreams are used again after this time.
 constexpr auto ReuseDelay = std::chrono::milliseconds(2000);
+/// Share of the reused addresses that the smaller service gets.
+constexpr double OtherServiceShare = 0.3;
 
 } // namespace
 
@@ -91,11 +93,10 @@
   Rotations.resize(Chosen.Balancers);
   for (std::size_t I = 0; I < Chosen.Balancers + Chosen.Hosts; ++I) {
     const bool IsBalancer = I < Chosen.Balancers;
-    const std::string Name = (IsBalancer ? "balancer-" : "agent-") + std::to_string(I);
-    writeSettings(Name, IsBalancer ? I : I - Chosen.Balancers, IsBalancer);
+    writeSettings(I, IsBalancer ? "" : serviceOf(I - Chosen.Balancers));
     Nodes.push_back(std::make_unique<Program>(
         Chosen.Programs + (IsBalancer ? "/galenarelay-relay-balancer" : "/galenarelay-relay-agent"),
-        Chosen.Work + "/" + Name + ".ini", Chosen.Work + "/" + Name + ".log"));
+        Chosen.Work + "/" + nameOf(I) + ".ini", Chosen.Work + "/" + nameOf(I) + ".log"));
     Nodes.back()->start();
   }
   for (std::size_t I = 0; I < Chosen.Hosts; ++I) {
@@ -135,21 +136,26 @@
           Port};
 }
 
-std::string Fleet::serviceOf(std::size_t Host) const { return Host % 3 == 2 ? "intake" : "desk"; }
+std::string Fleet::serviceOf(std::size_t Host) { return Host % 3 == 2 ? "intake" : "desk"; }
 
-void Fleet::writeSettings(const std::string &Name, std::size_t Number, bool IsBalancer) const {
-  const auto Own = IsBalancer ? BalancerGroup : AgentGroup;
+std::string Fleet::nameOf(std::size_t Node) const {
+  return (Node < Chosen.Balancers ? "balancer-" : "agent-") + std::to_string(Node);
+}
+
+void Fleet::writeSettings(std::size_t Node, const std::string &Service) const {
+  const bool IsBalancer = Node < Chosen.Balancers;
   const auto Text = [&](std::uint16_t Port) {
-    return common::toString(address(Own, Number, Port));
+    return common::toString(IsBalancer ? address(BalancerGroup, Node, Port)
+                                       : address(AgentGroup, Node - Chosen.Balancers, Port));
   };
-  std::ofstream File(Chosen.Work + "/" + Name + ".ini");
-  File << "[node]\nid = " << Name << "\nzone = a\npackets = " << Text(PacketPort)
+  std::ofstream File(Chosen.Work + "/" + nameOf(Node) + ".ini");
+  File << "[node]\nid = " << nameOf(Node) << "\nzone = a\npackets = " << Text(PacketPort)
        << "\npeers = " << Text(PeerPort) << "\nadmin = " << Text(AdminPort)
        << "\ncontrol = " << Text(ControlPort) << "\nreadiness = " << Text(ReadyPort)
        << "\nseeds = " << common::toString(address(BalancerGroup, 0, PeerPort))
        << "\n[store]\naddress = " << common::toString(address(StoreGroup, 2, StorePort)) << "\n";
   if (!IsBalancer)
-    File << "[upstream]\nservice = " << serviceOf(Number) << "\naddress = " << Text(AppPort)
+    File << "[upstream]\nservice = " << Service << "\naddress = " << Text(AppPort)
          << "\noutbound = " << Text(OutboundPort) << "\nheartbeat_ms = 800\n";
 }
 
@@ -265,9 +271,11 @@
   Of.drain();
   while (Of.lives())
     co_await pauseFor(ProcessStep);
+  const std::string Next = common::uniformUnit(Random) < OtherServiceShare ? "intake" : "desk";
+  writeSettings(Chosen.Balancers + Number, Next);
   co_await pauseFor(ReuseDelay);
   if (!Of.lives())
-    Of.start(serviceOf(Number));
+    Of.start(Next);
 }
 
 boost::asio::awaitable<void> Fleet::crashHost(std::size_t Number, common::Duration Down) {
@@ -278,7 +286,7 @@
   Of.crash();
   co_await pauseFor(Down);
   if (!Of.lives())
-    Of.start(serviceOf(Number));
+    Of.start(Of.service());
 }
 
 void Fleet::onTimer(Clock::time_point Now) {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -85,10 +85,13 @@
 
   [[nodiscard]] common::Endpoint address(std::uint32_t Group, std::size_t Number,
                                          std::uint16_t Port) const;
-  void writeSettings(const std::string &Name, std::size_t Number, bool IsBalancer) const;
+  /// Service is that of an agent's upstream.
+  void writeSettings(std::size_t Node, const std::string &Service) const;
+  [[nodiscard]] std::string nameOf(std::size_t Node) const;
   std::optional<common::Endpoint> route(const packet::FlowKey &Key) const;
   boost::asio::awaitable<void> checkReadiness(std::size_t Balancer);
-  [[nodiscard]] std::string serviceOf(std::size_t Host) const;
+  /// Service of an upstream at first.
+  [[nodiscard]] static std::string serviceOf(std::size_t Host);
 
   boost::asio::io_context &Io;
   FleetOptions Chosen;
