--- a/include/galenarelay/common/time.h
+++ b/include/galenarelay/common/time.h
@@ -37,6 +37,11 @@
                                                         std::chrono::nanoseconds(Now.tv_nsec)));
 }
 
+/// Whole milliseconds, for texts and logs.
+[[nodiscard]] constexpr std::int64_t wholeMilliseconds(Duration Value) noexcept {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
 /// Wall-clock time in milliseconds since 1970-01-01 UTC, for audit entries and logs.
 [[nodiscard]] inline std::int64_t wallMilliseconds() noexcept {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/include/galenarelay/flow/flow_router.h
+++ b/include/galenarelay/flow/flow_router.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_FLOW_FLOW_ROUTER_H
 #define GALENARELAY_FLOW_FLOW_ROUTER_H
 
+#include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/common/random.h"
 #include "galenarelay/common/time.h"
 #include "galenarelay/packet/packet.h"
@@ -259,7 +260,7 @@
 
   std::deque<packet::FlowKey> RegisterQueue;
   common::TimePoint NextRegistration{};
-  std::size_t SweepBucket = 0;
+  common::BucketSweep Sweep;
   common::TimePoint NextSweep{};
 };
 
--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -52,19 +52,15 @@
         Peers(Options.Packets.Address), Store(Options.Store, Metrics),
         Record(Io, Store, Records + Options.Id, common::addressToString(Options.Packets.Address)),
         FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+        MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")),
         SuppressedLines(
             Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
-        MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")),
         Ticker(Io), LastTick(StartedAt) {
     for (const auto &Seed : Options.Seeds)
       Peers.addSeed(Seed.Address);
   }
   ~RelayNode() = default;
 
-  static std::int64_t milliseconds(common::Duration Value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-  }
-
   void spawn(Awaitable<void> Task) {
     boost::asio::co_spawn(Io, std::move(Task), boost::asio::detached);
   }
@@ -87,7 +83,7 @@
       const auto Gap = Now - std::exchange(LastTick, Now);
       if (Gap > PauseGap)
         common::log(common::LogLevel::Warning, "resumed_after_pause",
-                    {{"pause_ms", milliseconds(Gap)}});
+                    {{"pause_ms", common::wholeMilliseconds(Gap)}});
       OnTick(Now, Gap > PauseGap ? Gap : common::Duration::zero());
       startTimer(OnTick);
     });
@@ -97,6 +93,40 @@
     if (To != 0)
       PeerSocket->send(relay::encode(Message), {To, Options.Peers.Port});
   }
+  void sendToAll(const std::vector<relay::NodeAddress> &Nodes, const relay::PeerMessage &Message) {
+    if (Nodes.empty())
+      return;
+    const auto Raw = relay::encode(Message);
+    for (const auto To : Nodes)
+      if (To != 0)
+        PeerSocket->send(Raw, {To, Options.Peers.Port});
+  }
+
+  /// Logs the start, with what a kind of node adds to it.
+  void logStart(nlohmann::json Fields = nlohmann::json::object()) const {
+    Fields["id"] = Options.Id;
+    Fields["zone"] = Options.Zone;
+    Fields["incarnation"] = Incarnation;
+    Fields["version"] = GALENARELAY_VERSION;
+    common::log(common::LogLevel::Info, "started", Fields);
+  }
+
+  /// Whether a line about a flow may be logged; counts it if it may not.
+  bool mayLogFlow(common::TimePoint Now) {
+    if (FlowLog.allow(Now))
+      return true;
+    SuppressedLines.Increment();
+    return false;
+  }
+
+  /// Answers what every node is asked alike, and refuses other paths.
+  common::HttpResponse answerCommon(const std::string &Path) const {
+    if (Path == "/healthz")
+      return {200, "{}"};
+    if (Path == "/metrics")
+      return {200, Metrics.render(), "text/plain"};
+    return {404, R"({"error":"unknown path"})"};
+  }
 
   /// The settings file has changed. Addresses are fixed for the life of the process, so that only
   /// the seeds are taken over.
@@ -127,13 +157,13 @@
   RelayStore<typename Platform::Store> Store;
   StoreRecord<typename Platform::Store> Record;
   std::unique_ptr<common::UdpSocket> Packets;
-  common::LogRateLimit FlowLog{FlowLogLimit};
   common::LogRateLimit RejectLog{RejectLogLimit};
   prometheus::Gauge &FlowGauge;
-  prometheus::Counter &SuppressedLines;
   prometheus::Counter &MalformedPackets;
 
 private:
+  common::LogRateLimit FlowLog{FlowLogLimit};
+  prometheus::Counter &SuppressedLines;
   std::unique_ptr<common::UdpSocket> PeerSocket;
   std::vector<std::unique_ptr<common::HttpServer>> Servers;
   boost::asio::steady_timer Ticker;
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -3,16 +3,14 @@
 
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/metrics.h"
-#include "galenarelay/common/random.h"
+#include "galenarelay/node/impl/call_pause.h"
 #include "galenarelay/relay/store_call.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -98,17 +96,6 @@
 /// seconds: renewals come at this interval until one has succeeded after a failure.
 inline constexpr common::Duration RecordRetry = std::chrono::milliseconds(1000);
 
-/// Half to one and a half of the base, so that nodes don't call in step.
-[[nodiscard]] inline common::Duration jittered(common::Duration Base, common::Engine &Random) {
-  return std::chrono::duration_cast<common::Duration>(Base * (0.5 + common::uniformUnit(Random)));
-}
-
-/// Completes after a time.
-[[nodiscard]] inline boost::asio::awaitable<void> pauseFor(common::Duration Time) {
-  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor, Time);
-  co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-}
-
 /// The record by which other nodes find this one: its key holds its address for as long as it runs.
 template <relay::StoreProtocol Protocol> class StoreRecord {
 public:
@@ -118,7 +105,7 @@
 
   /// Keeps the record in the store while it is wanted, and removes it while it isn't.
   boost::asio::awaitable<void> keep(common::Engine &Random) {
-    common::Duration Pause = MinCallPause;
+    CallPause Pause(MinCallPause, RecordRetry, Random);
     while (true) {
       const bool Intended = Wanted;
       bool Done = false;
@@ -129,9 +116,10 @@
         Done = co_await erase();
       if (Intended != Wanted)
         continue;
-      Wake.expires_after(jittered(Done ? RecordRenewal : Pause, Random));
+      if (Done)
+        Pause.reset();
+      Wake.expires_after(Done ? jittered(RecordRenewal, Random) : Pause.take());
       co_await Wake.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-      Pause = Done ? MinCallPause : std::min(Pause * 2, RecordRetry);
     }
   }
 
--- a/include/galenarelay/node/impl/runtime.h
+++ b/include/galenarelay/node/impl/runtime.h
@@ -85,8 +85,6 @@
   void offer(config::Configuration Offered, const char *Source);
 
   [[nodiscard]] bool watchesStore() const;
-  [[nodiscard]] common::Duration jittered(common::Duration Base);
-  [[nodiscard]] boost::asio::awaitable<void> pause(common::Duration For);
   [[nodiscard]] boost::asio::awaitable<void> registerInStore();
   [[nodiscard]] boost::asio::awaitable<void> readContacts();
   [[nodiscard]] boost::asio::awaitable<void> findContacts();
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-
 #include <memory>
 #include <string>
 #include <utility>
@@ -63,12 +62,7 @@
     this->listen([this](std::span<std::uint8_t> Raw,
                         common::Endpoint From) { onPeerDatagram(Raw, From.Address); },
                  [this](common::HttpRequest Request) { return serve(std::move(Request)); });
-    common::log(common::LogLevel::Info, "started",
-                {{"id", Options.Id},
-                 {"zone", Options.Zone},
-                 {"service", Flows.service()},
-                 {"incarnation", Incarnation},
-                 {"version", GALENARELAY_VERSION}});
+    this->logStart({{"service", Flows.service()}});
     spawn(findBalancers());
     this->startTimer([this](common::TimePoint Now, common::Duration Pause) { onTick(Now, Pause); });
   }
@@ -95,12 +89,10 @@
 
 private:
   using Base::FlowGauge;
-  using Base::FlowLog;
   using Base::Incarnation;
   using Base::Io;
   using Base::MalformedPackets;
-  using Base::Metrics;
-  using Base::milliseconds;
+  using Base::mayLogFlow;
   using Base::Options;
   using Base::Packets;
   using Base::Peers;
@@ -108,10 +100,10 @@
   using Base::Record;
   using Base::RejectLog;
   using Base::sendTo;
+  using Base::sendToAll;
   using Base::spawn;
   using Base::StartedAt;
   using Base::Store;
-  using Base::SuppressedLines;
 
   // --- packets
 
@@ -173,10 +165,8 @@
   void logEvent(const relay::FlowAction &Action, common::TimePoint Now) {
     using Event = relay::FlowEvent;
     if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller ||
-        Action.Event == Event::RoomAgain)
+        Action.Event == Event::RoomAgain || !mayLogFlow(Now))
       return;
-    if (!FlowLog.allow(Now))
-      return SuppressedLines.Increment();
     common::log(
         common::LogLevel::Info, "flow_event",
         {{"flow", packet::toString(Action.Key)},
@@ -226,16 +216,14 @@
   void sendReports(common::TimePoint Now) {
     const auto Live = Peers.live(Now);
     const relay::PeerMessage Message = report(Now);
-    for (const auto Balancer : Live)
-      sendTo(Balancer, Message);
+    sendToAll(Live, Message);
     const auto Spread = std::chrono::duration_cast<common::Duration>(
         std::chrono::duration<double>(static_cast<double>(Live.size()) / ReportsPerSecond));
     NextReport = Now + std::clamp(Spread, MinReportInterval, MaxReportInterval);
     if (Now < NextContact)
       return;
     NextContact = Now + (Live.empty() ? FirstContactInterval : ContactInterval);
-    for (const auto Contact : Peers.contacts(Now))
-      sendTo(Contact, Message);
+    sendToAll(Peers.contacts(Now), Message);
   }
 
   void onTick(common::TimePoint Now, common::Duration Pause) {
@@ -255,13 +243,11 @@
 
   void noteAnswer(const relay::AnswerTime &Answer, common::TimePoint Now) {
     AnswerSeconds.Observe(std::chrono::duration<double>(Answer.Time).count());
-    if (Answer.Time < SlowAnswer)
+    if (Answer.Time < SlowAnswer || !mayLogFlow(Now))
       return;
-    if (!FlowLog.allow(Now))
-      return SuppressedLines.Increment();
     common::log(common::LogLevel::Info, "slow_answer",
                 {{"flow", packet::toString(Answer.Key)},
-                 {"answer_ms", milliseconds(Answer.Time)},
+                 {"answer_ms", common::wholeMilliseconds(Answer.Time)},
                  {"unanswered", Flows.load().Unanswered},
                  {"state", name(Flows.state(Now))}});
   }
@@ -299,11 +285,9 @@
       co_return takeHeartbeat(std::move(Id), Request.Body, Now);
     if (const auto Id = Platform::Calls::departureId(Request); !Id.empty())
       co_return takeDeparture(Id, Now);
-    if (Platform::Calls::asksReadiness(Request) || Request.Path == "/healthz")
+    if (Platform::Calls::asksReadiness(Request))
       co_return common::HttpResponse{200, "{}"};
-    if (Request.Path == "/metrics")
-      co_return common::HttpResponse{200, Metrics.render(), "text/plain"};
-    co_return common::HttpResponse{404, R"({"error":"unknown path"})"};
+    co_return this->answerCommon(Request.Path);
   }
 
   common::HttpResponse takeHeartbeat(std::string Id, const std::string &Body,
@@ -338,16 +322,15 @@
   // --- balancers in the store
 
   Awaitable<void> findBalancers() {
-    common::Duration Pause = impl::MinCallPause;
+    impl::CallPause Pause(impl::MinCallPause, impl::MaxCallPause, Random);
     while (true) {
       if (Peers.live(common::suspendAwareNow()).empty()) {
         const auto Page = co_await Store.list(impl::BalancerRecords);
         if (Page)
           takeRecords(*Page);
-        co_await impl::pauseFor(impl::jittered(Pause, Random));
-        Pause = std::min(Pause * 2, impl::MaxCallPause);
+        co_await impl::pauseFor(Pause.take());
       } else {
-        Pause = impl::MinCallPause;
+        Pause.reset();
         co_await impl::pauseFor(LookupInterval);
       }
     }
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -58,18 +58,14 @@
     this->listen([this](std::span<std::uint8_t> Raw,
                         common::Endpoint From) { onPeerDatagram(Raw, From.Address); },
                  [this](common::HttpRequest Request) { return serve(std::move(Request)); });
-    common::log(common::LogLevel::Info, "started",
-                {{"id", Options.Id},
-                 {"zone", Options.Zone},
-                 {"incarnation", Incarnation},
-                 {"version", GALENARELAY_VERSION}});
+    this->logStart();
     spawn(followConfiguration());
     spawn(lookUpNodes());
     this->startTimer([this](common::TimePoint Now, common::Duration Pause) { onTick(Now, Pause); });
   }
 
   /// Tells routers and peers, and forwards until the routers have turned away.
-  boost::asio::awaitable<void> drain() {
+  Awaitable<void> drain() {
     Leaving = true;
     const auto Begin = common::suspendAwareNow();
     common::log(common::LogLevel::Info, "stopping", {{"flows", Steering.flows()}});
@@ -83,19 +79,17 @@
         break;
     }
     common::log(common::LogLevel::Info, "stopped",
-                {{"drain_ms", milliseconds(common::suspendAwareNow() - Begin)}});
+                {{"drain_ms", common::wholeMilliseconds(common::suspendAwareNow() - Begin)}});
   }
 
   void reload(const RelayOptions &Fresh) { this->takeSeeds(Fresh); }
 
 private:
   using Base::FlowGauge;
-  using Base::FlowLog;
   using Base::Incarnation;
   using Base::Io;
   using Base::MalformedPackets;
-  using Base::Metrics;
-  using Base::milliseconds;
+  using Base::mayLogFlow;
   using Base::Options;
   using Base::Packets;
   using Base::Peers;
@@ -103,10 +97,10 @@
   using Base::Record;
   using Base::RejectLog;
   using Base::sendTo;
+  using Base::sendToAll;
   using Base::spawn;
   using Base::StartedAt;
   using Base::Store;
-  using Base::SuppressedLines;
 
   // --- packets
 
@@ -124,9 +118,7 @@
     const auto Query = Steering.takeQuery(Now);
     if (!Query)
       return;
-    const relay::PeerMessage Message = Query->Message;
-    for (const auto Agent : Query->Agents)
-      sendTo(Agent, Message);
+    sendToAll(Query->Agents, Query->Message);
     nlohmann::json Silent = nlohmann::json::array();
     for (std::size_t I = 0; I < std::min(Query->Silent.size(), MaxLoggedAgents); ++I)
       Silent.push_back(common::addressToString(Query->Silent[I]));
@@ -171,8 +163,8 @@
   }
 
   void logDecision(const relay::SteeringAction &Action, common::TimePoint Now) {
-    if (!FlowLog.allow(Now))
-      return SuppressedLines.Increment();
+    if (!mayLogFlow(Now))
+      return;
     nlohmann::json Fields{{"flow", packet::toString(Action.Key)},
                           {"decision", name(Action.Reason)},
                           {"revision", Steering.routes().revision()}};
@@ -181,7 +173,7 @@
       Fields["attempt"] = Action.Attempt;
       Fields["unanswered"] = View->Load.Unanswered;
       Fields["long_flows"] = View->Load.LongFlows;
-      Fields["load_age_ms"] = milliseconds(Now - View->LoadAt);
+      Fields["load_age_ms"] = common::wholeMilliseconds(Now - View->LoadAt);
     }
     common::log(common::LogLevel::Info, "flow_steered", Fields);
   }
@@ -220,9 +212,11 @@
 
   void take(const relay::BalancerBeacon &Beacon, relay::NodeAddress From, common::TimePoint Now) {
     const bool New = Peers.onBeacon(From, Beacon, Now);
-    for (const relay::NodeAddress Agent : Beacon.Agents)
-      if (Directory.find(Agent) == nullptr)
-        sendTo(Agent, beacon(Now, false));
+    auto Unheard = Beacon.Agents;
+    std::erase_if(Unheard,
+                  [this](relay::NodeAddress Agent) { return Directory.find(Agent) != nullptr; });
+    if (!Unheard.empty())
+      sendToAll(Unheard, beacon(Now, false));
     if (New) {
       common::log(common::LogLevel::Info, "balancer_appeared",
                   {{"balancer", Beacon.Id},
@@ -256,15 +250,13 @@
     const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
     if (!Head)
       return MalformedPackets.Increment();
-    if (FlowLog.allow(Now))
+    if (mayLogFlow(Now))
       common::log(common::LogLevel::Info, "packet_returned",
                   {{"flow", packet::toString(Head->Key)},
                    {"agent", common::addressToString(From)},
                    {"opens", Head->opensFlow()},
                    {"reason", name(Returned.Reason)},
                    {"unanswered", Returned.Load.Unanswered}});
-    else
-      SuppressedLines.Increment();
     perform(Steering.onReturned(*Head, Returned, From, Now), {}, Now);
   }
 
@@ -281,7 +273,7 @@
         Options.Id, Options.Zone,    Incarnation, Steering.routes().revision(),
         Leaving,    Peers.live(Now), {}};
     if (WithAgents)
-      Made.Agents = Directory.agentsOf("");
+      Made.Agents = Directory.agents();
     Made.Balancers.resize(std::min(Made.Balancers.size(), relay::MaxBeaconAddresses));
     Made.Agents.resize(std::min(Made.Agents.size(), relay::MaxBeaconAddresses));
     return Made;
@@ -292,18 +284,15 @@
     const auto Live = Peers.live(Now);
     if (Everyone || Now >= NextPeerBeacon) {
       NextPeerBeacon = Now + PeerBeaconInterval;
-      for (const auto Peer : Live)
-        sendTo(Peer, Message);
+      sendToAll(Live, Message);
     }
     if (Everyone || Now >= NextAgentBeacon) {
       NextAgentBeacon = Now + AgentBeaconInterval;
-      for (const auto Agent : Directory.agentsOf(""))
-        sendTo(Agent, Message);
+      sendToAll(Directory.agents(), Message);
     }
     if (Everyone || Now >= NextContact) {
       NextContact = Now + (Live.empty() ? PeerBeaconInterval : AgentBeaconInterval);
-      for (const auto Contact : Peers.contacts(Now))
-        sendTo(Contact, Message);
+      sendToAll(Peers.contacts(Now), Message);
     }
   }
 
@@ -318,16 +307,18 @@
     for (const auto Agent : Directory.takeLost(Now)) {
       common::log(common::LogLevel::Warning, "agent_lost",
                   {{"agent", common::addressToString(Agent)},
-                   {"silent_ms", milliseconds(Now - Directory.find(Agent)->HeardAt)}});
+                   {"silent_ms", common::wholeMilliseconds(Now - Directory.find(Agent)->HeardAt)}});
       perform(Steering.onAgentLost(Agent), {}, Now);
     }
     sendBeacons(Now, false);
-    const auto Shares = Steering.takeShares(Now);
-    if (!Shares.empty())
-      for (const auto Peer : Peers.live(Now))
-        for (const auto &Share : Shares)
-          if (Peers.find(Peer)->Zone == Options.Zone)
-            sendTo(Peer, Share);
+    if (const auto Shares = Steering.takeShares(Now); !Shares.empty()) {
+      auto Neighbours = Peers.live(Now);
+      std::erase_if(Neighbours, [this](relay::NodeAddress Peer) {
+        return Peers.find(Peer)->Zone != Options.Zone;
+      });
+      for (const auto &Share : Shares)
+        sendToAll(Neighbours, Share);
+    }
     for (const auto Time : Steering.takeOpeningTimes())
       OpeningSeconds.Observe(std::chrono::duration<double>(Time).count());
     Directory.forgetSilent(Now);
@@ -359,15 +350,11 @@
     const auto Now = common::suspendAwareNow();
     if (Platform::Calls::asksReadiness(Request))
       co_return common::HttpResponse{ready(Now) ? 200U : 503U, "{}"};
-    if (Request.Path == "/healthz")
-      co_return common::HttpResponse{200, "{}"};
-    if (Request.Path == "/metrics")
-      co_return common::HttpResponse{200, Metrics.render(), "text/plain"};
     if (Request.Path == "/v1/config" && !ConfigurationText.empty())
       co_return common::HttpResponse{200, ConfigurationText};
     if (Request.Path == "/v1/explain")
       co_return explain(Request);
-    co_return common::HttpResponse{404, R"({"error":"unknown path"})"};
+    co_return this->answerCommon(Request.Path);
   }
 
   common::HttpResponse explain(const common::HttpRequest &Request) const {
@@ -437,7 +424,7 @@
     const std::string Key = Platform::Store::configurationKey();
     std::uint64_t After = 0;
     bool Listed = false;
-    common::Duration Pause = impl::MinCallPause;
+    impl::CallPause Pause(impl::MinCallPause, impl::MaxCallPause, Random);
     while (true) {
       // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
       common::Outcome<relay::StorePage> Page;
@@ -447,7 +434,7 @@
         Page = co_await Store.list(Key);
       if (Page) {
         StoreAnswerAt = common::suspendAwareNow();
-        Pause = impl::MinCallPause;
+        Pause.reset();
         After = Page->StoreRevision;
         offerItems(*Page);
         if (!Listed && Page->Items.empty())
@@ -460,8 +447,7 @@
       }
       if (Page.Failure.Code == common::ResultCode::StoreHistoryGone)
         Listed = false;
-      co_await impl::pauseFor(impl::jittered(Pause, Random));
-      Pause = std::min(Pause * 2, impl::MaxCallPause);
+      co_await impl::pauseFor(Pause.take());
     }
   }
 
@@ -483,28 +469,29 @@
   // --- nodes in the store
 
   Awaitable<void> lookUpNodes() {
-    common::Duration Pause = impl::MinCallPause;
+    impl::CallPause Pause(impl::MinCallPause, impl::MaxCallPause, Random);
     while (!Leaving) {
       const auto Page = co_await Store.list(impl::NodeRecords);
       if (Page) {
         takeRecords(*Page);
         co_return;
       }
-      co_await impl::pauseFor(impl::jittered(Pause, Random));
-      Pause = std::min(Pause * 2, impl::MaxCallPause);
+      co_await impl::pauseFor(Pause.take());
     }
   }
 
   void takeRecords(const relay::StorePage &Page) {
     const auto Now = common::suspendAwareNow();
+    std::vector<relay::NodeAddress> Agents;
     this->readRecords(Page, [&](const std::string &Key, relay::NodeAddress Address) {
       if (Key.starts_with(impl::BalancerRecords)) {
         Peers.addContact(Address, Now);
       } else if (Key.starts_with(impl::AgentRecords)) {
         Directory.expect(Address, Now);
-        sendTo(Address, beacon(Now, false));
+        Agents.push_back(Address);
       }
     });
+    sendToAll(Agents, beacon(Now, false));
     NextContact = {};
     if (!Page.More)
       Steering.setAgentsListed(Now);
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_RELAY_FLOW_STEERING_H
 #define GALENARELAY_RELAY_FLOW_STEERING_H
 
+#include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/relay/flow_search.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
@@ -180,7 +181,15 @@
   void keepHeld(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
   void releaseHeld(common::TimePoint Now, SteeringActions &Out);
   [[nodiscard]] std::optional<NodeAddress> leastBusy(Opening &Open) const;
+  /// The flow, if it is held; null otherwise.
+  [[nodiscard]] Flow *heldFlow(const packet::FlowKey &Key);
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out);
+  /// Sends the packet that just arrived, or a saved one, to the agent of a flow.
+  void forwardKnown(const packet::FlowKey &Key, const Flow &Held, SteeringActions &Out,
+                    std::shared_ptr<const Bytes> Saved = {}) const;
+  /// Sends it to an agent that may hold the flow.
+  void forwardSearch(const packet::FlowKey &Key, NodeAddress Agent, SteeringActions &Out,
+                     std::shared_ptr<const Bytes> Saved = {}) const;
   void forwardOpen(const PacketHead &Head, Flow &Held, std::span<const std::uint8_t> Raw,
                    common::TimePoint Now, SteeringActions &Out);
   void search(const packet::FlowKey &Key, Flow &Held, std::span<const std::uint8_t> Raw,
@@ -188,8 +197,10 @@
   void endSearch(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
   void concludeNowhere(const packet::FlowKey &Key, common::TimePoint Now, SteeringActions &Out);
   static void noteAcknowledgement(const PacketHead &Head, Flow &Held);
+  static void addShare(const packet::FlowKey &Key, NodeAddress Agent,
+                       std::vector<FlowShare> &Shares);
   [[nodiscard]] bool mayConclude(common::TimePoint Now) const noexcept;
-  [[nodiscard]] Transit transitTo(const std::string &Service, bool Search, bool Insist) const;
+  [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
   void forgetOld(common::TimePoint Now);
   void setState(Flow &Held, Phase State, common::TimePoint Now) {
     Held.State = State;
@@ -208,7 +219,7 @@
   FlowSearch Search;
   std::vector<packet::FlowKey> HeldFlows;
   std::vector<common::Duration> OpeningTimes;
-  std::size_t SweepBucket = 0;
+  common::BucketSweep Sweep;
 };
 
 } // namespace galenarelay::relay
--- a/include/galenarelay/relay/route_table.h
+++ b/include/galenarelay/relay/route_table.h
@@ -50,7 +50,6 @@
   explicit RouteTable(Configuration Document);
 
   [[nodiscard]] Revision revision() const noexcept { return Held.Number; }
-  [[nodiscard]] common::Duration idleTimeout() const noexcept { return Held.IdleTimeout; }
   [[nodiscard]] std::size_t size() const noexcept { return Held.Routes.size(); }
   /// The route of a service endpoint; null if there is none.
   [[nodiscard]] const Route *find(common::Endpoint Service) const noexcept;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -87,8 +87,8 @@
   void dropPlacement(NodeAddress Agent, FlowKind Kind);
 
   [[nodiscard]] const AgentView *find(NodeAddress Agent) const;
-  /// Agents that have reported for a service; for any if it is empty.
-  [[nodiscard]] std::vector<NodeAddress> agentsOf(const std::string &Service) const;
+  /// Agents that have reported.
+  [[nodiscard]] std::vector<NodeAddress> agents() const;
   /// Agents that may hold any flow: those that have reported and aren't lost.
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
   /// Those that are in a record of the store, have not reported, and may still do so.
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_RELAY_UPSTREAM_FLOWS_H
 #define GALENARELAY_RELAY_UPSTREAM_FLOWS_H
 
+#include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/registration.h"
@@ -167,6 +168,8 @@
                      FlowActions &Out);
   [[nodiscard]] std::optional<ReturnReason> whyDeclined(const Transit &Fields,
                                                         common::TimePoint Now) const;
+  /// Slots of the upstream; 0 if it has not told.
+  [[nodiscard]] std::uint32_t slots() const noexcept;
   [[nodiscard]] bool full() const noexcept;
   void noteDeclined(NodeAddress Balancer);
   void tellOfRoom(FlowActions &Out);
@@ -200,7 +203,7 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerChecks;
   std::deque<NodeAddress> Declined; ///< Balancers that wait for room, the first one first.
   std::vector<AnswerTime> Answers;
-  std::size_t SweepBucket = 0;
+  common::BucketSweep Sweep;
 };
 
 } // namespace galenarelay::relay
--- a/programs/ctl/history_commands.cpp
+++ b/programs/ctl/history_commands.cpp
@@ -61,9 +61,9 @@
   Printed.Document = config::toJson(In).at("services");
   Printed.Rows = {{"SERVICE", "ADDRESS", "DEADLINE MS", "SELECTOR"}};
   for (const auto &[Name, Value] : In.Services) {
-    const auto Deadline = std::chrono::duration_cast<std::chrono::milliseconds>(Value.Deadline);
-    Printed.Rows.push_back(
-        {Name, common::toString(Value.Address), std::to_string(Deadline.count()), Value.Selector});
+    Printed.Rows.push_back({Name, common::toString(Value.Address),
+                            std::to_string(common::wholeMilliseconds(Value.Deadline)),
+                            Value.Selector});
   }
   return Printed;
 }
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -51,8 +51,8 @@
   Message.erase(request::DeadlineHeader);
   // Without a complete body the deadline has not begun to run.
   if (Request.Complete) {
-    const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(Request.Deadline - Now);
-    Message.set(request::DeadlineHeader, std::to_string(std::max<std::int64_t>(Left.count(), 0)));
+    const auto Left = common::wholeMilliseconds(Request.Deadline - Now);
+    Message.set(request::DeadlineHeader, std::to_string(std::max<std::int64_t>(Left, 0)));
   }
   if (Request.Head.Length)
     Message.set(http::field::content_length, std::to_string(*Request.Head.Length));
--- a/src/config/edit.cpp
+++ b/src/config/edit.cpp
@@ -28,8 +28,7 @@
 std::string quoted(const std::string &Text) { return "'" + Text + "'"; }
 
 std::string milliseconds(common::Duration Value) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Value).count()) +
-         " ms";
+  return std::to_string(common::wholeMilliseconds(Value)) + " ms";
 }
 
 boost::leaf::error_id unknownService(const ServiceName &Name) {
--- a/src/flow/flow_router.cpp
+++ b/src/flow/flow_router.cpp
@@ -732,14 +732,10 @@
   const auto Limit = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::seconds>(HandOffIdleTimeout).count());
   const std::uint32_t Second = secondOf(Now);
-  std::vector<FlowKey> Idle;
-  const std::size_t Buckets = HandOffs.bucket_count();
-  for (std::size_t I = 0; I < Buckets / SweepParts + 1; ++I) {
-    SweepBucket = (SweepBucket + 1) % Buckets;
-    for (auto Entry = HandOffs.begin(SweepBucket); Entry != HandOffs.end(SweepBucket); ++Entry)
-      if (Second - Entry->second.UsedSecond > Limit)
-        Idle.push_back(Entry->first);
-  }
+  const std::size_t Buckets = HandOffs.bucket_count() / SweepParts + 1;
+  const auto Idle = Sweep.next(HandOffs, Buckets, [&](const auto &Entry) {
+    return Second - Entry.second.UsedSecond > Limit;
+  });
   for (const FlowKey &Key : Idle)
     HandOffs.erase(Key);
 }
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -1,12 +1,11 @@
 #include "galenarelay/node/impl/runtime.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/node/impl/call_pause.h"
 #include "galenarelay/node/impl/configuration_difference.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <set>
@@ -29,8 +28,6 @@
 
 namespace {
 
-constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-
 bool isGossip(const std::string &Type) {
   return Type == "ping" || Type == "ack" || Type == "pingreq" || Type == "push";
 }
@@ -122,13 +119,13 @@
   announce(MemberState::Dead, {});
   const auto Limit = steadyNow() + LeaveLimit;
   while (!Stopped && Core->hasUnsentChanges() && steadyNow() < Limit)
-    co_await pause(std::chrono::milliseconds(10));
+    co_await pauseFor(std::chrono::milliseconds(10));
   for (int Attempt = 0; Attempt < RemoveAttempts && StoreVersion != 0 && !Stopped; ++Attempt) {
     const auto Removed = co_await Store.removeMember(Options.Self.Id, StoreVersion);
     // A conflict means that a later life of this member has registered itself.
     if (Removed || Removed.Failure.Code == ResultCode::StoreConflict)
       co_return;
-    co_await pause(jittered(MinStorePause));
+    co_await pauseFor(jittered(MinStorePause, Random));
   }
 }
 
@@ -257,20 +254,9 @@
   perform(Core->setRevision(Number, steadyNow()));
 }
 
-Duration Runtime::jittered(Duration Base) {
-  // Between half and one and a half of the base, so that nodes don't call in step.
-  const double Factor = 0.5 + common::uniformUnit(Random);
-  return std::chrono::duration_cast<Duration>(Base * Factor);
-}
-
-awaitable<void> Runtime::pause(Duration For) {
-  asio::steady_timer Timer(Io, For);
-  co_await Timer.async_wait(AsTuple);
-}
-
 awaitable<void> Runtime::registerInStore() {
   const auto Alive = shared_from_this();
-  Duration Pause = MinStorePause;
+  CallPause Pause(MinStorePause, MaxStorePause, Random);
   while (!Stopped) {
     const auto Written = co_await Store.registerMember(Core->self());
     if (Written) {
@@ -279,37 +265,34 @@
     }
     log(LogLevel::Warning, "store_registration_failed",
         {{"reason", name(Written.Failure.Code)}, {"detail", Written.Failure.Detail}});
-    co_await pause(jittered(Pause));
-    Pause = std::min(Pause * 2, MaxStorePause);
+    co_await pauseFor(Pause.take());
   }
 }
 
 // Of two nodes that start at the same time, the one that registers later reads the other's record.
 // Without this read, nodes that had joined each other before could form two groups.
 awaitable<void> Runtime::readContacts() {
-  Duration Pause = MinStorePause;
+  CallPause Pause(MinStorePause, MaxStorePause, Random);
   while (!Stopped) {
     const auto Found = co_await Store.contacts();
     if (Found) {
       Core->addContacts(*Found);
       co_return;
     }
-    co_await pause(jittered(Pause));
-    Pause = std::min(Pause * 2, MaxStorePause);
+    co_await pauseFor(Pause.take());
   }
 }
 
 awaitable<void> Runtime::findContacts() {
   const auto Alive = shared_from_this();
   if (!Options.Seeds.empty())
-    co_await pause(SeedPatience);
-  Duration Pause = MinStorePause;
+    co_await pauseFor(SeedPatience);
+  CallPause Pause(MinStorePause, MaxStorePause, Random);
   while (!Stopped && !Core->joined()) {
     const auto Found = co_await Store.contacts();
     if (Found)
       Core->addContacts(*Found);
-    co_await pause(jittered(Pause));
-    Pause = std::min(Pause * 2, MaxStorePause);
+    co_await pauseFor(Pause.take());
   }
 }
 
@@ -323,33 +306,33 @@
   // Before it has joined, a node knows only itself and would take itself for a watcher.
   const auto JoinLimit = steadyNow() + (Options.Seeds.empty() ? Duration::zero() : SeedPatience);
   while (!Stopped && !Core->joined() && steadyNow() < JoinLimit)
-    co_await pause(std::chrono::milliseconds(20));
+    co_await pauseFor(std::chrono::milliseconds(20));
   std::uint64_t Version = 0;
-  Duration Pause = MinStorePause;
+  CallPause Pause(MinStorePause, MaxStorePause, Random);
   while (!Stopped) {
     if (!watchesStore()) {
-      co_await pause(jittered(WatchRoleInterval));
+      co_await pauseFor(jittered(WatchRoleInterval, Random));
       continue;
     }
     const auto Found = co_await Store.watchConfiguration(Version);
     if (Stopped)
       co_return;
     if (!Found && Found.Failure.Code == ResultCode::NotInForce) {
-      Pause = MinStorePause;
+      Pause.reset();
       continue;
     }
     if (!Found) {
       // The first configuration must be in force within 4 s, so an absent key isn't backed off
       // from.
       const bool Absent = Found.Failure.Code == ResultCode::StoreKeyNotFound;
-      if (Absent)
+      if (Absent) {
         Version = 0;
-      Pause = Absent ? MaxAbsentPause : Pause;
-      co_await pause(jittered(Pause));
-      Pause = std::min(Pause * 2, MaxStorePause);
+        Pause.restartFrom(MaxAbsentPause);
+      }
+      co_await pauseFor(Pause.take());
       continue;
     }
-    Pause = MinStorePause;
+    Pause.reset();
     Version = Found->Version;
     const json Document = json::parse(Found->Value, nullptr, false);
     auto Parsed = common::capture([&] { return config::configurationFromJson(Document); });
--- a/src/platform/store_protocol.cpp
+++ b/src/platform/store_protocol.cpp
@@ -21,10 +21,6 @@
 constexpr unsigned StatusRateLimited = 429;
 constexpr unsigned FirstServerError = 500;
 
-std::int64_t wholeMilliseconds(common::Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
 Error statusError(const HttpResponse &Answer) {
   const std::string Detail = "the store answered " + std::to_string(Answer.Status);
   switch (Answer.Status) {
@@ -89,7 +85,7 @@
                                       common::Duration Wait) {
   return {"GET",
           "/-/kv-watch?prefix=" + common::encodeQuery(Prefix) + "&after=" + std::to_string(After) +
-              "&waitMs=" + std::to_string(wholeMilliseconds(Wait)),
+              "&waitMs=" + std::to_string(common::wholeMilliseconds(Wait)),
           ""};
 }
 
@@ -106,7 +102,7 @@
 }
 
 relay::StoreCall StoreProtocol::grantLease(common::Duration TimeToLive) {
-  return {"POST", "/-/kv-lease", json{{"ttlMs", wholeMilliseconds(TimeToLive)}}.dump()};
+  return {"POST", "/-/kv-lease", json{{"ttlMs", common::wholeMilliseconds(TimeToLive)}}.dump()};
 }
 
 relay::StoreCall StoreProtocol::renewLease(std::uint64_t Lease) {
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -32,7 +32,7 @@
   return Found == Flows.end() ? 0 : Found->second.Agent;
 }
 
-Transit FlowSteering::transitTo(const std::string &Service, bool Search, bool Insist) const {
+Transit FlowSteering::transitTo(std::string_view Service, bool Search, bool Insist) const {
   return {Self, serviceDigest(Service), Search, Insist};
 }
 
@@ -223,10 +223,10 @@
   std::vector<Candidate> Waiting;
   Waiting.reserve(HeldFlows.size());
   for (const auto &Key : HeldFlows) {
-    const auto Found = Flows.find(Key);
-    if (Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held)
+    const Flow *Held = heldFlow(Key);
+    if (Held == nullptr)
       continue;
-    const Opening &Open = *Found->second.Open;
+    const Opening &Open = *Held->Open;
     const auto Age = Now - Open.StartedAt;
     const bool Late = Age >= Open.LatencyObjective;
     Waiting.push_back({Late, Open.Priority, Late ? -Age : Age, Key});
@@ -237,21 +237,19 @@
   });
   std::set<std::string> Exhausted; // Services without an agent that could take another flow now.
   for (const auto &[Late, Priority, Order, Key] : Waiting) {
-    const auto Found = Flows.find(Key);
+    Flow *Held = heldFlow(Key);
     // A key stands here twice if its caller has used it again.
-    if (Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Held)
+    if (Held == nullptr)
       continue;
-    Flow &Held = Found->second;
-    const std::string Service = Held.Open->Service;
-    const bool Expired = Now - Held.Open->StartedAt >= HoldTimeout;
+    const std::string Service = Held->Open->Service;
+    const bool Expired = Now - Held->Open->StartedAt >= HoldTimeout;
     if (Exhausted.contains(Service) && !Expired) {
-      keepHeld(Key, Held, Out);
+      keepHeld(Key, *Held, Out);
       continue;
     }
-    Held.Open->Held = false;
-    place(Key, Held, Now, Out);
-    const auto After = Flows.find(Key);
-    if (After != Flows.end() && After->second.Open != nullptr && After->second.Open->Held)
+    Held->Open->Held = false;
+    place(Key, *Held, Now, Out);
+    if (heldFlow(Key) != nullptr)
       Exhausted.insert(Service);
   }
 }
@@ -263,6 +261,32 @@
     Out.push_back({.Reason = SteeringReason::Held, .Key = Key});
 }
 
+FlowSteering::Flow *FlowSteering::heldFlow(const packet::FlowKey &Key) {
+  const auto Found = Flows.find(Key);
+  const bool Is = Found != Flows.end() && Found->second.Open != nullptr && Found->second.Open->Held;
+  return Is ? &Found->second : nullptr;
+}
+
+void FlowSteering::forwardKnown(const packet::FlowKey &Key, const Flow &Held, SteeringActions &Out,
+                                std::shared_ptr<const Bytes> Saved) const {
+  Out.push_back({.What = SteeringAction::Kind::Forward,
+                 .Reason = SteeringReason::Known,
+                 .Key = Key,
+                 .Agent = Held.Agent,
+                 .Fields = transitTo("", false, false),
+                 .Saved = std::move(Saved)});
+}
+
+void FlowSteering::forwardSearch(const packet::FlowKey &Key, NodeAddress Agent,
+                                 SteeringActions &Out, std::shared_ptr<const Bytes> Saved) const {
+  Out.push_back({.What = SteeringAction::Kind::Forward,
+                 .Reason = SteeringReason::Searched,
+                 .Key = Key,
+                 .Agent = Agent,
+                 .Fields = transitTo("", true, false),
+                 .Saved = std::move(Saved)});
+}
+
 void FlowSteering::refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Out) {
   Out.push_back({.What = SteeringAction::Kind::Reset, .Reason = Reason, .Key = Key});
 }
@@ -280,11 +304,7 @@
   if (Held.State == Phase::Opening && Held.Open != nullptr && Held.Open->Tried.size() > 1) {
     // Several upstreams may have accepted the flow; the caller has answered one of them.
     for (const NodeAddress Agent : Held.Open->Tried)
-      Out.push_back({.What = SteeringAction::Kind::Forward,
-                     .Reason = SteeringReason::Searched,
-                     .Key = Head.Key,
-                     .Agent = Agent,
-                     .Fields = transitTo("", true, false)});
+      forwardSearch(Head.Key, Agent, Out);
     return;
   }
   if (Held.Agent == 0) {
@@ -297,11 +317,7 @@
     setState(Held, Phase::Open, Now);
     ShareChecks.emplace_back(Now + ShareAge, Head.Key);
   }
-  Out.push_back({.What = SteeringAction::Kind::Forward,
-                 .Reason = SteeringReason::Known,
-                 .Key = Head.Key,
-                 .Agent = Held.Agent,
-                 .Fields = transitTo("", false, false)});
+  forwardKnown(Head.Key, Held, Out);
 }
 
 // All agents are asked, also those of other services: the route may have changed while the flow was
@@ -333,12 +349,7 @@
   }
   for (const auto &Key : Settled.Unsure)
     if (auto Packet = Search.anyPacket(Key))
-      Out.push_back({.What = SteeringAction::Kind::Forward,
-                     .Reason = SteeringReason::Searched,
-                     .Key = Key,
-                     .Agent = From,
-                     .Fields = transitTo("", true, false),
-                     .Saved = std::move(Packet)});
+      forwardSearch(Key, From, Out, std::move(Packet));
   for (const auto &Key : Settled.Nowhere)
     concludeNowhere(Key, Now, Out);
   return Out;
@@ -347,12 +358,7 @@
 /// Sends the packets that waited to the agent that was found.
 void FlowSteering::endSearch(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out) {
   for (auto &Packet : Search.finish(Key))
-    Out.push_back({.What = SteeringAction::Kind::Forward,
-                   .Reason = SteeringReason::Known,
-                   .Key = Key,
-                   .Agent = Held.Agent,
-                   .Fields = transitTo("", false, false),
-                   .Saved = std::move(Packet)});
+    forwardKnown(Key, Held, Out, std::move(Packet));
 }
 
 // Right after a start, agents may exist that nobody has named yet.
@@ -428,24 +434,11 @@
   }
   Flow &Held = Found == Flows.end() ? Flows[Head.Key] : Found->second;
   Held.UsedAt = Now;
-  if (Held.Agent != 0 && Held.Agent != From) {
-    // The flow has been found elsewhere since.
-    Out.push_back({.What = SteeringAction::Kind::Forward,
-                   .Reason = SteeringReason::Known,
-                   .Key = Head.Key,
-                   .Agent = Held.Agent,
-                   .Fields = transitTo("", false, false),
-                   .Saved = std::make_shared<const Bytes>(Returned.Packet)});
-    return Out;
-  }
-  if (Held.Other != 0) {
-    Held.Agent = std::exchange(Held.Other, 0);
-    Out.push_back({.What = SteeringAction::Kind::Forward,
-                   .Reason = SteeringReason::Known,
-                   .Key = Head.Key,
-                   .Agent = Held.Agent,
-                   .Fields = transitTo("", false, false),
-                   .Saved = std::make_shared<const Bytes>(Returned.Packet)});
+  const bool FoundElsewhere = Held.Agent != 0 && Held.Agent != From;
+  if (FoundElsewhere || Held.Other != 0) {
+    if (!FoundElsewhere)
+      Held.Agent = std::exchange(Held.Other, 0);
+    forwardKnown(Head.Key, Held, Out, std::make_shared<const Bytes>(Returned.Packet));
     return Out;
   }
   if (Held.State == Phase::Ended)
@@ -529,20 +522,14 @@
 }
 
 void FlowSteering::forgetOld(common::TimePoint Now) {
-  const std::size_t Buckets = Flows.bucket_count();
-  for (std::size_t I = 0; I < std::min(SweepBuckets, Buckets); ++I) {
-    SweepBucket = (SweepBucket + 1) % Buckets;
-    std::vector<packet::FlowKey> Old;
-    for (auto At = Flows.begin(SweepBucket); At != Flows.end(SweepBucket); ++At) {
-      const Flow &Held = At->second;
-      const bool Ended = Held.State == Phase::Ended && Now - Held.UsedAt > EndedRetention;
-      const bool Unopened = Held.State == Phase::Opening && Now - Held.UsedAt > 2 * OpenTimeout;
-      if (Ended || Unopened || Now - Held.UsedAt > IdleRetention)
-        Old.push_back(At->first);
-    }
-    for (const auto &Key : Old)
-      Flows.erase(Key);
-  }
+  const auto Old = Sweep.next(Flows, SweepBuckets, [Now](const FlowMap::value_type &Entry) {
+    const Flow &Held = Entry.second;
+    const common::Duration Unused = Now - Held.UsedAt;
+    return (Held.State == Phase::Ended && Unused > EndedRetention) ||
+           (Held.State == Phase::Opening && Unused > 2 * OpenTimeout) || Unused > IdleRetention;
+  });
+  for (const auto &Key : Old)
+    Flows.erase(Key);
 }
 
 std::vector<FlowShare> FlowSteering::takeShares(common::TimePoint Now) {
@@ -554,23 +541,24 @@
     if (Found == Flows.end() || Found->second.State != Phase::Open || Found->second.Shared)
       continue;
     Found->second.Shared = true;
-    if (Shares.empty() || Shares.back().Entries.size() >= MaxSharedFlows)
-      Shares.emplace_back();
-    Shares.back().Entries.push_back({Key, Found->second.Agent});
+    addShare(Key, Found->second.Agent, Shares);
   }
   return Shares;
 }
 
 std::vector<FlowShare> FlowSteering::allShares() const {
   std::vector<FlowShare> Shares;
-  for (const auto &[Key, Held] : Flows) {
-    if (Held.State != Phase::Open || Held.Agent == 0)
-      continue;
-    if (Shares.empty() || Shares.back().Entries.size() >= MaxSharedFlows)
-      Shares.emplace_back();
-    Shares.back().Entries.push_back({Key, Held.Agent});
-  }
+  for (const auto &[Key, Held] : Flows)
+    if (Held.State == Phase::Open && Held.Agent != 0)
+      addShare(Key, Held.Agent, Shares);
   return Shares;
 }
 
+void FlowSteering::addShare(const packet::FlowKey &Key, NodeAddress Agent,
+                            std::vector<FlowShare> &Shares) {
+  if (Shares.empty() || Shares.back().Entries.size() >= MaxSharedFlows)
+    Shares.emplace_back();
+  Shares.back().Entries.push_back({Key, Agent});
+}
+
 } // namespace galenarelay::relay
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -185,11 +185,10 @@
   return Found == Agents.end() ? nullptr : &Found->second.View;
 }
 
-std::vector<NodeAddress> UpstreamDirectory::agentsOf(const std::string &Service) const {
+std::vector<NodeAddress> UpstreamDirectory::agents() const {
   std::vector<NodeAddress> Found;
   for (const auto &[Address, Agent] : Agents)
-    if (Service.empty() || Agent.View.Report.Service == Service)
-      Found.push_back(Address);
+    Found.push_back(Address);
   return Found;
 }
 
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -152,19 +152,21 @@
     return ReturnReason::Unanswered;
   if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
     return ReturnReason::Leaving;
-  const std::uint32_t Slots = Upstream.last() ? Upstream.last()->Slots : 0;
   if (full())
     return ReturnReason::Full;
-  if (!Fields.Insist && Slots != 0 && Unanswered >= Slots)
+  if (!Fields.Insist && slots() != 0 && Unanswered >= slots())
     return ReturnReason::Busy;
   if (Flows.size() >= MaxUpstreamFlows)
     return ReturnReason::Refused;
   return std::nullopt;
 }
 
+std::uint32_t UpstreamFlows::slots() const noexcept {
+  return Upstream.last() ? Upstream.last()->Slots : 0;
+}
+
 bool UpstreamFlows::full() const noexcept {
-  const std::uint32_t Slots = Upstream.last() ? Upstream.last()->Slots : 0;
-  return Slots != 0 && Unanswered >= usefulRequests(Slots);
+  return slots() != 0 && Unanswered >= usefulRequests(slots());
 }
 
 void UpstreamFlows::noteDeclined(NodeAddress Balancer) {
@@ -419,29 +421,21 @@
 }
 
 void UpstreamFlows::forgetOld(common::TimePoint Now) {
-  const std::size_t Buckets = Flows.bucket_count();
-  for (std::size_t I = 0; I < std::min(SweepBuckets, Buckets); ++I) {
-    SweepBucket = (SweepBucket + 1) % Buckets;
-    std::vector<packet::FlowKey> Old;
-    for (auto At = Flows.begin(SweepBucket); At != Flows.end(SweepBucket); ++At) {
-      Flow &Held = At->second;
-      const common::Duration Unused = Now - Held.UsedAt;
-      if (Held.Requests == 0 && Unused > RequestExpectation)
-        endRequest(Held);
-      if (Unused > AbandonedAge) {
-        endRequest(Held);
-        endLong(Held);
-      }
-      const bool Expired = (Held.State == Phase::Closed && Unused > ClosedRetention) ||
-                           (Held.State == Phase::Doubted && Unused > DoubtRetention) ||
-                           (Held.State == Phase::Offered && Unused > DoubtRetention) ||
-                           Unused > UnusedRetention;
-      if (Expired)
-        Old.push_back(At->first);
+  const auto Old = Sweep.next(Flows, SweepBuckets, [&](FlowMap::value_type &Entry) {
+    Flow &Held = Entry.second;
+    const common::Duration Unused = Now - Held.UsedAt;
+    if (Held.Requests == 0 && Unused > RequestExpectation)
+      endRequest(Held);
+    if (Unused > AbandonedAge) {
+      endRequest(Held);
+      endLong(Held);
     }
-    for (const auto &Key : Old)
-      forget(Flows.find(Key));
-  }
+    return (Held.State == Phase::Closed && Unused > ClosedRetention) ||
+           (Held.State == Phase::Doubted && Unused > DoubtRetention) ||
+           (Held.State == Phase::Offered && Unused > DoubtRetention) || Unused > UnusedRetention;
+  });
+  for (const auto &Key : Old)
+    forget(Flows.find(Key));
 }
 
 FlowActions UpstreamFlows::resetAll() {
--- a/src/request/message.cpp
+++ b/src/request/message.cpp
@@ -66,8 +66,7 @@
   const bool Whole = Parsed.ec == std::errc() && Parsed.ptr == Text.data() + Text.size();
   if (Text.empty() || !Whole || Milliseconds < 0)
     return std::nullopt;
-  const auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(MaxDeadline).count();
-  return std::chrono::milliseconds(std::min<std::int64_t>(Milliseconds, Limit));
+  return std::chrono::milliseconds(std::min(Milliseconds, common::wholeMilliseconds(MaxDeadline)));
 }
 
 Answer notRunAnswer(ResultCode Reason, Duration RetryAfter, std::string_view Detail) {
--- a/src/standins/store/store_server.cpp
+++ b/src/standins/store/store_server.cpp
@@ -34,9 +34,8 @@
 }
 
 json faultsJson(const Faults &Value) {
-  const auto DelayMs = std::chrono::duration_cast<std::chrono::milliseconds>(Value.Delay).count();
   return {{"outage", Value.Outage},
-          {"delay_ms", DelayMs},
+          {"delay_ms", common::wholeMilliseconds(Value.Delay)},
           {"lose_answers", Value.LoseAnswers},
           {"lose_requests", Value.LoseRequests}};
 }
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -139,6 +139,19 @@
       Balancer.Directory.onLoad(Agent, {relay::usefulRequests(2), 0}, Now);
   }
 
+  /// Caller ports of held flows in the order in which they are placed from 300 ms on, when there is
+  /// room for one at a time; the objective is 200 ms.
+  static std::vector<std::uint16_t> releaseOrder(Node &Balancer) {
+    std::vector<std::uint16_t> Order;
+    for (common::TimePoint Now = RelayStart + 300ms; Now < RelayStart + 400ms; Now += 30ms) {
+      Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 1, 0}, Now);
+      for (const auto &Each : Balancer.Steering.onTimer(Now))
+        if (Each.What == Kind::Forward && Each.Reason == SteeringReason::Placed)
+          Order.push_back(Each.Key.Caller.Port);
+    }
+    return Order;
+  }
+
   void testFirstPacket_allFull_waitsForCapacity() {
     Node Balancer;
     fill(Balancer, RelayStart);
@@ -156,15 +169,7 @@
     (void)Balancer.send(firstPacket(relayKey(1)), RelayStart);
     (void)Balancer.send(firstPacket(relayKey(2)), RelayStart + 250ms);
     (void)Balancer.send(firstPacket(relayKey(3)), RelayStart + 260ms);
-    // Room for one flow, then for the next ones; the objective is 200 ms.
-    std::vector<std::uint16_t> Order;
-    for (common::TimePoint Now = RelayStart + 300ms; Now < RelayStart + 400ms; Now += 30ms) {
-      Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 1, 0}, Now);
-      for (const auto &Each : Balancer.Steering.onTimer(Now))
-        if (Each.What == Kind::Forward && Each.Reason == SteeringReason::Placed)
-          Order.push_back(Each.Key.Caller.Port);
-    }
-    CPPUNIT_ASSERT((Order == std::vector<std::uint16_t>{3, 2, 1}));
+    CPPUNIT_ASSERT((releaseOrder(Balancer) == std::vector<std::uint16_t>{3, 2, 1}));
   }
 
   void testHeld_urgentFlows_goBeforeOthersInTime() {
@@ -173,14 +178,7 @@
     (void)Balancer.send(firstPacket(relayKey(1, OrdersAddress)), RelayStart);
     (void)Balancer.send(firstPacket(relayKey(2, OrdersAddress)), RelayStart + 250ms);
     (void)Balancer.send(firstPacket(relayKey(3)), RelayStart + 260ms);
-    std::vector<std::uint16_t> Order;
-    for (common::TimePoint Now = RelayStart + 300ms; Now < RelayStart + 400ms; Now += 30ms) {
-      Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 1, 0}, Now);
-      for (const auto &Each : Balancer.Steering.onTimer(Now))
-        if (Each.What == Kind::Forward && Each.Reason == SteeringReason::Placed)
-          Order.push_back(Each.Key.Caller.Port);
-    }
-    CPPUNIT_ASSERT((Order == std::vector<std::uint16_t>{2, 3, 1}));
+    CPPUNIT_ASSERT((releaseOrder(Balancer) == std::vector<std::uint16_t>{2, 3, 1}));
   }
 
   void testFirstPacket_whileUrgentFlowsWait_doesNotOvertakeThem() {
--- a/tests/whole_path_test.cpp
+++ b/tests/whole_path_test.cpp
@@ -18,6 +18,34 @@
     return Prefix + std::to_string(I);
   }
 
+  /// Starts a service with these upstreams and balancers; returns its address once all upstreams
+  /// are candidates for it.
+  static common::Endpoint startDesk(WholePath &Path, const std::vector<std::string> &Upstreams,
+                                    const std::vector<std::string> &Balancers) {
+    const auto Desk = Path.addService("desk", "app=desk");
+    for (const auto &Id : Upstreams)
+      Path.addUpstream(Id, "desk");
+    for (const auto &Id : Balancers)
+      Path.addBalancer(Id);
+    Path.publish();
+    Path.awaitInForce();
+    Path.sprayOver(Balancers);
+    Path.runUntil("all upstreams are candidates",
+                  [&] { return Path.candidates(Balancers.front(), Desk) == Upstreams.size(); });
+    return Desk;
+  }
+
+  /// Callers of which each has had one answer on its flow.
+  static std::vector<std::unique_ptr<KeepAliveCaller>>
+  openCallers(WholePath &Path, common::Endpoint Service, std::size_t Count) {
+    std::vector<std::unique_ptr<KeepAliveCaller>> Callers;
+    for (std::size_t I = 0; I < Count; ++I) {
+      Callers.push_back(std::make_unique<KeepAliveCaller>(Path, Service));
+      CPPUNIT_ASSERT_EQUAL(200U, Callers[I]->request("GET", "/status", name("before-", I)).Status);
+    }
+    return Callers;
+  }
+
 public:
   // Guards against requests of the old service that run on a relabelled upstream because they come
   // on flows that were opened before, and against breaking such flows or a running feed.
@@ -34,11 +62,7 @@
     Path.sprayOver({"b1"});
     Path.runUntil("two candidates", [&] { return Path.candidates("b1", Desk) == 2; });
 
-    std::vector<std::unique_ptr<KeepAliveCaller>> Callers;
-    for (std::size_t I = 0; I < 12; ++I) {
-      Callers.push_back(std::make_unique<KeepAliveCaller>(Path, Desk));
-      CPPUNIT_ASSERT_EQUAL(200U, Callers[I]->request("GET", "/status", name("before-", I)).Status);
-    }
+    const auto Callers = openCallers(Path, Desk, 12);
     std::vector<std::shared_ptr<Reply>> Feeds;
     std::vector<std::unique_ptr<KeepAliveCaller>> Readers;
     for (std::size_t I = 0; I < 4; ++I) {
@@ -74,20 +98,8 @@
   // while a request is on its way.
   void testStop_idleFlows_moveAndAgentLeaves() {
     WholePath Path;
-    const auto Desk = Path.addService("desk", "app=desk");
-    for (const char *Id : {"a", "b", "c"})
-      Path.addUpstream(Id, "desk");
-    Path.addBalancer("b1");
-    Path.addBalancer("b2");
-    Path.publish();
-    Path.awaitInForce();
-    Path.sprayOver({"b1", "b2"});
-    Path.runUntil("three candidates", [&] { return Path.candidates("b1", Desk) == 3; });
-    std::vector<std::unique_ptr<KeepAliveCaller>> Callers;
-    for (std::size_t I = 0; I < 20; ++I) {
-      Callers.push_back(std::make_unique<KeepAliveCaller>(Path, Desk));
-      CPPUNIT_ASSERT_EQUAL(200U, Callers[I]->request("GET", "/status", name("before-", I)).Status);
-    }
+    const auto Desk = startDesk(Path, {"a", "b", "c"}, {"b1", "b2"});
+    const auto Callers = openCallers(Path, Desk, 20);
     for (const char *Id : {"a", "b"}) {
       Path.stopAgent(Id);
       while (!Path.process(Id).Left) {
@@ -108,20 +120,9 @@
   // had taken the flow, was declared dead and came back.
   void testStop_targetDiesDuringMove_runsAtMostOnce() {
     WholePath Path;
-    const auto Desk = Path.addService("desk", "app=desk");
-    for (const char *Id : {"a", "b"})
-      Path.addUpstream(Id, "desk");
-    Path.addBalancer("b1");
-    Path.publish();
-    Path.awaitInForce();
-    Path.sprayOver({"b1"});
-    Path.runUntil("two candidates", [&] { return Path.candidates("b1", Desk) == 2; });
-    std::vector<std::unique_ptr<KeepAliveCaller>> Callers;
+    const auto Desk = startDesk(Path, {"a", "b"}, {"b1"});
     // More flows than moves that may begin at once: the later ones carry an order that waits.
-    for (std::size_t I = 0; I < 100; ++I) {
-      Callers.push_back(std::make_unique<KeepAliveCaller>(Path, Desk));
-      CPPUNIT_ASSERT_EQUAL(200U, Callers[I]->request("GET", "/status", name("before-", I)).Status);
-    }
+    const auto Callers = openCallers(Path, Desk, 100);
     Path.stopAgent("a");
     Path.process("b").Runs = false;
     std::vector<std::shared_ptr<Reply>> Replies;
@@ -143,15 +144,7 @@
   // reordered, a balancer and an agent die, the store is out, and callers resend what is unknown.
   void testOrders_faultyNetworkAndKills_runAtMostOnce() {
     WholePath Path;
-    const auto Desk = Path.addService("desk", "app=desk");
-    for (const char *Id : {"a", "b", "c", "d"})
-      Path.addUpstream(Id, "desk");
-    Path.addBalancer("b1");
-    Path.addBalancer("b2");
-    Path.publish();
-    Path.awaitInForce();
-    Path.sprayOver({"b1", "b2"});
-    Path.runUntil("four candidates", [&] { return Path.candidates("b1", Desk) == 4; });
+    const auto Desk = startDesk(Path, {"a", "b", "c", "d"}, {"b1", "b2"});
     Path.Fabric->setFaults({0.03, 0.03, 0.2, {}});
 
     struct Order {
