--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -7,22 +7,20 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace galenarelay::node {
 
-/// Shortest interval of reports to a balancer. With many balancers it grows, so that reports stay
-/// below ReportsPerSecond in all.
-inline constexpr common::Duration MinReportInterval = std::chrono::milliseconds(60);
-/// At 100 bytes a report this is below the 15 KB/s that a node may use for control.
-inline constexpr double ReportsPerSecond = 120;
-/// Longest interval of reports: below a third of relay::ReportStale.
-inline constexpr common::Duration MaxReportInterval = std::chrono::milliseconds(190);
-/// Interval of reports to addresses that have not answered, while no balancer has and afterwards.
+/// Interval of reports to one balancer in turn: they tell nodes that missed a change, and that the
+/// agent exists. Load is asked for.
+inline constexpr common::Duration ReportInterval = std::chrono::milliseconds(200);
+/// A change is reported to all balancers once more after this time, as datagrams may be lost.
+inline constexpr common::Duration ReportRepeat = std::chrono::milliseconds(300);
+/// Interval of reports to all addresses that may be balancers while none has answered.
 inline constexpr common::Duration FirstContactInterval = std::chrono::milliseconds(60);
-inline constexpr common::Duration ContactInterval = std::chrono::milliseconds(1000);
 /// The store is asked for balancers again if none has been heard when this time has passed.
 inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
 /// An answer that took this long gets a log line: about a latency objective.
@@ -77,7 +75,7 @@
                 {{"flows", Flows.flows()}, {"upstream_ended", UpstreamEnded}});
     if (UpstreamEnded)
       perform(Flows.resetAll(), {}, Now);
-    sendReports(Now);
+    reportToAll(Now);
     if (UpstreamEnded)
       co_await Record.remove();
     else
@@ -182,8 +180,14 @@
   void onPeerDatagram(std::span<const std::uint8_t> Raw, relay::NodeAddress From) {
     const auto Now = common::suspendAwareNow();
     const auto Message = relay::decodeMessage(Raw);
-    if (const auto *Query = Message ? std::get_if<relay::FlowQuery>(&*Message) : nullptr)
+    if (const auto *Query = Message ? std::get_if<relay::FlowQuery>(&*Message) : nullptr) {
+      Peers.addContact(From, Now);
       return sendTo(From, Flows.onQuery(*Query, Now));
+    }
+    if (Message && std::holds_alternative<relay::LoadQuery>(*Message)) {
+      Peers.addContact(From, Now);
+      return sendTo(From, Flows.onLoadQuery(From, Now));
+    }
     const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
     if (Beacon == nullptr)
       return MalformedPackets.Increment();
@@ -194,7 +198,6 @@
                  {"address", common::addressToString(From)},
                  {"incarnation", Beacon->Incarnation}});
     sendTo(From, report(Now));
-    NextContact = Now;
   }
 
   relay::AgentReport report(common::TimePoint Now) {
@@ -213,17 +216,27 @@
     return Made;
   }
 
+  void reportToAll(common::TimePoint Now) { sendToAll(Peers.all(), report(Now)); }
+
+  void reportChange(common::TimePoint Now) {
+    reportToAll(Now);
+    RepeatAt = Now + ReportRepeat;
+  }
+
   void sendReports(common::TimePoint Now) {
-    const auto Live = Peers.live(Now);
-    const relay::PeerMessage Message = report(Now);
-    sendToAll(Live, Message);
-    const auto Spread = std::chrono::duration_cast<common::Duration>(
-        std::chrono::duration<double>(static_cast<double>(Live.size()) / ReportsPerSecond));
-    NextReport = Now + std::clamp(Spread, MinReportInterval, MaxReportInterval);
-    if (Now < NextContact)
+    if (RepeatAt && Now >= *RepeatAt) {
+      RepeatAt.reset();
+      reportToAll(Now);
+    }
+    if (Now < NextReport)
       return;
-    NextContact = Now + (Live.empty() ? FirstContactInterval : ContactInterval);
-    sendToAll(Peers.contacts(Now), Message);
+    if (Peers.live(Now).empty()) {
+      NextReport = Now + FirstContactInterval;
+      return reportToAll(Now);
+    }
+    NextReport = Now + ReportInterval;
+    if (const auto Balancer = NextBalancer.next(Peers.all()))
+      sendTo(*Balancer, report(Now));
   }
 
   void onTick(common::TimePoint Now, common::Duration Pause) {
@@ -232,8 +245,7 @@
     noteUpstreamGone(Now);
     perform(Flows.onTimer(Now), {}, Now);
     noteState(Now);
-    if (Now >= NextReport)
-      sendReports(Now);
+    sendReports(Now);
     Peers.forgetOld(Now);
     for (const auto &Answer : Flows.takeAnswerTimes())
       noteAnswer(Answer, Now);
@@ -274,7 +286,7 @@
                  {"unanswered", Flows.load().Unanswered}});
     // A balancer that starts waits for every agent in the store before it takes a flow for ended.
     Record.want(Is != relay::UpstreamState::Ended);
-    sendReports(Now);
+    reportChange(Now);
   }
 
   // --- heartbeats and admin
@@ -341,7 +353,7 @@
     this->readRecords(Page, [&](const std::string &, relay::NodeAddress Address) {
       Peers.addContact(Address, Now);
     });
-    NextContact = {};
+    NextReport = {};
   }
 
   common::Endpoint Upstream;     ///< UDP, packets for the upstream.
@@ -349,7 +361,8 @@
   relay::UpstreamFlows Flows;
   std::unique_ptr<common::UdpSocket> Outbound;
   common::TimePoint NextReport{};
-  common::TimePoint NextContact{};
+  std::optional<common::TimePoint> RepeatAt;
+  relay::Rotation NextBalancer;
   std::uint64_t ReportNumber = 0;
   bool UpstreamGone = false;
   relay::UpstreamState LastState = relay::UpstreamState::Unknown;
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -14,9 +14,18 @@
 
 namespace galenarelay::node {
 
-/// Interval of beacons to other balancers, and to agents and addresses that have not answered.
-inline constexpr common::Duration PeerBeaconInterval = std::chrono::milliseconds(300);
-inline constexpr common::Duration AgentBeaconInterval = std::chrono::milliseconds(1000);
+/// Interval of beacons to one other balancer, and to one agent, in turn.
+inline constexpr common::Duration BeaconInterval = std::chrono::milliseconds(100);
+static_assert(std::chrono::duration<double>(BeaconInterval).count() * relay::BeaconsPerSecond == 1);
+/// Interval of beacons to all contacts while no balancer has answered.
+inline constexpr common::Duration FirstBeaconInterval = std::chrono::milliseconds(300);
+/// Balancers that are told at once of a new configuration, and tell as many in turn: 98% have it
+/// after log(n) steps (Demers et al. 1987), and the others learn of it from beacons.
+inline constexpr std::size_t SpreadFanout = 4;
+/// Balancers named in a beacon. One that names fewer knows no more, and gets whole lists.
+inline constexpr std::size_t BeaconSample = 8;
+/// Interval at which a node checks whether it has become one that watches the store.
+inline constexpr common::Duration WatcherCheck = std::chrono::milliseconds(500);
 /// Changes of the configuration that come within this time share one read of the store.
 inline constexpr common::Duration WatchPause = std::chrono::milliseconds(100);
 /// A newer configuration of a peer is fetched if the store has not brought it within this time.
@@ -28,8 +37,6 @@
 /// It ends once no packet has come for this time, or after MaxDrainTime, below the grace time.
 inline constexpr common::Duration QuietTime = std::chrono::milliseconds(400);
 inline constexpr common::Duration MaxDrainTime = std::chrono::milliseconds(4500);
-/// Agents named in one log line.
-inline constexpr std::size_t MaxLoggedAgents = 5;
 
 /// A balancer of relayed flows: connects its decisions to sockets, timers and the store.
 template <RelayPlatform Platform> class RelayBalancer : impl::RelayNode<Platform> {
@@ -69,7 +76,7 @@
     Leaving = true;
     const auto Begin = common::suspendAwareNow();
     common::log(common::LogLevel::Info, "stopping", {{"flows", Steering.flows()}});
-    sendBeacons(Begin, true);
+    announce(Begin);
     spawn(Record.remove());
     while (true) {
       co_await impl::pauseFor(impl::RelayTick);
@@ -111,30 +118,32 @@
     if (!Head)
       return MalformedPackets.Increment();
     perform(Steering.onPacket(*Head, Raw, Now), Raw, Now);
-    sendQueries(Now);
+    sendQuestions(Now);
   }
 
-  void sendQueries(common::TimePoint Now) {
-    const auto Query = Steering.takeQuery(Now);
-    if (!Query)
-      return;
-    sendToAll(Query->Agents, Query->Message);
-    nlohmann::json Silent = nlohmann::json::array();
-    for (std::size_t I = 0; I < std::min(Query->Silent.size(), MaxLoggedAgents); ++I)
-      Silent.push_back(common::addressToString(Query->Silent[I]));
-    common::log(common::LogLevel::Info, "flows_searched",
-                {{"query", Query->Message.Number},
-                 {"flows", Query->Message.Rows.size()},
-                 {"agents", Query->Agents.size()},
-                 {"unanswered_before", Query->Silent.size()},
-                 {"unanswered_by", std::move(Silent)}});
+  void sendQuestions(common::TimePoint Now) {
+    relay::SteeringActions Out;
+    const auto Questions = Steering.takeQuestions(Now, Out);
+    std::size_t Rows = 0;
+    for (const auto &Each : Questions) {
+      Rows += Each.Message.Rows.size();
+      sendTo(Each.Agent, Each.Message);
+    }
+    if (!Questions.empty() && mayLogFlow(Now))
+      common::log(common::LogLevel::Info, "flows_searched",
+                  {{"messages", Questions.size()},
+                   {"rows", Rows},
+                   {"searches", Steering.searches()},
+                   {"agents_known", Directory.size()}});
+    perform(Out, {}, Now);
   }
 
   void perform(const relay::SteeringActions &Actions, std::span<std::uint8_t> Raw,
                common::TimePoint Now) {
     for (const auto &Action : Actions) {
       PacketCounters[static_cast<std::size_t>(Action.Reason)]->Increment();
-      if (Action.Reason != relay::SteeringReason::Known)
+      if (Action.Reason != relay::SteeringReason::Known &&
+          Action.Reason != relay::SteeringReason::Asked)
         logDecision(Action, Now);
       switch (Action.What) {
       case relay::SteeringAction::Kind::Forward:
@@ -144,6 +153,9 @@
         Packets->send(Platform::Packets::reset(Action.Key, Action.Sequence),
                       {Action.Key.Caller.Address, Options.Packets.Port});
         break;
+      case relay::SteeringAction::Kind::Ask:
+        sendTo(Action.Agent, relay::LoadQuery{});
+        break;
       case relay::SteeringAction::Kind::Drop:
         break;
       }
@@ -197,7 +209,7 @@
     using Change = relay::UpstreamDirectory::Change;
     const auto Effect = Directory.onReport(From, Report, Now);
     if (Effect == Change::Appeared)
-      sendTo(From, beacon(Now, false));
+      sendTo(From, beacon(Now));
     if (Effect == Change::Appeared || Effect == Change::StateChanged)
       common::log(common::LogLevel::Info, "agent_changed",
                   {{"agent", Report.Id},
@@ -207,7 +219,12 @@
                    {"incarnation", Report.Incarnation},
                    {"upstream_incarnation", Report.UpstreamIncarnation},
                    {"report", Report.Number}});
-    perform(Steering.onRoom(Now), {}, Now);
+    perform(Steering.onLoadKnown(Now), {}, Now);
+  }
+
+  void take(const relay::LoadAnswer &Answer, relay::NodeAddress From, common::TimePoint Now) {
+    Directory.onAnswer(From, Answer, Now);
+    perform(Steering.onLoadKnown(Now), {}, Now);
   }
 
   void take(const relay::BalancerBeacon &Beacon, relay::NodeAddress From, common::TimePoint Now) {
@@ -216,17 +233,17 @@
     std::erase_if(Unheard,
                   [this](relay::NodeAddress Agent) { return Directory.find(Agent) != nullptr; });
     if (!Unheard.empty())
-      sendToAll(Unheard, beacon(Now, false));
+      sendToAll(Unheard, beacon(Now));
     if (New) {
       common::log(common::LogLevel::Info, "balancer_appeared",
                   {{"balancer", Beacon.Id},
                    {"address", common::addressToString(From)},
                    {"incarnation", Beacon.Incarnation},
                    {"revision", Beacon.Held}});
-      sendTo(From, beacon(Now, true));
-      if (Beacon.Zone == Options.Zone)
-        for (auto &Share : Steering.allShares())
-          sendTo(From, std::move(Share));
+      if (Beacon.Balancers.size() < BeaconSample)
+        sendLists(From, Now);
+      else
+        sendTo(From, beacon(Now));
     }
     if (Beacon.Held > Steering.routes().revision() && !std::exchange(Fetching, true))
       spawn(fetchFromPeers());
@@ -245,6 +262,9 @@
   void take(const relay::FlowQuery &, relay::NodeAddress, common::TimePoint) {
     MalformedPackets.Increment();
   }
+  void take(const relay::LoadQuery &, relay::NodeAddress, common::TimePoint) {
+    MalformedPackets.Increment();
+  }
 
   void take(const relay::ReturnedPacket &Returned, relay::NodeAddress From, common::TimePoint Now) {
     const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
@@ -264,35 +284,63 @@
     perform(Steering.onAbsence(Absence, From, Now), {}, Now);
   }
 
-  void take(const relay::FlowShare &Share, relay::NodeAddress, common::TimePoint Now) {
-    perform(Steering.onShare(Share, Now), {}, Now);
-  }
-
-  relay::BalancerBeacon beacon(common::TimePoint Now, bool WithAgents) const {
-    relay::BalancerBeacon Made{
-        Options.Id, Options.Zone,    Incarnation, Steering.routes().revision(),
-        Leaving,    Peers.live(Now), {}};
-    if (WithAgents)
-      Made.Agents = Directory.agents();
-    Made.Balancers.resize(std::min(Made.Balancers.size(), relay::MaxBeaconAddresses));
-    Made.Agents.resize(std::min(Made.Agents.size(), relay::MaxBeaconAddresses));
+  relay::BalancerBeacon beacon(common::TimePoint Now) {
+    relay::BalancerBeacon Made{Options.Id, Options.Zone, Incarnation, Steering.routes().revision(),
+                               Leaving,    {},           {}};
+    const auto Live = Peers.live(Now);
+    for (std::size_t I = 0; I < std::min(BeaconSample, Live.size()); ++I)
+      Made.Balancers.push_back(*Named.next(Live));
     return Made;
   }
 
-  void sendBeacons(common::TimePoint Now, bool Everyone) {
-    const relay::PeerMessage Message = beacon(Now, false);
+  /// Tells a node that has just started of all others, in as many messages as it takes.
+  void sendLists(relay::NodeAddress To, common::TimePoint Now) {
     const auto Live = Peers.live(Now);
-    if (Everyone || Now >= NextPeerBeacon) {
-      NextPeerBeacon = Now + PeerBeaconInterval;
-      sendToAll(Live, Message);
-    }
-    if (Everyone || Now >= NextAgentBeacon) {
-      NextAgentBeacon = Now + AgentBeaconInterval;
-      sendToAll(Directory.agents(), Message);
+    const auto Agents = Directory.agents();
+    for (std::size_t Begin = 0; Begin == 0 || Begin < std::max(Live.size(), Agents.size());
+         Begin += relay::MaxBeaconAddresses) {
+      auto Part = beacon(Now);
+      Part.Balancers = slice(Live, Begin);
+      Part.Agents = slice(Agents, Begin);
+      sendTo(To, std::move(Part));
     }
-    if (Everyone || Now >= NextContact) {
-      NextContact = Now + (Live.empty() ? PeerBeaconInterval : AgentBeaconInterval);
-      sendToAll(Peers.contacts(Now), Message);
+  }
+  static std::vector<relay::NodeAddress> slice(const std::vector<relay::NodeAddress> &All,
+                                               std::size_t Begin) {
+    const auto From = std::min(Begin, All.size());
+    const auto To = std::min(Begin + relay::MaxBeaconAddresses, All.size());
+    return {All.begin() + static_cast<std::ptrdiff_t>(From),
+            All.begin() + static_cast<std::ptrdiff_t>(To)};
+  }
+
+  /// Tells every node of a change that all have to know.
+  void announce(common::TimePoint Now) {
+    const relay::PeerMessage Message = beacon(Now);
+    sendToAll(Peers.all(), Message);
+    sendToAll(Directory.agents(), Message);
+  }
+
+  /// Tells some balancers of a new configuration.
+  void spreadRevision(common::TimePoint Now) {
+    auto Live = Peers.live(Now);
+    const auto Count = std::min(SpreadFanout, Live.size());
+    for (std::size_t I = 0; I < Count; ++I)
+      std::swap(Live[I], Live[I + common::uniformBelow(Random, Live.size() - I)]);
+    Live.resize(Count);
+    sendToAll(Live, beacon(Now));
+  }
+
+  void sendBeacons(common::TimePoint Now) {
+    if (Now < NextBeacon)
+      return;
+    NextBeacon = Now + BeaconInterval;
+    if (const auto Peer = NextPeer.next(Peers.all()))
+      sendTo(*Peer, beacon(Now));
+    if (const auto Agent = NextAgent.next(Directory.agents()))
+      sendTo(*Agent, beacon(Now));
+    if (Now >= NextContact && Peers.live(Now).empty()) {
+      NextContact = Now + FirstBeaconInterval;
+      sendToAll(Peers.contacts(Now), beacon(Now));
     }
   }
 
@@ -303,22 +351,15 @@
     }
     Steering.setRoutesCurrent(routesCurrent(Now));
     perform(Steering.onTimer(Now), {}, Now);
-    sendQueries(Now);
+    sendQuestions(Now);
+    sendToAll(Directory.takeQuestions(Now), relay::LoadQuery{});
     for (const auto Agent : Directory.takeLost(Now)) {
       common::log(common::LogLevel::Warning, "agent_lost",
                   {{"agent", common::addressToString(Agent)},
                    {"silent_ms", common::wholeMilliseconds(Now - Directory.find(Agent)->HeardAt)}});
       perform(Steering.onAgentLost(Agent), {}, Now);
     }
-    sendBeacons(Now, false);
-    if (const auto Shares = Steering.takeShares(Now); !Shares.empty()) {
-      auto Neighbours = Peers.live(Now);
-      std::erase_if(Neighbours, [this](relay::NodeAddress Peer) {
-        return Peers.find(Peer)->Zone != Options.Zone;
-      });
-      for (const auto &Share : Shares)
-        sendToAll(Neighbours, Share);
-    }
+    sendBeacons(Now);
     for (const auto Time : Steering.takeOpeningTimes())
       OpeningSeconds.Observe(std::chrono::duration<double>(Time).count());
     Directory.forgetSilent(Now);
@@ -380,7 +421,7 @@
   bool routesCurrent(common::TimePoint Now) const {
     const bool StoreAnswers = Now - StoreAnswerAt <= impl::StoreWatchWait + impl::StoreCallTimeout;
     return StoreAnswers ||
-           (!Peers.live(Now).empty() && !Peers.aheadOf(Steering.routes().revision(), Now));
+           (!Peers.live(Now).empty() && !Peers.aheadOf(Steering.routes().revision(), Options.Zone));
   }
 
   void offer(const std::string &Text, const char *Source) {
@@ -406,7 +447,7 @@
                  {"previous", Held},
                  {"source", Source},
                  {"routes", Steering.routes().size()}});
-    NextPeerBeacon = {};
+    spreadRevision(common::suspendAwareNow());
   }
 
   /// Takes the newest value of the configuration among items of the store.
@@ -426,6 +467,12 @@
     bool Listed = false;
     impl::CallPause Pause(impl::MinCallPause, impl::MaxCallPause, Random);
     while (true) {
+      if (Steering.routes().revision() != 0 &&
+          !Peers.watches(Options.Zone, common::suspendAwareNow())) {
+        Listed = false;
+        co_await impl::pauseFor(WatcherCheck);
+        continue;
+      }
       // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
       common::Outcome<relay::StorePage> Page;
       if (Listed)
@@ -451,17 +498,19 @@
     }
   }
 
+  /// One that watches the store waits for it, so that a peer isn't asked in vain.
   Awaitable<void> fetchFromPeers() {
-    co_await impl::pauseFor(PeerFetchDelay);
-    while (const auto Ahead =
-               Peers.aheadOf(Steering.routes().revision(), common::suspendAwareNow())) {
+    if (Peers.watches(Options.Zone, common::suspendAwareNow()))
+      co_await impl::pauseFor(PeerFetchDelay);
+    while (const auto Ahead = Peers.aheadOf(Steering.routes().revision(), Options.Zone)) {
       const common::Endpoint Peer{*Ahead, Options.Admin.Port};
       const auto Answer =
           co_await common::httpCall(Peer, "GET", "/v1/config", "", PeerFetchTimeout);
+      const relay::Revision Before = Steering.routes().revision();
       if (Answer && Answer->Status == 200)
         offer(Answer->Body, "peer");
-      else
-        co_await impl::pauseFor(impl::jittered(impl::MinCallPause, Random));
+      if (Steering.routes().revision() == Before)
+        Peers.noteUnreachable(*Ahead);
     }
     Fetching = false;
   }
@@ -491,8 +540,8 @@
         Agents.push_back(Address);
       }
     });
-    sendToAll(Agents, beacon(Now, false));
-    NextContact = {};
+    sendToAll(Agents, beacon(Now));
+    sendToAll(Peers.contacts(Now), beacon(Now));
     if (!Page.More)
       Steering.setAgentsListed(Now);
   }
@@ -500,9 +549,11 @@
   relay::UpstreamDirectory Directory;
   relay::FlowSteering Steering;
   common::TimePoint LastPacketAt{};
-  common::TimePoint NextPeerBeacon{};
-  common::TimePoint NextAgentBeacon{};
+  common::TimePoint NextBeacon{};
   common::TimePoint NextContact{};
+  relay::Rotation NextPeer;
+  relay::Rotation NextAgent;
+  relay::Rotation Named; ///< Balancers in beacons.
   common::TimePoint StoreAnswerAt{};
   std::string ConfigurationText; ///< As the operator wrote it, for peers.
   bool Fetching = false;
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -38,8 +38,12 @@
 inline constexpr common::Duration HoldTimeout = std::chrono::milliseconds(1200);
 /// First packets that wait. At the bound a new one is refused at once.
 inline constexpr std::size_t MaxHeldFlows = 1000;
-/// A flow that has been open for this time is told to the peers of the zone.
-inline constexpr common::Duration ShareAge = std::chrono::milliseconds(300);
+/// A caller's packet that repeats an earlier one is taken for a sign that its agent may be lost if
+/// the agent has not been heard for this time: half a caller's first retransmission interval.
+inline constexpr common::Duration RepeatDoubt = std::chrono::milliseconds(100);
+/// Packets that agents which are unsure of flows are given in one call, so that the restart of all
+/// agents doesn't flood upstreams with packets of flows that they don't hold.
+inline constexpr std::size_t MaxDoubtedPackets = 200;
 /// An ended flow is remembered for its last packets: longer than three retransmissions.
 inline constexpr common::Duration EndedRetention = std::chrono::seconds(4);
 /// A flow without packets is forgotten after this time; a search finds it again.
@@ -61,6 +65,7 @@
   NoRoute,       ///< The configuration has no such service endpoint.
   NoUpstream,    ///< No upstream of the service takes the flow.
   Held,          ///< All upstreams are full; the flow waits for one of them.
+  Asked,         ///< The agent tells its load before a new flow is placed.
   Overloaded,    ///< The flow has waited for as long as its caller does, or too many wait.
   NotReady,      ///< This node doesn't know enough yet.
   SearchLimited, ///< Dropped since too many packets wait for searches.
@@ -68,18 +73,23 @@
   HeldNowhere, ///< All agents deny the flow: its upstream has ended.
   AgentLost    ///< The flow's agent is unreachable, and the caller may repeat its requests.
 };
-inline constexpr std::size_t SteeringReasons = 14;
+inline constexpr std::size_t SteeringReasons = 15;
 
 [[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
 
 /// What to do with a packet.
 struct SteeringAction {
-  enum class Kind : std::uint8_t { Forward, Reset, Drop };
+  enum class Kind : std::uint8_t {
+    Forward,
+    Reset,
+    Ask, ///< Send a LoadQuery to the agent.
+    Drop
+  };
 
   Kind What = Kind::Drop;
   SteeringReason Reason = SteeringReason::NotReady;
   packet::FlowKey Key;
-  NodeAddress Agent = 0;              ///< For Forward.
+  NodeAddress Agent = 0;              ///< For Forward and Ask.
   Transit Fields;                     ///< For Forward.
   std::uint32_t Sequence = 0;         ///< For Reset.
   std::uint8_t Attempt = 0;           ///< Placements of the flow so far.
@@ -104,6 +114,7 @@
   /// Whether the routes are known to be current, so that an unknown endpoint is refused at once.
   void setRoutesCurrent(bool Current) noexcept { RoutesCurrent = Current; }
   [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
+  [[nodiscard]] std::size_t searches() const noexcept { return Search.size(); }
   /// The agent of a flow; 0 if it isn't known.
   [[nodiscard]] NodeAddress agentOf(const packet::FlowKey &Key) const;
 
@@ -112,8 +123,8 @@
   /// A packet that an agent gave back, without the mark of its upstream.
   [[nodiscard]] SteeringActions onReturned(const PacketHead &Head, const ReturnedPacket &Returned,
                                            NodeAddress From, common::TimePoint Now);
-  /// The next question to agents, if one is due.
-  [[nodiscard]] std::optional<FlowSearch::Query> takeQuery(common::TimePoint Now);
+  /// Questions to agents for flows that are searched, and resets of flows that nobody holds.
+  [[nodiscard]] FlowSearch::Questions takeQuestions(common::TimePoint Now, SteeringActions &Out);
   [[nodiscard]] SteeringActions onAnswer(const FlowAnswer &Answer, NodeAddress From,
                                          common::TimePoint Now);
   /// An agent's upstream has denied a flow.
@@ -124,19 +135,14 @@
   [[nodiscard]] SteeringActions onAgentLost(NodeAddress Agent);
   [[nodiscard]] SteeringActions onNotice(const FlowNotice &Notice, NodeAddress From,
                                          common::TimePoint Now);
-  [[nodiscard]] SteeringActions onShare(const FlowShare &Share, common::TimePoint Now);
-  /// An agent may have room for a flow that waits.
-  [[nodiscard]] SteeringActions onRoom(common::TimePoint Now);
+  /// An agent has told its load: flows that wait for that, or for room, may be placed.
+  [[nodiscard]] SteeringActions onLoadKnown(common::TimePoint Now);
   /// Times from first packets to their acceptance, since the last call.
   [[nodiscard]] std::vector<common::Duration> takeOpeningTimes() {
     return std::exchange(OpeningTimes, {});
   }
   /// Places flows again whose agent has not answered; forgets old flows.
   [[nodiscard]] SteeringActions onTimer(common::TimePoint Now);
-  /// Open flows that the peers of the zone have not been told of.
-  [[nodiscard]] std::vector<FlowShare> takeShares(common::TimePoint Now);
-  /// All open flows, for a peer that has just started.
-  [[nodiscard]] std::vector<FlowShare> allShares() const;
 
 private:
   /// A new flow until an upstream accepts it.
@@ -144,13 +150,17 @@
     std::string Service;
     FlowKind Kind = FlowKind::Short;
     std::shared_ptr<const Bytes> Packet;
-    std::vector<NodeAddress> Tried; ///< In order; the last one has the packet.
-    std::vector<NodeAddress> Busy;  ///< Those of Tried that declined because they are busy.
+    std::vector<NodeAddress> Candidates;     ///< Best first.
+    std::size_t Considered = NearCandidates; ///< How many of them may get the flow so far.
+    std::vector<NodeAddress> Tried;          ///< In order; the last one has the packet.
+    std::vector<NodeAddress> Busy; ///< Those of Tried that declined because they are busy.
     common::TimePoint StartedAt{};
     bool Waiting = false; ///< The last one of Tried has not declined yet.
+    bool Asking = false;  ///< In AskingFlows.
     bool Held = false;    ///< In HeldFlows.
     bool WasHeld = false;
-    bool MetFull = false; ///< An agent declined because its upstream has enough work.
+    bool OthersWait = false; ///< Further held flows go to the same service.
+    bool MetFull = false;    ///< An agent declined because its upstream has enough work.
     common::Duration LatencyObjective{};
     std::uint32_t Priority = 0; ///< 0 is the most urgent.
   };
@@ -161,9 +171,10 @@
     NodeAddress Other = 0; ///< A second agent whose upstream accepted the first packet.
     common::TimePoint StateAt{};
     common::TimePoint UsedAt{};
-    bool Shared = false;
     bool HasAcknowledgement = false;
+    bool HasData = false;
     std::uint32_t Acknowledgement = 0; ///< The caller's last one, near which a reset must be.
+    std::uint32_t DataEnd = 0;         ///< Sequence number after the caller's data so far.
     std::unique_ptr<Opening> Open;
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
@@ -172,11 +183,24 @@
                 SteeringActions &Out);
   void repeatFirstPacket(const PacketHead &Head, Flow &Held, common::TimePoint Now,
                          SteeringActions &Out);
-  void place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
+  /// Where a new flow may go.
+  enum class Scope : std::uint8_t {
+    Candidates, ///< Those of the flow, asked for their load if the figure is old.
+    Service     ///< Any agent of the service, by the figures at hand.
+  };
+  void place(const packet::FlowKey &Key, Flow &Held, Scope Where, common::TimePoint Now,
+             SteeringActions &Out);
   void placeAt(NodeAddress Agent, bool Insist, const packet::FlowKey &Key, Flow &Held,
                common::TimePoint Now, SteeringActions &Out);
-  /// An agent that has not been tried and isn't full; empty if there is none, or enough were tried.
-  [[nodiscard]] std::optional<NodeAddress> nextChoice(const Opening &Open, common::TimePoint Now);
+  /// An agent that has not been tried and isn't full; empty if there is none, or enough were tried,
+  /// or while agents are asked (Opening::Asking).
+  [[nodiscard]] std::optional<NodeAddress> nextChoice(const packet::FlowKey &Key, Opening &Open,
+                                                      Scope Where, common::TimePoint Now,
+                                                      SteeringActions &Out);
+  /// Asks the agents under consideration whose figures are old; true while an answer may come.
+  bool askConsidered(const packet::FlowKey &Key, const Opening &Open, common::TimePoint Now,
+                     SteeringActions &Out);
+  void continueAsking(common::TimePoint Now, SteeringActions &Out);
   void hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
   void keepHeld(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
   void releaseHeld(common::TimePoint Now, SteeringActions &Out);
@@ -197,8 +221,12 @@
   void endSearch(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
   void concludeNowhere(const packet::FlowKey &Key, common::TimePoint Now, SteeringActions &Out);
   static void noteAcknowledgement(const PacketHead &Head, Flow &Held);
-  static void addShare(const packet::FlowKey &Key, NodeAddress Agent,
-                       std::vector<FlowShare> &Shares);
+  /// Asks the agent of a flow whose caller repeats itself.
+  void noteCallerData(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+                      SteeringActions &Out);
+  void ask(NodeAddress Agent, const packet::FlowKey &Key, common::TimePoint Now,
+           SteeringActions &Out);
+  [[nodiscard]] std::vector<NodeAddress> candidatesOf(const packet::FlowKey &Key) const;
   [[nodiscard]] bool mayConclude(common::TimePoint Now) const noexcept;
   [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
   void forgetOld(common::TimePoint Now);
@@ -215,9 +243,10 @@
   std::optional<common::TimePoint> AgentsListedAt;
   FlowMap Flows;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
-  std::deque<std::pair<common::TimePoint, packet::FlowKey>> ShareChecks;
   FlowSearch Search;
   std::vector<packet::FlowKey> HeldFlows;
+  std::vector<packet::FlowKey> AskingFlows;
+  std::size_t DoubtedPackets = 0; ///< Since the last timer call.
   std::vector<common::Duration> OpeningTimes;
   common::BucketSweep Sweep;
 };
--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -39,9 +39,10 @@
 struct Transit {
   std::uint32_t Balancer = 0;      ///< IPv4 address; the upstream keeps it in a returned packet.
   std::uint16_t ServiceDigest = 0; ///< serviceDigest() of the service that the packet is for.
-  bool Search = false; ///< Sent to several agents: one that doesn't hold the flow drops it.
-  bool Insist = false; ///< Open the flow although the upstream is busy.
-  bool Long = false;   ///< The flow is expected to carry many requests.
+  bool Search = false;     ///< Sent to several agents: one that doesn't hold the flow drops it.
+  bool Insist = false;     ///< Open the flow although the upstream is busy.
+  bool Long = false;       ///< The flow is expected to carry many requests.
+  bool OthersWait = false; ///< The balancer has further flows that wait for room.
 
   friend bool operator==(const Transit &, const Transit &) = default;
 };
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -123,25 +123,23 @@
   friend bool operator==(const FlowAbsence &, const FlowAbsence &) = default;
 };
 
-/// A balancer tells its peers at which agents flows are that it forwards.
-struct FlowShare {
-  struct Entry {
-    packet::FlowKey Key;
-    NodeAddress Agent = 0;
+/// A balancer asks an agent for its load.
+struct LoadQuery {
+  friend bool operator==(const LoadQuery &, const LoadQuery &) = default;
+};
 
-    friend bool operator==(const Entry &, const Entry &) = default;
-  };
-  std::vector<Entry> Entries;
+/// Answer to a LoadQuery.
+struct LoadAnswer {
+  UpstreamState State = UpstreamState::Unknown;
+  UpstreamLoad Load;
 
-  friend bool operator==(const FlowShare &, const FlowShare &) = default;
+  friend bool operator==(const LoadAnswer &, const LoadAnswer &) = default;
 };
 
-using PeerMessage = std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowShare,
-                                 FlowAbsence, FlowQuery, FlowAnswer>;
+using PeerMessage = std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket,
+                                 FlowAbsence, FlowQuery, FlowAnswer, LoadQuery, LoadAnswer>;
 
-/// Flows in one FlowShare: it stays below an Ethernet frame.
-inline constexpr std::size_t MaxSharedFlows = 40;
-/// Flows in one FlowQuery, for the same reason.
+/// Flows in one FlowQuery: it stays below an Ethernet frame.
 inline constexpr std::size_t MaxQueriedFlows = 40;
 /// Addresses of one kind in a beacon, for the same reason.
 inline constexpr std::size_t MaxBeaconAddresses = 100;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/common/random.h"
 #include "galenarelay/common/time.h"
+#include "galenarelay/relay/candidates.h"
 #include "galenarelay/relay/peer_message.h"
 
 #include <deque>
@@ -10,18 +11,36 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace galenarelay::relay {
 
-/// An agent without a report for this time gets no new flows while others do: more than three
-/// intervals of reports.
-inline constexpr common::Duration ReportStale = std::chrono::milliseconds(600);
-/// An agent without a report for this time is forgotten.
-inline constexpr common::Duration ReportForget = std::chrono::seconds(30);
-/// An agent that has said nothing for this time, and did not say that it stops, doesn't run or
-/// can't be reached: twenty intervals of reports, so that a late start after a plan isn't meant.
+/// A balancer that has heard no agent for this time is cut off from them: several answers to
+/// questions, which it asks after HearingDoubt.
+inline constexpr common::Duration HearingStale = std::chrono::milliseconds(600);
+/// A balancer that has heard no agent for this time asks some.
+inline constexpr common::Duration HearingDoubt = std::chrono::milliseconds(200);
+/// An agent that has said nothing for this time is forgotten: twice the time in which its reports
+/// go round 700 balancers.
+inline constexpr common::Duration ReportForget = std::chrono::minutes(5);
+/// A load figure is used for further placements for this time: about the work of a request or two.
+inline constexpr common::Duration LoadFreshness = std::chrono::milliseconds(60);
+/// A placement waits this long for an answer: several times the way between zones.
+inline constexpr common::Duration AnswerTimeout = std::chrono::milliseconds(20);
+/// An unanswered question is repeated after this time, doubled up to MaxQuestionRepeat.
+inline constexpr common::Duration QuestionRepeat = std::chrono::milliseconds(100);
+inline constexpr common::Duration MaxQuestionRepeat = std::chrono::milliseconds(1600);
+/// An agent whose upstream took no new flows by its last message is asked after this time, since
+/// the report of the change may have been lost.
+inline constexpr common::Duration UnfitRecheck = std::chrono::milliseconds(500);
+/// Questions repeated in one call, so that a lost zone doesn't fill a link.
+inline constexpr std::size_t MaxRepeatedQuestions = 20;
+/// An agent that has left questions unanswered for this time, and did not say that it stops,
+/// doesn't run or can't be reached: longer than a start.
 inline constexpr common::Duration LostTime = std::chrono::milliseconds(1200);
+/// So many questions must have been lost, as a datagram may be lost at any time.
+inline constexpr std::uint32_t MinLostQuestions = 4;
 /// An agent that said that it stops is back after this time, or never: several times the second
 /// that a restart takes.
 inline constexpr common::Duration StoppedLostTime = std::chrono::milliseconds(2500);
@@ -30,7 +49,7 @@
 /// A flow placed this long before a load figure came is part of it, since an agent counts a flow
 /// from its first packet: two ways between zones and the agent's turn.
 inline constexpr common::Duration PlacementDelay = std::chrono::milliseconds(5);
-/// Agents compared for one placement: the power of two choices (Mitzenmacher 2001).
+/// Agents compared for a short flow among all: the power of two choices (Mitzenmacher 2001).
 inline constexpr std::size_t PlacementChoices = 2;
 
 /// What a new flow is likely to be.
@@ -46,6 +65,7 @@
   common::TimePoint HeardAt{};
   UpstreamLoad Load; ///< Newest figure, from a report, a notice or a returned packet.
   common::TimePoint LoadAt{};
+  common::TimePoint ColdUntil{}; ///< The upstream is slow until then.
   common::TimePoint SuspectUntil{};
 
   friend bool operator==(const AgentView &, const AgentView &) = default;
@@ -63,6 +83,10 @@
   Change onReport(NodeAddress From, const AgentReport &Report, common::TimePoint Now);
   /// Takes a load figure that came with a packet.
   void onLoad(NodeAddress From, const UpstreamLoad &Load, common::TimePoint Now);
+  /// Takes the answer to a question.
+  void onAnswer(NodeAddress From, const LoadAnswer &Answer, common::TimePoint Now);
+  /// Any other message of the agent: it runs.
+  void onHeard(NodeAddress From, common::TimePoint Now);
   /// A first packet sent to the agent stayed unanswered.
   void suspect(NodeAddress Agent, common::TimePoint Now);
   void forgetSilent(common::TimePoint Now);
@@ -71,6 +95,25 @@
   /// This process stood still: nobody is taken for lost before it could be heard again.
   void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
 
+  /// The first agents of a service for a flow, by rendezvous hashing.
+  [[nodiscard]] std::vector<NodeAddress> candidates(const std::string &Service,
+                                                    const packet::FlowKey &Key) const;
+  /// Whether a placement at the agent should ask it for its load first.
+  [[nodiscard]] bool needsQuestion(NodeAddress Agent, common::TimePoint Now) const;
+  /// Whether an answer may still come in time for a placement.
+  [[nodiscard]] bool awaitsAnswer(NodeAddress Agent, common::TimePoint Now) const;
+  /// A question to the agent is about to leave.
+  void noteQuestion(NodeAddress Agent, common::TimePoint Now);
+  /// Agents that are to be asked again: those that left questions unanswered, those that took no
+  /// flows when they were last heard, and some others if nobody has been heard for HearingDoubt.
+  [[nodiscard]] std::vector<NodeAddress> takeQuestions(common::TimePoint Now);
+
+  /// Chooses the best of some agents for a new flow, none of Excluded and none that is full; empty
+  /// without a usable one.
+  [[nodiscard]] std::optional<NodeAddress> chooseAmong(std::span<const NodeAddress> Among,
+                                                       FlowKind Kind,
+                                                       std::span<const NodeAddress> Excluded,
+                                                       common::TimePoint Now) const;
   /// Chooses an agent of the service for a new flow, none of Excluded and none that is full; empty
   /// without a usable one.
   [[nodiscard]] std::optional<NodeAddress> choose(const std::string &Service, FlowKind Kind,
@@ -80,6 +123,8 @@
   [[nodiscard]] bool hasFull(const std::string &Service, std::span<const NodeAddress> Excluded,
                              common::TimePoint Now) const;
   [[nodiscard]] bool isFull(NodeAddress Agent) const;
+  /// All slots of the agent's upstream are taken.
+  [[nodiscard]] bool isBusy(NodeAddress Agent) const;
   /// Counts a flow that was sent to an agent and is in no load figure yet.
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
@@ -93,8 +138,8 @@
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
   /// Those that are in a record of the store, have not reported, and may still do so.
   [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
-  /// Agents that have become lost since the last call. None are while most agents are silent: then
-  /// this node is the one that is cut off.
+  /// Agents that have become lost since the last call. None are while more agents are silent than
+  /// heard: then this node is the one that is cut off.
   [[nodiscard]] std::vector<NodeAddress> takeLost(common::TimePoint Now);
   /// True if any agent has reported lately.
   [[nodiscard]] bool hearsAgents(common::TimePoint Now) const;
@@ -107,7 +152,10 @@
   };
   struct Known {
     AgentView View;
-    std::deque<Placement> Placements; ///< Those that no load figure contains.
+    std::deque<Placement> Placements;                 ///< Those that no load figure contains.
+    common::TimePoint AskedAt{};                      ///< The last question.
+    std::optional<common::TimePoint> UnansweredSince; ///< The first question without an answer.
+    std::uint32_t Unanswered = 0;                     ///< Questions since then.
     bool TakenAsLost = false;
   };
   /// Preference between groups of agents; the best group with a member is used.
@@ -115,14 +163,25 @@
 
   [[nodiscard]] Fitness fitness(const Known &Agent, common::TimePoint Now) const;
   [[nodiscard]] static bool full(const Known &Agent);
-  [[nodiscard]] double score(const Known &Agent, FlowKind Kind) const;
+  [[nodiscard]] double score(const Known &Agent, FlowKind Kind, common::TimePoint Now) const;
+  /// True if the agent has left a question unanswered for AnswerTimeout.
+  [[nodiscard]] static bool silent(const Known &Agent, common::TimePoint Now);
+  [[nodiscard]] std::span<const NodeAddress> agentsOf(const std::string &Service) const;
+  [[nodiscard]] static bool questionDue(const Known &Agent, common::TimePoint Now);
+  void noteHeard(Known &Agent, common::TimePoint Now);
+  void enlist(NodeAddress Agent, const std::string &Service);
+  void delist(NodeAddress Agent, const std::string &Service);
   [[nodiscard]] bool lost(const Known &Agent, common::TimePoint Now) const;
   static void dropCounted(Known &Agent);
 
   std::string OwnZone;
   common::Engine Random;
   std::map<NodeAddress, Known> Agents;
+  std::unordered_map<std::string, std::vector<NodeAddress>> ByService; ///< Without ended ones.
   std::map<NodeAddress, common::TimePoint> Expected; ///< With the time since when.
+  Rotation AskedWhenCutOff;
+  common::TimePoint AskedWhenCutOffAt{};
+  common::TimePoint LastHeardAt{};
   common::TimePoint ListeningSince{};
 };
 
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -36,7 +36,7 @@
 /// Longer than a sender's longest retransmission interval (1.6 s) and any request's work.
 inline constexpr common::Duration AbandonedAge = std::chrono::seconds(10);
 /// Balancers that are told of room at the upstream; further ones learn of it from the next report.
-inline constexpr std::size_t MaxDeclinedBalancers = 100;
+inline constexpr std::size_t MaxWaitingBalancers = 100;
 /// A packet of an unknown flow that the upstream has not answered is forgotten after this time.
 inline constexpr common::Duration DoubtRetention = std::chrono::seconds(2);
 
@@ -112,6 +112,8 @@
                                              common::TimePoint Now);
   /// Which of the flows are here.
   [[nodiscard]] FlowAnswer onQuery(const FlowQuery &Query, common::TimePoint Now) const;
+  /// The upstream's load. If it is full, the balancer is told when there is room again.
+  [[nodiscard]] LoadAnswer onLoadQuery(NodeAddress Balancer, common::TimePoint Now);
   /// True if the upstream has given no sign of life for so long that it has ended.
   [[nodiscard]] bool upstreamGone(common::TimePoint Now) const;
   /// This process stood still: the upstream's silence counts from now on, and the settings may name
@@ -171,7 +173,7 @@
   /// Slots of the upstream; 0 if it has not told.
   [[nodiscard]] std::uint32_t slots() const noexcept;
   [[nodiscard]] bool full() const noexcept;
-  void noteDeclined(NodeAddress Balancer);
+  void noteWaiting(NodeAddress Balancer);
   void tellOfRoom(FlowActions &Out);
   void onReturnedByUpstream(const PacketHead &Head, const Transit &Fields, FlowActions &Out);
   void noteCallerData(const PacketHead &Head, Flow &Held, common::TimePoint Now);
@@ -201,7 +203,7 @@
   std::uint32_t Unanswered = 0;
   std::uint32_t LongFlows = 0;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerChecks;
-  std::deque<NodeAddress> Declined; ///< Balancers that wait for room, the first one first.
+  std::deque<NodeAddress> Waiting; ///< Balancers that wait for room, the first one first.
   std::vector<AnswerTime> Answers;
   common::BucketSweep Sweep;
 };
--- a/src/platform/packet_codec.cpp
+++ b/src/platform/packet_codec.cpp
@@ -31,6 +31,7 @@
 constexpr std::uint8_t OptionSearch = 1;
 constexpr std::uint8_t OptionInsist = 2;
 constexpr std::uint8_t OptionLong = 4;
+constexpr std::uint8_t OptionOthersWait = 8;
 
 common::Endpoint readEndpoint(const std::uint8_t *Address, const std::uint8_t *Port) noexcept {
   return {endian::load_little_u32(Address), endian::load_little_u16(Port)};
@@ -66,17 +67,20 @@
 relay::Transit PacketCodec::readTransit(std::span<const std::uint8_t> Packet) noexcept {
   const std::uint8_t Options = Packet[OptionsAt];
   return {endian::load_little_u32(Packet.data() + EchoAt),
-          endian::load_little_u16(Packet.data() + PadAt), (Options & OptionSearch) != 0,
-          (Options & OptionInsist) != 0, (Options & OptionLong) != 0};
+          endian::load_little_u16(Packet.data() + PadAt),
+          (Options & OptionSearch) != 0,
+          (Options & OptionInsist) != 0,
+          (Options & OptionLong) != 0,
+          (Options & OptionOthersWait) != 0};
 }
 
 void PacketCodec::writeTransit(std::span<std::uint8_t> Packet,
                                const relay::Transit &Fields) noexcept {
   endian::store_little_u32(Packet.data() + EchoAt, Fields.Balancer);
   endian::store_little_u16(Packet.data() + PadAt, Fields.ServiceDigest);
-  Packet[OptionsAt] = static_cast<std::uint8_t>((Fields.Search ? OptionSearch : 0) |
-                                                (Fields.Insist ? OptionInsist : 0) |
-                                                (Fields.Long ? OptionLong : 0));
+  Packet[OptionsAt] = static_cast<std::uint8_t>(
+      (Fields.Search ? OptionSearch : 0) | (Fields.Insist ? OptionInsist : 0) |
+      (Fields.Long ? OptionLong : 0) | (Fields.OthersWait ? OptionOthersWait : 0));
 }
 
 void PacketCodec::clearReturned(std::span<std::uint8_t> Packet) noexcept {
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -1,6 +1,6 @@
 #include "galenarelay/relay/flow_search.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace galenarelay::relay {
 
@@ -8,10 +8,12 @@
                      std::span<const std::uint8_t> Packet, common::TimePoint Now) {
   if (Searches.size() >= MaxSearches && !Searches.contains(Key))
     return false;
-  Search &Held = Searches[Key];
+  auto [Found, Added] = Searches.try_emplace(Key);
+  Search &Held = Found->second;
   Held.UsedAt = Now;
   Held.Acknowledgement = Acknowledgement;
-  queueIfDue(Key, Held, Now);
+  if (Added)
+    enter(Key, Held, Stage::Nearest);
   if (Held.Waiting.size() >= MaxHeldPerFlow || HeldPackets >= MaxHeldPackets)
     return false;
   Held.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
@@ -19,69 +21,98 @@
   return true;
 }
 
-void FlowSearch::queueIfDue(const packet::FlowKey &Key, Search &Held, common::TimePoint Now) {
-  constexpr std::uint32_t MostDoublings = 3; // MaxSearchRepeat / SearchRepeat
-  const auto Pause = SearchRepeat * (1U << std::min(Held.TimesAsked, MostDoublings)) / 2;
-  if (Held.Queued || (Held.TimesAsked > 0 && Now - Held.AskedAt < std::min(Pause, MaxSearchRepeat)))
-    return;
+void FlowSearch::goOn(const packet::FlowKey &Key, Search &Held) {
+  if (Held.At == Stage::Nearest)
+    enter(Key, Held, Stage::Candidates);
+  else if (MayWiden)
+    enter(Key, Held, Stage::Everyone);
+  else
+    Held.At = Stage::Paused;
+}
+
+void FlowSearch::enter(const packet::FlowKey &Key, Search &Held, Stage Next) {
+  Held.At = Next;
+  Held.Asked = false;
   Held.Queued = true;
-  Unasked.push_back(Key);
+  Held.Unanswered.clear();
+  (Next == Stage::Everyone ? WideQueue : NarrowQueue).push_back(Key);
 }
 
-bool FlowSearch::queryDue(common::TimePoint Now) const noexcept {
-  if (Unasked.empty() || Now - LastQueryAt < QueryInterval)
-    return false;
-  const auto Open = std::count_if(Queries.begin(), Queries.end(), [Now](const OpenQuery &Each) {
-    return Each.Missing > 0 && Now - Each.SentAt < QueryTimeout;
-  });
-  return static_cast<std::size_t>(Open) < MaxOpenQueries;
+FlowSearch::Search *FlowSearch::takeQueued(const packet::FlowKey &Key, bool Wide) {
+  const auto Found = Searches.find(Key);
+  if (Found == Searches.end() || !Found->second.Queued ||
+      (Found->second.At == Stage::Everyone) != Wide)
+    return nullptr;
+  Found->second.Queued = false;
+  return &Found->second;
 }
 
-std::optional<FlowSearch::Query> FlowSearch::takeQuery(const std::vector<NodeAddress> &Reporting,
-                                                       const std::vector<NodeAddress> &Expected,
-                                                       common::TimePoint Now) {
-  std::vector<NodeAddress> Holders = Reporting;
-  Holders.insert(Holders.end(), Expected.begin(), Expected.end());
-  if (!queryDue(Now) || Holders.empty())
-    return std::nullopt;
-  Query Next{{NextNumber++, {}}, Holders, {}};
-  while (!Unasked.empty() && Next.Message.Rows.size() < MaxQueriedFlows) {
-    const packet::FlowKey Key = Unasked.front();
-    Unasked.pop_front();
-    const auto Found = Searches.find(Key);
-    if (Found == Searches.end())
+void FlowSearch::ask(const packet::FlowKey &Key, Search &Held, std::span<const NodeAddress> Agents,
+                     common::TimePoint Now, RowsByAgent &Rows) {
+  Held.Asked = true;
+  Held.AskedAt = Now;
+  Held.Unanswered.clear();
+  for (const NodeAddress Agent : Agents) {
+    if (std::find(Held.Denied.begin(), Held.Denied.end(), Agent) != Held.Denied.end())
       continue;
-    Found->second.Queued = false;
-    if (Next.Silent.empty())
-      Next.Silent = Found->second.Unanswered;
-    ++Found->second.TimesAsked;
-    Found->second.AskedAt = Now;
-    Found->second.Unanswered = Holders;
-    Next.Message.Rows.push_back({Key, Found->second.Acknowledgement});
+    Held.Unanswered.push_back(Agent);
+    Rows[Agent].push_back({Key, Held.Acknowledgement});
   }
-  if (Next.Message.Rows.empty())
-    return std::nullopt;
-  LastQueryAt = Now;
-  Queries.push_back({Next.Message, Reporting.size(), Now});
-  if (Queries.size() > RememberedQueries)
-    Queries.pop_front();
-  return Next;
+}
+
+FlowSearch::Questions FlowSearch::makeQuestions(const RowsByAgent &Rows) {
+  Questions Made;
+  for (const auto &[Agent, All] : Rows) {
+    for (std::size_t Begin = 0; Begin < All.size(); Begin += MaxQueriedFlows) {
+      const auto Part =
+          std::span(All).subspan(Begin, std::min(MaxQueriedFlows, All.size() - Begin));
+      Question Next{Agent, {NextNumber++, {Part.begin(), Part.end()}}};
+      OpenQuestion &Kept = Open[Next.Message.Number];
+      Kept.Agent = Agent;
+      for (const auto &Row : Part)
+        Kept.Keys.push_back(Row.Key);
+      Made.push_back(std::move(Next));
+    }
+  }
+  while (NextNumber - OldestNumber > MaxOpenQuestions)
+    Open.erase(OldestNumber++);
+  return Made;
+}
+
+bool FlowSearch::wideDue(common::TimePoint Now) const noexcept {
+  return !WideQueue.empty() && Now - WideAt >= WideInterval;
+}
+
+FlowSearch::Questions FlowSearch::takeWide(std::span<const NodeAddress> Holders,
+                                           common::TimePoint Now, Outcome &Settled) {
+  WideAt = Now;
+  RowsByAgent Rows;
+  for (std::size_t Taken = 0; Taken < MaxQueriedFlows && !WideQueue.empty(); ++Taken) {
+    const packet::FlowKey Key = WideQueue.front();
+    WideQueue.pop_front();
+    Search *Held = takeQueued(Key, true);
+    if (Held == nullptr)
+      continue;
+    ask(Key, *Held, Holders, Now, Rows);
+    ++Held->Rounds;
+    if (Held->Unanswered.empty() && !Holders.empty())
+      Settled.Nowhere.push_back(Key);
+  }
+  return makeQuestions(Rows);
 }
 
 FlowSearch::Outcome FlowSearch::onAnswer(const FlowAnswer &Answer, NodeAddress From) {
   Outcome Settled;
-  const auto Asked = std::find_if(Queries.begin(), Queries.end(), [&](const OpenQuery &Each) {
-    return Each.Message.Number == Answer.Number;
-  });
-  if (Asked == Queries.end())
+  const auto Asked = Open.find(Answer.Number);
+  if (Asked == Open.end() || Asked->second.Agent != From)
     return Settled;
-  Asked->Missing -= Asked->Missing > 0 ? 1 : 0;
-  const auto &Rows = Asked->Message.Rows;
+  const auto Keys = std::move(Asked->second.Keys);
+  Open.erase(Asked);
   const auto Names = [](const std::vector<std::uint8_t> &List, std::size_t Index) {
     return std::find(List.begin(), List.end(), Index) != List.end();
   };
-  for (std::size_t I = 0; I < Rows.size(); ++I) {
-    const packet::FlowKey &Key = Rows[I].Key;
+  for (std::size_t I = 0; I < Keys.size(); ++I) {
+    const packet::FlowKey &Key = Keys[I];
     if (!Searches.contains(Key))
       continue;
     if (Names(Answer.Held, I))
@@ -96,9 +127,18 @@
 
 bool FlowSearch::onAbsence(const packet::FlowKey &Key, NodeAddress From) {
   const auto Found = Searches.find(Key);
-  if (Found == Searches.end() || Found->second.TimesAsked == 0)
+  if (Found == Searches.end())
+    return false;
+  Search &Held = Found->second;
+  if (std::erase(Held.Unanswered, From) == 0)
+    return false;
+  Held.Denied.push_back(From);
+  if (!Held.Unanswered.empty())
     return false;
-  return std::erase(Found->second.Unanswered, From) > 0 && Found->second.Unanswered.empty();
+  if (Held.At == Stage::Everyone)
+    return true;
+  goOn(Key, Held);
+  return false;
 }
 
 std::shared_ptr<const Bytes> FlowSearch::anyPacket(const packet::FlowKey &Key) const {
@@ -118,16 +158,27 @@
   return Waiting;
 }
 
+// Each round begins with the candidates again: agents that have started meanwhile may be among
+// them.
 void FlowSearch::onTimer(common::TimePoint Now) {
+  constexpr std::uint32_t MostDoublings = 4; // 2 * MaxSearchRepeat / SearchRepeat
   for (auto At = Searches.begin(); At != Searches.end();) {
     Search &Held = At->second;
-    if (Now - Held.UsedAt <= SearchRetention) {
-      queueIfDue(At->first, Held, Now);
-      ++At;
+    if (Now - Held.UsedAt > SearchRetention) {
+      HeldPackets -= Held.Waiting.size();
+      At = Searches.erase(At);
       continue;
     }
-    HeldPackets -= At->second.Waiting.size();
-    At = Searches.erase(At);
+    const auto Waited = Now - Held.AskedAt;
+    const auto Repeat = std::min<common::Duration>(
+        SearchRepeat * (1U << std::min(Held.Rounds, MostDoublings)) / 2, MaxSearchRepeat);
+    const bool LastStage = Held.At == Stage::Everyone || Held.At == Stage::Paused;
+    if (Held.Asked && !LastStage && Waited >= StageTimeout)
+      goOn(At->first, Held);
+    else if (Held.Asked && LastStage &&
+             Waited >= (Held.At == Stage::Paused ? StageTimeout : Repeat))
+      enter(At->first, Held, Stage::Nearest);
+    ++At;
   }
 }
 
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -17,9 +18,9 @@
 
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasons> Names{
-      "placed",         "placed_again", "insisted",     "known",      "searched",
-      "no_route",       "no_upstream",  "held",         "overloaded", "not_ready",
-      "search_limited", "table_full",   "held_nowhere", "agent_lost"};
+      "placed",    "placed_again",   "insisted",   "known",        "searched",
+      "no_route",  "no_upstream",    "held",       "asked",        "overloaded",
+      "not_ready", "search_limited", "table_full", "held_nowhere", "agent_lost"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -63,10 +64,12 @@
   Flow &Held = Found->second;
   Held.UsedAt = Now;
   noteAcknowledgement(Head, Held);
-  if (Held.State == Phase::Searching)
+  if (Held.State == Phase::Searching) {
     search(Head.Key, Held, Raw, Now, Out);
-  else
+  } else {
     forwardOpen(Head, Held, Raw, Now, Out);
+    noteCallerData(Head, Held, Now, Out);
+  }
   if (Head.Bits.Fin || Head.Bits.Rst)
     setState(Held, Phase::Ended, Now);
   return Out;
@@ -99,7 +102,7 @@
   Held.Open->LatencyObjective = Found->LatencyObjective;
   Held.Open->Priority = Found->Priority;
   if (HeldFlows.empty())
-    return place(Head.Key, Held, Now, Out);
+    return place(Head.Key, Held, Scope::Candidates, Now, Out);
   // Others wait already: the next one to be placed is chosen among all.
   Held.Open->Held = true;
   HeldFlows.push_back(Head.Key);
@@ -120,22 +123,31 @@
                      .Fields = transitTo("", false, true)});
     return;
   }
-  if (Held.Open->Held) {
-    Out.push_back({.Reason = SteeringReason::Held, .Key = Head.Key});
+  if (Held.Open->Held || Held.Open->Asking) {
+    Out.push_back({.Reason = Held.Open->Held ? SteeringReason::Held : SteeringReason::Asked,
+                   .Key = Head.Key});
     return;
   }
-  if (Held.Open->Waiting && !Held.Open->Tried.empty())
+  if (std::exchange(Held.Open->Waiting, false) && !Held.Open->Tried.empty())
     Directory.suspect(Held.Open->Tried.back(), Now);
-  place(Head.Key, Held, Now, Out);
+  place(Head.Key, Held, Scope::Candidates, Now, Out);
 }
 
-void FlowSteering::place(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now,
+void FlowSteering::place(const packet::FlowKey &Key, Flow &Held, Scope Where, common::TimePoint Now,
                          SteeringActions &Out) {
   Opening &Open = *Held.Open;
-  std::optional<NodeAddress> Chosen = nextChoice(Open, Now);
-  const bool Insist = !Chosen;
-  if (!Chosen)
+  std::optional<NodeAddress> Chosen = nextChoice(Key, Open, Where, Now, Out);
+  if (Open.Asking)
+    return;
+  // Without another agent, the late answer of the one that has the packet is better than none.
+  if (!Chosen && Open.Waiting)
+    return;
+  // If all candidates are busy, the one that is least so has to queue the flow's work.
+  bool Insist = Chosen && Where == Scope::Candidates && Directory.isBusy(*Chosen);
+  if (!Chosen) {
     Chosen = leastBusy(Open);
+    Insist = true;
+  }
   const bool Settled = Now - StartedAt >= ViewSettleTime;
   if (!Chosen && (!Settled || Open.MetFull || Directory.hasFull(Open.Service, Open.Tried, Now))) {
     hold(Key, Held, Now, Out);
@@ -149,10 +161,64 @@
   placeAt(*Chosen, Insist, Key, Held, Now, Out);
 }
 
-std::optional<NodeAddress> FlowSteering::nextChoice(const Opening &Open, common::TimePoint Now) {
+// The flow's first candidates are compared by their present load. Further ones are considered only
+// while these are all busy, so that a search that asks the first candidates finds most flows.
+std::optional<NodeAddress> FlowSteering::nextChoice(const packet::FlowKey &Key, Opening &Open,
+                                                    Scope Where, common::TimePoint Now,
+                                                    SteeringActions &Out) {
   if (Open.Tried.size() >= MaxPlacements || Open.Busy.size() > MaxBusyReturns)
     return std::nullopt;
-  return Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
+  if (Where == Scope::Service)
+    return Directory.choose(Open.Service, Open.Kind, Open.Tried, Now);
+  if (Open.Candidates.empty())
+    Open.Candidates = Directory.candidates(Open.Service, Key);
+  while (true) {
+    if (askConsidered(Key, Open, Now, Out)) {
+      Open.Asking = true;
+      AskingFlows.push_back(Key);
+      return std::nullopt;
+    }
+    const auto Considered =
+        std::span(Open.Candidates).first(std::min(Open.Considered, Open.Candidates.size()));
+    const auto Best = Directory.chooseAmong(Considered, Open.Kind, Open.Tried, Now);
+    const bool Idle = Best && !Directory.isBusy(*Best);
+    if (Idle || Considered.size() == Open.Candidates.size())
+      return Best;
+    Open.Considered += NearCandidates;
+  }
+}
+
+bool FlowSteering::askConsidered(const packet::FlowKey &Key, const Opening &Open,
+                                 common::TimePoint Now, SteeringActions &Out) {
+  bool Awaited = false;
+  for (std::size_t I = 0; I < std::min(Open.Considered, Open.Candidates.size()); ++I) {
+    const NodeAddress Agent = Open.Candidates[I];
+    if (std::find(Open.Tried.begin(), Open.Tried.end(), Agent) != Open.Tried.end())
+      continue;
+    if (Directory.needsQuestion(Agent, Now))
+      ask(Agent, Key, Now, Out);
+    Awaited = Awaited || Directory.awaitsAnswer(Agent, Now);
+  }
+  return Awaited;
+}
+
+void FlowSteering::ask(NodeAddress Agent, const packet::FlowKey &Key, common::TimePoint Now,
+                       SteeringActions &Out) {
+  Directory.noteQuestion(Agent, Now);
+  Out.push_back({.What = SteeringAction::Kind::Ask,
+                 .Reason = SteeringReason::Asked,
+                 .Key = Key,
+                 .Agent = Agent});
+}
+
+void FlowSteering::continueAsking(common::TimePoint Now, SteeringActions &Out) {
+  for (const auto &Key : std::exchange(AskingFlows, {})) {
+    const auto Found = Flows.find(Key);
+    if (Found == Flows.end() || Found->second.Open == nullptr || !Found->second.Open->Asking)
+      continue;
+    Found->second.Open->Asking = false;
+    place(Key, Found->second, Scope::Candidates, Now, Out);
+  }
 }
 
 void FlowSteering::placeAt(NodeAddress Agent, bool Insist, const packet::FlowKey &Key, Flow &Held,
@@ -168,6 +234,7 @@
   PlacementChecks.emplace_back(Now + PlacementTimeout, Key);
   Transit Fields = transitTo(Open.Service, false, Insist);
   Fields.Long = Open.Kind == FlowKind::Long;
+  Fields.OthersWait = Open.OthersWait;
   Out.push_back({.What = SteeringAction::Kind::Forward,
                  .Reason = Reason,
                  .Key = Key,
@@ -177,7 +244,6 @@
                  .Saved = Open.Packet});
 }
 
-/// All agents that were asked are busy: the one that is least so has to queue the flow's work.
 std::optional<NodeAddress> FlowSteering::leastBusy(Opening &Open) const {
   std::erase_if(Open.Busy, [this](NodeAddress Agent) { return Directory.isFull(Agent); });
   const auto Load = [this](NodeAddress Agent) {
@@ -232,6 +298,9 @@
     Waiting.push_back({Late, Open.Priority, Late ? -Age : Age, Key});
   }
   HeldFlows.clear();
+  std::map<std::string, std::size_t> Remaining;
+  for (const auto &Each : Waiting)
+    ++Remaining[heldFlow(Each.Key)->Open->Service];
   std::sort(Waiting.begin(), Waiting.end(), [](const Candidate &A, const Candidate &B) {
     return std::tie(A.Late, A.Priority, A.Order) < std::tie(B.Late, B.Priority, B.Order);
   });
@@ -242,13 +311,14 @@
     if (Held == nullptr)
       continue;
     const std::string Service = Held->Open->Service;
+    Held->Open->OthersWait = --Remaining[Service] > 0;
     const bool Expired = Now - Held->Open->StartedAt >= HoldTimeout;
     if (Exhausted.contains(Service) && !Expired) {
       keepHeld(Key, *Held, Out);
       continue;
     }
     Held->Open->Held = false;
-    place(Key, *Held, Now, Out);
+    place(Key, *Held, Scope::Service, Now, Out);
     if (heldFlow(Key) != nullptr)
       Exhausted.insert(Service);
   }
@@ -298,6 +368,25 @@
   Held.Acknowledgement = Head.Acknowledgement;
 }
 
+// A caller repeats data that its upstream has not acknowledged. Answers don't pass this node, so
+// that this is the sign of an agent that doesn't run.
+void FlowSteering::noteCallerData(const PacketHead &Head, Flow &Held, common::TimePoint Now,
+                                  SteeringActions &Out) {
+  if (Head.PayloadBytes == 0 || Held.Agent == 0)
+    return;
+  const std::uint32_t End = Head.Sequence + Head.PayloadBytes;
+  const bool Repeated = Held.HasData && !sequenceBefore(Held.DataEnd, End);
+  if (!Repeated) {
+    Held.HasData = true;
+    Held.DataEnd = End;
+    return;
+  }
+  const AgentView *View = Directory.find(Held.Agent);
+  if (View != nullptr && Now - View->HeardAt > RepeatDoubt &&
+      Directory.needsQuestion(Held.Agent, Now))
+    ask(Held.Agent, Head.Key, Now, Out);
+}
+
 void FlowSteering::forwardOpen(const PacketHead &Head, Flow &Held,
                                std::span<const std::uint8_t> Raw, common::TimePoint Now,
                                SteeringActions &Out) {
@@ -315,13 +404,10 @@
   if (Held.State == Phase::Opening) {
     Held.Open.reset();
     setState(Held, Phase::Open, Now);
-    ShareChecks.emplace_back(Now + ShareAge, Head.Key);
   }
   forwardKnown(Head.Key, Held, Out);
 }
 
-// All agents are asked, also those of other services: the route may have changed while the flow was
-// open.
 void FlowSteering::search(const packet::FlowKey &Key, Flow &Held, std::span<const std::uint8_t> Raw,
                           common::TimePoint Now, SteeringActions &Out) {
   Held.Agent = 0;
@@ -333,23 +419,51 @@
       {.Reason = Kept ? SteeringReason::Searched : SteeringReason::SearchLimited, .Key = Key});
 }
 
-std::optional<FlowSearch::Query> FlowSteering::takeQuery(common::TimePoint Now) {
-  if (!Search.queryDue(Now))
-    return std::nullopt;
-  return Search.takeQuery(Directory.reportingHolders(Now), Directory.expectedHolders(Now), Now);
+std::vector<NodeAddress> FlowSteering::candidatesOf(const packet::FlowKey &Key) const {
+  const Route *Found = Routes->find(Key.Service);
+  if (Found == nullptr)
+    return {};
+  return Directory.candidates(RouteTable::serviceFor(*Found, Key), Key);
+}
+
+// In the last stage all agents are asked, also those of other services: the route may have changed
+// while the flow was open.
+FlowSearch::Questions FlowSteering::takeQuestions(common::TimePoint Now, SteeringActions &Out) {
+  Search.setMayWiden(mayConclude(Now));
+  auto Questions =
+      Search.takeNarrow([this](const packet::FlowKey &Key) { return candidatesOf(Key); }, Now);
+  if (Search.wideDue(Now)) {
+    auto Holders = Directory.reportingHolders(Now);
+    const auto Expected = Directory.expectedHolders(Now);
+    Holders.insert(Holders.end(), Expected.begin(), Expected.end());
+    FlowSearch::Outcome Settled;
+    for (auto &Wide : Search.takeWide(Holders, Now, Settled))
+      Questions.push_back(std::move(Wide));
+    for (const auto &Key : Settled.Nowhere)
+      concludeNowhere(Key, Now, Out);
+  }
+  for (const auto &Each : Questions)
+    Directory.noteQuestion(Each.Agent, Now);
+  return Questions;
 }
 
 SteeringActions FlowSteering::onAnswer(const FlowAnswer &Answer, NodeAddress From,
                                        common::TimePoint Now) {
   SteeringActions Out;
+  Directory.onHeard(From, Now);
   const auto Settled = Search.onAnswer(Answer, From);
   for (const auto &Key : Settled.Held) {
     const auto Found = onNotice({Key, {}}, From, Now);
     Out.insert(Out.end(), Found.begin(), Found.end());
   }
-  for (const auto &Key : Settled.Unsure)
-    if (auto Packet = Search.anyPacket(Key))
+  for (const auto &Key : Settled.Unsure) {
+    if (DoubtedPackets >= MaxDoubtedPackets)
+      break;
+    if (auto Packet = Search.anyPacket(Key)) {
+      ++DoubtedPackets;
       forwardSearch(Key, From, Out, std::move(Packet));
+    }
+  }
   for (const auto &Key : Settled.Nowhere)
     concludeNowhere(Key, Now, Out);
   return Out;
@@ -370,6 +484,7 @@
 SteeringActions FlowSteering::onAbsence(const FlowAbsence &Absence, NodeAddress From,
                                         common::TimePoint Now) {
   SteeringActions Out;
+  Directory.onHeard(From, Now);
   if (Search.onAbsence(Absence.Key, From))
     concludeNowhere(Absence.Key, Now, Out);
   return Out;
@@ -429,7 +544,8 @@
     if (!Open.Tried.empty() && Open.Tried.back() != From)
       return Out; // A later agent has the packet already.
     Open.Waiting = false;
-    place(Head.Key, Found->second, Now, Out);
+    if (!Open.Asking)
+      place(Head.Key, Found->second, Scope::Candidates, Now, Out);
     return Out;
   }
   Flow &Held = Found == Flows.end() ? Flows[Head.Key] : Found->second;
@@ -464,34 +580,15 @@
   Held.Agent = From;
   Held.Open.reset();
   Held.UsedAt = Now;
-  if (New && Held.State != Phase::Ended) {
+  if (New && Held.State != Phase::Ended)
     setState(Held, Phase::Open, Now);
-    ShareChecks.emplace_back(Now + ShareAge, Notice.Key);
-  }
   endSearch(Notice.Key, Held, Out);
   return Out;
 }
 
-SteeringActions FlowSteering::onShare(const FlowShare &Share, common::TimePoint Now) {
-  SteeringActions Out;
-  for (const auto &Entry : Share.Entries) {
-    if (Flows.size() >= MaxSteeredFlows && !Flows.contains(Entry.Key))
-      return Out;
-    auto [Found, Added] = Flows.try_emplace(Entry.Key);
-    Flow &Held = Found->second;
-    if (!Added && Held.State != Phase::Searching)
-      continue;
-    Held.Agent = Entry.Agent;
-    Held.Shared = true;
-    Held.UsedAt = Now;
-    setState(Held, Phase::Open, Now);
-    endSearch(Entry.Key, Held, Out);
-  }
-  return Out;
-}
-
-SteeringActions FlowSteering::onRoom(common::TimePoint Now) {
+SteeringActions FlowSteering::onLoadKnown(common::TimePoint Now) {
   SteeringActions Out;
+  continueAsking(Now, Out);
   if (!HeldFlows.empty())
     releaseHeld(Now, Out);
   return Out;
@@ -511,10 +608,11 @@
     if (!Unanswered)
       continue;
     Directory.suspect(Held.Open->Tried.back(), Now);
-    // Without another agent, the late answer of this one is better than none.
-    if (const auto Next = nextChoice(*Held.Open, Now))
-      placeAt(*Next, false, Key, Held, Now, Out);
+    if (!Held.Open->Asking)
+      place(Key, Held, Scope::Candidates, Now, Out);
   }
+  DoubtedPackets = 0;
+  continueAsking(Now, Out);
   releaseHeld(Now, Out);
   forgetOld(Now);
   Search.onTimer(Now);
@@ -532,33 +630,4 @@
     Flows.erase(Key);
 }
 
-std::vector<FlowShare> FlowSteering::takeShares(common::TimePoint Now) {
-  std::vector<FlowShare> Shares;
-  while (!ShareChecks.empty() && ShareChecks.front().first <= Now) {
-    const packet::FlowKey Key = ShareChecks.front().second;
-    ShareChecks.pop_front();
-    const auto Found = Flows.find(Key);
-    if (Found == Flows.end() || Found->second.State != Phase::Open || Found->second.Shared)
-      continue;
-    Found->second.Shared = true;
-    addShare(Key, Found->second.Agent, Shares);
-  }
-  return Shares;
-}
-
-std::vector<FlowShare> FlowSteering::allShares() const {
-  std::vector<FlowShare> Shares;
-  for (const auto &[Key, Held] : Flows)
-    if (Held.State == Phase::Open && Held.Agent != 0)
-      addShare(Key, Held.Agent, Shares);
-  return Shares;
-}
-
-void FlowSteering::addShare(const packet::FlowKey &Key, NodeAddress Agent,
-                            std::vector<FlowShare> &Shares) {
-  if (Shares.empty() || Shares.back().Entries.size() >= MaxSharedFlows)
-    Shares.emplace_back();
-  Shares.back().Entries.push_back({Key, Agent});
-}
-
 } // namespace galenarelay::relay
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -13,7 +13,17 @@
 namespace {
 
 // Types of messages, the first element of each array.
-enum class Type : std::uint8_t { Report, Beacon, Notice, Returned, Share, Absence, Query, Answer };
+enum class Type : std::uint8_t {
+  Report,
+  Beacon,
+  Notice,
+  Returned,
+  Absence,
+  Query,
+  Answer,
+  LoadQuery,
+  LoadAnswer
+};
 
 json loadJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
 
@@ -50,13 +60,6 @@
       {Type::Returned, Returned.Reason, loadJson(Returned.Load), json::binary(Returned.Packet)});
 }
 
-json toJson(const FlowShare &Share) {
-  json Rows = json::array();
-  for (const auto &Entry : Share.Entries)
-    Rows.push_back(json::array({keyJson(Entry.Key), Entry.Agent}));
-  return json::array({Type::Share, std::move(Rows)});
-}
-
 json toJson(const FlowAbsence &Absence) {
   return json::array({Type::Absence, keyJson(Absence.Key)});
 }
@@ -72,6 +75,12 @@
   return json::array({Type::Answer, Answer.Number, Answer.Held, Answer.Unsure});
 }
 
+json toJson(const LoadQuery & /*Question*/) { return json::array({Type::LoadQuery}); }
+
+json toJson(const LoadAnswer &Answer) {
+  return json::array({Type::LoadAnswer, Answer.State, loadJson(Answer.Load)});
+}
+
 template <typename E> E enumOf(const json &Value, E Last) {
   const auto Number = Value.get<std::uint8_t>();
   if (Number > static_cast<std::uint8_t>(Last))
@@ -106,13 +115,6 @@
   return Read;
 }
 
-FlowShare shareOf(const json &Fields) {
-  FlowShare Read;
-  for (const json &Row : Fields.at(1))
-    Read.Entries.push_back({keyOf(Row.at(0)), Row.at(1).get<NodeAddress>()});
-  return Read;
-}
-
 FlowQuery queryOf(const json &Fields) {
   FlowQuery Read{Fields.at(1).get<std::uint64_t>(), {}};
   for (const json &Row : Fields.at(2))
@@ -121,7 +123,7 @@
 }
 
 PeerMessage messageOf(const json &Fields) {
-  switch (enumOf(Fields.at(0), Type::Answer)) {
+  switch (enumOf(Fields.at(0), Type::LoadAnswer)) {
   case Type::Report:
     return reportOf(Fields);
   case Type::Beacon:
@@ -131,8 +133,6 @@
   case Type::Returned:
     return ReturnedPacket{enumOf(Fields.at(1), ReturnReason::NotHeld), loadOf(Fields.at(2)),
                           Fields.at(3).get_binary()};
-  case Type::Share:
-    return shareOf(Fields);
   case Type::Absence:
     return FlowAbsence{keyOf(Fields.at(1))};
   case Type::Query:
@@ -141,6 +141,10 @@
     return FlowAnswer{Fields.at(1).get<std::uint64_t>(),
                       Fields.at(2).get<std::vector<std::uint8_t>>(),
                       Fields.at(3).get<std::vector<std::uint8_t>>()};
+  case Type::LoadQuery:
+    return LoadQuery{};
+  case Type::LoadAnswer:
+    return LoadAnswer{enumOf(Fields.at(1), UpstreamState::Ended), loadOf(Fields.at(2))};
   }
   throw std::out_of_range("unknown type");
 }
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -17,6 +17,8 @@
 constexpr double PresentWorkWeight = 0.3;
 /// Placements remembered for an agent; beyond it the oldest are counted as arrived.
 constexpr std::size_t MaxPlacements = 256;
+/// Agents that a balancer asks at a time if it hears none.
+constexpr std::size_t AskedIfCutOff = 3;
 
 } // namespace
 
@@ -31,38 +33,161 @@
     return Change::Outdated;
   const bool Changed = Added || Held.State != Report.State || Held.Service != Report.Service ||
                        Held.Incarnation != Report.Incarnation;
+  const bool WasListed = !Added && Held.State != UpstreamState::Ended;
+  const bool Listed = Report.State != UpstreamState::Ended;
+  if (WasListed && (!Listed || Held.Service != Report.Service))
+    delist(From, Held.Service);
+  if (Listed && (!WasListed || Held.Service != Report.Service))
+    enlist(From, Report.Service);
   Agent.View.Address = From;
   Agent.View.Report = Report;
-  Agent.View.HeardAt = Now;
-  Agent.TakenAsLost = false;
-  Agent.View.SuspectUntil = {};
   Agent.View.Load = Report.Load;
   Agent.View.LoadAt = Now;
+  Agent.View.ColdUntil = Now + Report.ColdFor;
+  noteHeard(Agent, Now);
   dropCounted(Agent);
   if (!Changed)
     return Change::None;
   return Added ? Change::Appeared : Change::StateChanged;
 }
 
+void UpstreamDirectory::enlist(NodeAddress Agent, const std::string &Service) {
+  ByService[Service].push_back(Agent);
+}
+
+void UpstreamDirectory::delist(NodeAddress Agent, const std::string &Service) {
+  const auto Found = ByService.find(Service);
+  if (Found == ByService.end())
+    return;
+  std::erase(Found->second, Agent);
+  if (Found->second.empty())
+    ByService.erase(Found);
+}
+
+std::span<const NodeAddress> UpstreamDirectory::agentsOf(const std::string &Service) const {
+  const auto Found = ByService.find(Service);
+  if (Found == ByService.end())
+    return {};
+  return Found->second;
+}
+
+void UpstreamDirectory::noteHeard(Known &Agent, common::TimePoint Now) {
+  LastHeardAt = Now;
+  Agent.View.HeardAt = Now;
+  Agent.View.SuspectUntil = {};
+  Agent.TakenAsLost = false;
+  Agent.UnansweredSince.reset();
+  Agent.Unanswered = 0;
+}
+
+void UpstreamDirectory::onHeard(NodeAddress From, common::TimePoint Now) {
+  if (const auto Found = Agents.find(From); Found != Agents.end())
+    noteHeard(Found->second, Now);
+}
+
 void UpstreamDirectory::onLoad(NodeAddress From, const UpstreamLoad &Load, common::TimePoint Now) {
   const auto Found = Agents.find(From);
   if (Found == Agents.end())
     return;
+  noteHeard(Found->second, Now);
   Found->second.View.Load = Load;
   Found->second.View.LoadAt = Now;
-  Found->second.View.SuspectUntil = {};
   dropCounted(Found->second);
 }
 
+// A report about the end of an upstream may have overtaken the answer, and isn't taken back by it.
+void UpstreamDirectory::onAnswer(NodeAddress From, const LoadAnswer &Answer,
+                                 common::TimePoint Now) {
+  onLoad(From, Answer.Load, Now);
+  const auto Found = Agents.find(From);
+  if (Found == Agents.end())
+    return;
+  AgentReport &Held = Found->second.View.Report;
+  if (Held.State != UpstreamState::Ended && Answer.State != UpstreamState::Ended)
+    Held.State = Answer.State;
+}
+
 void UpstreamDirectory::suspect(NodeAddress Agent, common::TimePoint Now) {
   const auto Found = Agents.find(Agent);
   if (Found != Agents.end())
     Found->second.View.SuspectUntil = Now + SuspicionTime;
 }
 
+std::vector<NodeAddress> UpstreamDirectory::candidates(const std::string &Service,
+                                                       const packet::FlowKey &Key) const {
+  return rankCandidates(Key, agentsOf(Service), MaxCandidates);
+}
+
+bool UpstreamDirectory::silent(const Known &Agent, common::TimePoint Now) {
+  return Agent.UnansweredSince && Now - *Agent.UnansweredSince > AnswerTimeout;
+}
+
+bool UpstreamDirectory::needsQuestion(NodeAddress Agent, common::TimePoint Now) const {
+  const auto Found = Agents.find(Agent);
+  return Found != Agents.end() && Now - Found->second.View.LoadAt > LoadFreshness &&
+         !Found->second.UnansweredSince && fitness(Found->second, Now) != Fitness::Unfit;
+}
+
+bool UpstreamDirectory::awaitsAnswer(NodeAddress Agent, common::TimePoint Now) const {
+  const auto Found = Agents.find(Agent);
+  return Found != Agents.end() && Found->second.UnansweredSince && !silent(Found->second, Now);
+}
+
+void UpstreamDirectory::noteQuestion(NodeAddress Agent, common::TimePoint Now) {
+  const auto Found = Agents.find(Agent);
+  if (Found == Agents.end())
+    return;
+  Known &Asked = Found->second;
+  Asked.AskedAt = Now;
+  ++Asked.Unanswered;
+  if (!Asked.UnansweredSince)
+    Asked.UnansweredSince = Now;
+}
+
+bool UpstreamDirectory::questionDue(const Known &Agent, common::TimePoint Now) {
+  constexpr std::uint32_t MostDoublings = 4; // MaxQuestionRepeat / QuestionRepeat
+  if (Agent.UnansweredSince) {
+    // Until an agent is taken for lost, it is asked often enough for MinLostQuestions.
+    const std::uint32_t Doublings =
+        Agent.TakenAsLost ? MostDoublings : std::min(Agent.Unanswered - 1, 1U);
+    return Now - Agent.AskedAt >= QuestionRepeat * (1U << Doublings);
+  }
+  const UpstreamState State = Agent.View.Report.State;
+  return State != UpstreamState::Ready && State != UpstreamState::Ended &&
+         Now - Agent.View.HeardAt > UnfitRecheck;
+}
+
+std::vector<NodeAddress> UpstreamDirectory::takeQuestions(common::TimePoint Now) {
+  std::vector<NodeAddress> Due;
+  for (const auto &[Address, Agent] : Agents) {
+    if (Due.size() >= MaxRepeatedQuestions)
+      break;
+    if (questionDue(Agent, Now))
+      Due.push_back(Address);
+  }
+  if (Now - LastHeardAt > HearingDoubt && Now - AskedWhenCutOffAt > QuestionRepeat) {
+    AskedWhenCutOffAt = Now;
+    const auto All = agents();
+    for (std::size_t I = 0; I < AskedIfCutOff && I < All.size(); ++I)
+      if (Due.size() < MaxRepeatedQuestions)
+        Due.push_back(*AskedWhenCutOff.next(All));
+  }
+  for (const NodeAddress Agent : Due)
+    noteQuestion(Agent, Now);
+  return Due;
+}
+
 void UpstreamDirectory::forgetSilent(common::TimePoint Now) {
-  std::erase_if(
-      Agents, [Now](const auto &Entry) { return Now - Entry.second.View.HeardAt > ReportForget; });
+  for (auto At = Agents.begin(); At != Agents.end();) {
+    const AgentView &View = At->second.View;
+    if (Now - View.HeardAt <= ReportForget) {
+      ++At;
+      continue;
+    }
+    if (View.Report.State != UpstreamState::Ended)
+      delist(At->first, View.Report.Service);
+    At = Agents.erase(At);
+  }
 }
 
 void UpstreamDirectory::dropCounted(Known &Agent) {
@@ -81,15 +206,15 @@
   case UpstreamState::Ended:
     return Fitness::Unfit;
   case UpstreamState::Unknown:
-    return Now - View.HeardAt > ReportStale ? Fitness::Unfit : Fitness::Doubtful;
+    return Fitness::Doubtful;
   case UpstreamState::Ready:
     break;
   }
-  const bool Doubtful = Now - View.HeardAt > ReportStale || View.SuspectUntil > Now;
+  const bool Doubtful = silent(Agent, Now) || View.SuspectUntil > Now;
   return Doubtful ? Fitness::Doubtful : Fitness::Good;
 }
 
-double UpstreamDirectory::score(const Known &Agent, FlowKind Kind) const {
+double UpstreamDirectory::score(const Known &Agent, FlowKind Kind, common::TimePoint Now) const {
   const AgentView &View = Agent.View;
   const auto Placed = [&Agent](FlowKind Which) {
     return static_cast<double>(
@@ -97,7 +222,7 @@
                       [Which](const Placement &Each) { return Each.Kind == Which; }));
   };
   double Slots = std::max<std::uint32_t>(1, View.Report.Slots);
-  if (View.Report.ColdFor > common::Duration::zero())
+  if (View.ColdUntil > Now)
     Slots *= ColdSlotShare;
   const double Present = (View.Load.Unanswered + Placed(FlowKind::Short)) / Slots;
   const double Distance = View.Report.Zone == OwnZone ? 0 : OtherZoneCost;
@@ -107,35 +232,57 @@
   return Lasting + PresentWorkWeight * Present + Distance;
 }
 
-std::optional<NodeAddress> UpstreamDirectory::choose(const std::string &Service, FlowKind Kind,
-                                                     std::span<const NodeAddress> Excluded,
-                                                     common::TimePoint Now) {
-  std::vector<const Known *> Best;
+std::optional<NodeAddress> UpstreamDirectory::chooseAmong(std::span<const NodeAddress> Among,
+                                                          FlowKind Kind,
+                                                          std::span<const NodeAddress> Excluded,
+                                                          common::TimePoint Now) const {
+  const Known *Best = nullptr;
   Fitness BestFitness = Fitness::Unfit;
-  for (const auto &[Address, Agent] : Agents) {
-    if (Agent.View.Report.Service != Service ||
+  double BestScore = 0;
+  for (const NodeAddress Address : Among) {
+    const auto Found = Agents.find(Address);
+    if (Found == Agents.end() ||
         std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
       continue;
+    const Known &Agent = Found->second;
     const Fitness Own = fitness(Agent, Now);
     if (Own == Fitness::Unfit || Own > BestFitness || full(Agent))
       continue;
+    const double Score = score(Agent, Kind, Now);
+    if (Own == BestFitness && Best != nullptr && Score >= BestScore)
+      continue;
+    Best = &Agent;
+    BestFitness = Own;
+    BestScore = Score;
+  }
+  if (Best == nullptr)
+    return std::nullopt;
+  return Best->View.Address;
+}
+
+std::optional<NodeAddress> UpstreamDirectory::choose(const std::string &Service, FlowKind Kind,
+                                                     std::span<const NodeAddress> Excluded,
+                                                     common::TimePoint Now) {
+  std::vector<NodeAddress> Best;
+  Fitness BestFitness = Fitness::Unfit;
+  for (const NodeAddress Address : agentsOf(Service)) {
+    const Known &Agent = Agents.at(Address);
+    const Fitness Own = fitness(Agent, Now);
+    if (Own == Fitness::Unfit || Own > BestFitness || full(Agent) ||
+        std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
+      continue;
     if (Own < BestFitness)
       Best.clear();
     BestFitness = Own;
-    Best.push_back(&Agent);
+    Best.push_back(Address);
   }
-  if (Best.empty())
-    return std::nullopt;
   // A flow that stays is worth a look at all agents; a short one follows the crowd's old figures
   // less if it compares only a few.
   const std::size_t Compared =
       Kind == FlowKind::Long ? Best.size() : std::min(PlacementChoices, Best.size());
   for (std::size_t I = 0; I < Compared; ++I)
     std::swap(Best[I], Best[I + common::uniformBelow(Random, Best.size() - I)]);
-  const auto *Chosen = *std::min_element(
-      Best.begin(), Best.begin() + static_cast<std::ptrdiff_t>(Compared),
-      [&](const Known *A, const Known *B) { return score(*A, Kind) < score(*B, Kind); });
-  return Chosen->View.Address;
+  return chooseAmong(std::span(Best).first(Compared), Kind, {}, Now);
 }
 
 bool UpstreamDirectory::full(const Known &Agent) {
@@ -149,12 +296,21 @@
   return Found != Agents.end() && full(Found->second);
 }
 
+bool UpstreamDirectory::isBusy(NodeAddress Agent) const {
+  const auto Found = Agents.find(Agent);
+  if (Found == Agents.end())
+    return false;
+  const AgentView &View = Found->second.View;
+  return View.Report.Slots != 0 &&
+         View.Load.Unanswered + Found->second.Placements.size() >= View.Report.Slots;
+}
+
 bool UpstreamDirectory::hasFull(const std::string &Service, std::span<const NodeAddress> Excluded,
                                 common::TimePoint Now) const {
-  return std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
-    const auto &[Address, Agent] = Entry;
-    return Agent.View.Report.Service == Service && full(Agent) &&
-           fitness(Agent, Now) != Fitness::Unfit &&
+  const auto Own = agentsOf(Service);
+  return std::any_of(Own.begin(), Own.end(), [&](NodeAddress Address) {
+    const Known &Agent = Agents.at(Address);
+    return full(Agent) && fitness(Agent, Now) != Fitness::Unfit &&
            std::find(Excluded.begin(), Excluded.end(), Address) == Excluded.end();
   });
 }
@@ -198,8 +354,10 @@
 }
 
 bool UpstreamDirectory::lost(const Known &Agent, common::TimePoint Now) const {
+  if (!Agent.UnansweredSince || Agent.Unanswered < MinLostQuestions)
+    return false;
   const bool Announced = Agent.View.Report.State == UpstreamState::Stopping;
-  return Now - std::max(Agent.View.HeardAt, ListeningSince) >
+  return Now - std::max(*Agent.UnansweredSince, ListeningSince) >
          (Announced ? StoppedLostTime : LostTime);
 }
 
@@ -220,10 +378,14 @@
 }
 
 std::vector<NodeAddress> UpstreamDirectory::takeLost(common::TimePoint Now) {
-  const auto Silent = static_cast<std::size_t>(std::count_if(
-      Agents.begin(), Agents.end(), [&](const auto &Entry) { return lost(Entry.second, Now); }));
+  std::size_t Silent = 0;
+  std::size_t Heard = 0;
+  for (const auto &[Address, Agent] : Agents) {
+    Silent += lost(Agent, Now) ? 1 : 0;
+    Heard += Agent.View.HeardAt + LostTime > Now ? 1 : 0;
+  }
   std::vector<NodeAddress> Found;
-  if (Silent * 2 >= Agents.size())
+  if (Silent >= Heard)
     return Found;
   for (auto &[Address, Agent] : Agents)
     if (lost(Agent, Now) && !std::exchange(Agent.TakenAsLost, true))
@@ -232,9 +394,7 @@
 }
 
 bool UpstreamDirectory::hearsAgents(common::TimePoint Now) const {
-  return std::any_of(Agents.begin(), Agents.end(), [Now](const auto &Entry) {
-    return Now - Entry.second.View.HeardAt <= ReportStale;
-  });
+  return !Agents.empty() && Now - LastHeardAt <= HearingStale;
 }
 
 } // namespace galenarelay::relay
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -137,6 +137,12 @@
   return Answer;
 }
 
+LoadAnswer UpstreamFlows::onLoadQuery(NodeAddress Balancer, common::TimePoint Now) {
+  if (full())
+    noteWaiting(Balancer);
+  return {state(Now), load()};
+}
+
 bool UpstreamFlows::upstreamGone(common::TimePoint Now) const {
   const double Intervals = Upstream.known() ? GoneIntervals : UnheardIntervals;
   const auto Silence = std::chrono::duration_cast<common::Duration>(HeartbeatInterval * Intervals);
@@ -169,21 +175,21 @@
   return slots() != 0 && Unanswered >= usefulRequests(slots());
 }
 
-void UpstreamFlows::noteDeclined(NodeAddress Balancer) {
-  if (Declined.size() < MaxDeclinedBalancers &&
-      std::find(Declined.begin(), Declined.end(), Balancer) == Declined.end())
-    Declined.push_back(Balancer);
+void UpstreamFlows::noteWaiting(NodeAddress Balancer) {
+  if (Waiting.size() < MaxWaitingBalancers &&
+      std::find(Waiting.begin(), Waiting.end(), Balancer) == Waiting.end())
+    Waiting.push_back(Balancer);
 }
 
 // One balancer for each place that becomes free, in the order in which they were declined, so that
 // not all of them send a flow for the same place.
 void UpstreamFlows::tellOfRoom(FlowActions &Out) {
-  if (Declined.empty() || full())
+  if (Waiting.empty() || full())
     return;
   Out.push_back({.What = FlowAction::Kind::Report,
                  .Event = FlowEvent::RoomAgain,
-                 .Balancer = Declined.front()});
-  Declined.pop_front();
+                 .Balancer = Waiting.front()});
+  Waiting.pop_front();
 }
 
 void UpstreamFlows::onFirstPacket(const PacketHead &Head, const Transit &Fields,
@@ -195,7 +201,7 @@
   if (!Repeated) {
     if (const auto Reason = whyDeclined(Fields, Now)) {
       if (*Reason == ReturnReason::Full)
-        noteDeclined(Balancer);
+        noteWaiting(Balancer);
       Out.push_back({.What = FlowAction::Kind::Return,
                      .Event = FlowEvent::OpenDeclined,
                      .Key = Head.Key,
@@ -218,6 +224,8 @@
     expectRequest(Held);
     if (Fields.Long)
       setLong(Held);
+    if (Fields.OthersWait)
+      noteWaiting(Balancer);
     AnswerChecks.emplace_back(Now + FirstAnswerTimeout, Head.Key);
   }
   Out.push_back(
--- a/src/routing/service_table.cpp
+++ b/src/routing/service_table.cpp
@@ -1,23 +1,12 @@
 #include "galenarelay/routing/service_table.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/common/hash_mix.h"
 
 #include <algorithm>
 
 namespace galenarelay::routing {
 
-namespace {
-
-/// Mixes a slot into a member's hash (the finalizer of SplitMix64, Steele et al. 2014).
-std::uint64_t score(std::uint64_t MemberHash, std::uint64_t Slot) noexcept {
-  std::uint64_t Mixed = MemberHash + (Slot + 1) * 0x9e3779b97f4a7c15ULL;
-  Mixed = (Mixed ^ (Mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94d049bb133111ebULL;
-  return Mixed ^ (Mixed >> 31);
-}
-
-} // namespace
-
 ServiceTable::ServiceTable(std::string_view ServiceName, std::vector<std::string> MemberIds)
     : Members(std::move(MemberIds)) {
   std::sort(Members.begin(), Members.end());
@@ -32,7 +21,7 @@
     std::uint64_t Next = 0;
     Choice Chosen;
     for (std::size_t I = 0; I < Hashes.size(); ++I) {
-      const std::uint64_t Score = score(Hashes[I], Slot);
+      const std::uint64_t Score = common::mixHash(Hashes[I], Slot);
       if (Chosen.First == NoMember || Score > Best) {
         Next = Best;
         Chosen.Second = Chosen.First;
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(testLoad_twiceCapacity_isInTimeForMostOfWhatIsServed);
   CPPUNIT_TEST(testLoad_twiceCapacity_keepsUrgentRequestsInTime);
   CPPUNIT_TEST(testLoad_afterBurst_isInTimeAgainWithinTwoSeconds);
+  CPPUNIT_TEST(testLoad_anyFleetSize_isServedInTime);
+  CPPUNIT_TEST(testLoad_ofDesignSize_staysBelowControlBytes);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr double GoodputTarget = 0.95;
@@ -116,6 +118,39 @@
                      GoodputTarget * static_cast<double>(After.Asked - Before.Asked));
     });
   }
+
+  // Figures of load are asked for from a few agents, whatever the number of agents and balancers.
+  void testLoad_anyFleetSize_isServedInTime() {
+    for (const std::size_t Agents : {7, 70, 700}) {
+      RelayFleet Fleet({.Balancers = std::max<std::size_t>(3, Agents / 3), .Agents = Agents});
+      Fleet.runFor(200ms);
+      Fleet.offer(0.7 * Fleet.capacity(), 2s, CallerCount);
+      Fleet.runFor(4s);
+      const auto All = Fleet.total();
+      CPPUNIT_ASSERT_EQUAL(All.Asked, All.Served);
+      CPPUNIT_ASSERT(static_cast<double>(All.InTime) >=
+                     GoodputTarget * static_cast<double>(All.Asked));
+    }
+  }
+
+  // A tenth of the design size, with its ratios: 700 balancers, 6,200 agents, 42,000 new flows a
+  // second; for control 15 KB/s a node.
+  void testLoad_ofDesignSize_staysBelowControlBytes() {
+    constexpr std::size_t Balancers = 70;
+    constexpr double NewFlows = 4200;
+    constexpr double MaxBytesPerSecond = 15'000;
+    RelayFleet Fleet({.Balancers = Balancers, .Agents = 620});
+    Fleet.runFor(200ms);
+    const auto Before = Fleet.controlBytes();
+    Fleet.offer(NewFlows, 2s, CallerCount);
+    // All of them pass a balancer, in or out; an agent has a ninth of this.
+    CPPUNIT_ASSERT(static_cast<double>(Fleet.controlBytes() - Before) / Balancers / 2 <=
+                   MaxBytesPerSecond);
+    Fleet.runFor(1s);
+    const auto All = Fleet.total();
+    CPPUNIT_ASSERT(static_cast<double>(All.InTime) >=
+                   GoodputTarget * static_cast<double>(All.Asked));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayLoadTest);
