Judge lost agents by witnesses and by how long answers take; read long answers while bytes come

Change: an agent is lost only if two of four other balancers, the same ones for all who ask, find it silent too. Time-outs of placements and losses follow the answers that come (RFC 6298). The time-out of an HTTP call is for the next bytes, at most eight of them in all. Agents ask the store for balancers after 300 ms if none has called, and failed writes of records pause longer.

Ruled out: counting silent agents only (a full link loses some datagrams, not all).

--- a/include/galenarelay/common/http.h
+++ b/include/galenarelay/common/http.h
@@ -45,8 +45,13 @@
 /// Percent-encodes a query value.
 [[nodiscard]] std::string encodeQuery(std::string_view Text);
 
-/// Sends one request and reads the answer. Errors: PeerUnreachable (nothing was sent),
-/// RequestOutcomeUnknown (sent, but no whole answer within the timeout).
+/// An answer whose bytes keep coming may take this many timeouts in all: a configuration of 300 KB
+/// over a link of 2 Mbit/s takes more than one second.
+inline constexpr int MaxHttpTimeouts = 8;
+
+/// Sends one request and reads the answer. The timeout is for connecting, sending and the first
+/// bytes, and then for the next ones. Errors: PeerUnreachable (nothing was sent),
+/// RequestOutcomeUnknown (sent, but no whole answer came in time).
 [[nodiscard]] boost::asio::awaitable<Outcome<HttpResponse>>
 httpCall(Endpoint Server, std::string Method, std::string Target, std::string Body,
          Duration Timeout);
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -95,6 +95,9 @@
 /// A record that was lost with the lease of a store that had been away is written again within two
 /// seconds: renewals come at this interval until one has succeeded after a failure.
 inline constexpr common::Duration RecordRetry = std::chrono::milliseconds(1000);
+/// Pause after the first failure: a record is for nodes that start later, so that it is less urgent
+/// than what a node needs itself.
+inline constexpr common::Duration MinRecordRetry = std::chrono::milliseconds(500);
 
 /// The record by which other nodes find this one: its key holds its address for as long as it runs.
 template <relay::StoreProtocol Protocol> class StoreRecord {
@@ -105,7 +108,7 @@
 
   /// Keeps the record in the store while it is wanted, and removes it while it isn't.
   boost::asio::awaitable<void> keep(common::Engine &Random) {
-    CallPause Pause(MinCallPause, RecordRetry, Random);
+    CallPause Pause(MinRecordRetry, RecordRetry, Random);
     while (true) {
       const bool Intended = Wanted;
       bool Done = false;
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -21,6 +21,9 @@
 inline constexpr common::Duration ReportRepeat = std::chrono::milliseconds(300);
 /// Interval of reports to all addresses that may be balancers while none has answered.
 inline constexpr common::Duration FirstContactInterval = std::chrono::milliseconds(60);
+/// The store is asked for balancers if none has been heard when this time has passed: they know an
+/// agent from its record, and contact it once they run.
+inline constexpr common::Duration FirstLookupDelay = std::chrono::milliseconds(300);
 /// The store is asked for balancers again if none has been heard when this time has passed.
 inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
 /// An answer that took this long gets a log line: about a latency objective.
@@ -184,9 +187,9 @@
       Peers.addContact(From, Now);
       return sendTo(From, Flows.onQuery(*Query, Now));
     }
-    if (Message && std::holds_alternative<relay::LoadQuery>(*Message)) {
+    if (const auto *Question = Message ? std::get_if<relay::LoadQuery>(&*Message) : nullptr) {
       Peers.addContact(From, Now);
-      return sendTo(From, Flows.onLoadQuery(From, Now));
+      return sendTo(From, Flows.onLoadQuery(*Question, From, Now));
     }
     const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
     if (Beacon == nullptr)
@@ -335,6 +338,7 @@
 
   Awaitable<void> findBalancers() {
     impl::CallPause Pause(impl::MinCallPause, impl::MaxCallPause, Random);
+    co_await impl::pauseFor(FirstLookupDelay);
     while (true) {
       if (Peers.live(common::suspendAwareNow()).empty()) {
         const auto Page = co_await Store.list(impl::BalancerRecords);
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -266,6 +266,15 @@
     MalformedPackets.Increment();
   }
 
+  void take(const relay::LossQuery &Question, relay::NodeAddress From, common::TimePoint Now) {
+    if (auto Answer = Directory.onLossQuery(Question, Now); !Answer.Silent.empty())
+      sendTo(From, std::move(Answer));
+  }
+
+  void take(const relay::LossAnswer &Answer, relay::NodeAddress From, common::TimePoint) {
+    Directory.onLossAnswer(Answer, From);
+  }
+
   void take(const relay::ReturnedPacket &Returned, relay::NodeAddress From, common::TimePoint Now) {
     const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
     if (!Head)
@@ -352,8 +361,11 @@
     Steering.setRoutesCurrent(routesCurrent(Now));
     perform(Steering.onTimer(Now), {}, Now);
     sendQuestions(Now);
-    sendToAll(Directory.takeQuestions(Now), relay::LoadQuery{});
-    for (const auto Agent : Directory.takeLost(Now)) {
+    sendToAll(Directory.takeQuestions(Now), relay::UpstreamDirectory::repeatedQuestion(Now));
+    const auto Balancers = Peers.live(Now);
+    for (const auto &[Witness, Question] : Directory.takeLossQueries(Balancers, Now))
+      sendTo(Witness, Question);
+    for (const auto Agent : Directory.takeLost(Balancers.size(), Now)) {
       common::log(common::LogLevel::Warning, "agent_lost",
                   {{"agent", common::addressToString(Agent)},
                    {"silent_ms", common::wholeMilliseconds(Now - Directory.find(Agent)->HeardAt)}});
--- a/include/galenarelay/relay/candidates.h
+++ b/include/galenarelay/relay/candidates.h
@@ -23,6 +23,10 @@
 [[nodiscard]] std::vector<NodeAddress>
 rankCandidates(const packet::FlowKey &Key, std::span<const NodeAddress> Agents, std::size_t Count);
 
+/// The first Count of Nodes for a number, in the same way.
+[[nodiscard]] std::vector<NodeAddress>
+rankNodes(std::uint64_t Hash, std::span<const NodeAddress> Nodes, std::size_t Count);
+
 /// Goes through a changing set of addresses in turn.
 class Rotation {
 public:
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -125,6 +125,10 @@
 
 /// A balancer asks an agent for its load.
 struct LoadQuery {
+  /// Time at which a repeated question left, in milliseconds of the balancer's clock modulo 2^16;
+  /// 0 in a first one, which is shorter without it.
+  std::uint16_t Stamp = 0;
+
   friend bool operator==(const LoadQuery &, const LoadQuery &) = default;
 };
 
@@ -132,12 +136,28 @@
 struct LoadAnswer {
   UpstreamState State = UpstreamState::Unknown;
   UpstreamLoad Load;
+  std::uint16_t Stamp = 0; ///< Of the question.
 
   friend bool operator==(const LoadAnswer &, const LoadAnswer &) = default;
 };
 
-using PeerMessage = std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket,
-                                 FlowAbsence, FlowQuery, FlowAnswer, LoadQuery, LoadAnswer>;
+/// A balancer asks another one whether these agents answer it.
+struct LossQuery {
+  std::vector<NodeAddress> Agents;
+
+  friend bool operator==(const LossQuery &, const LossQuery &) = default;
+};
+
+/// Answer to a LossQuery: those of the agents that are silent towards the sender as well.
+struct LossAnswer {
+  std::vector<NodeAddress> Silent;
+
+  friend bool operator==(const LossAnswer &, const LossAnswer &) = default;
+};
+
+using PeerMessage =
+    std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowAbsence, FlowQuery,
+                 FlowAnswer, LoadQuery, LoadAnswer, LossQuery, LossAnswer>;
 
 /// Flows in one FlowQuery: it stays below an Ethernet frame.
 inline constexpr std::size_t MaxQueriedFlows = 40;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -5,13 +5,17 @@
 #include "galenarelay/common/time.h"
 #include "galenarelay/relay/candidates.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/response_time.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenarelay::relay {
@@ -26,8 +30,10 @@
 inline constexpr common::Duration ReportForget = std::chrono::minutes(5);
 /// A load figure is used for further placements for this time: about the work of a request or two.
 inline constexpr common::Duration LoadFreshness = std::chrono::milliseconds(60);
-/// A placement waits this long for an answer: several times the way between zones.
+/// A placement waits this long for an answer: several times the way between zones; longer while
+/// answers are slow, but no longer than a caller's first copy takes.
 inline constexpr common::Duration AnswerTimeout = std::chrono::milliseconds(20);
+inline constexpr common::Duration MaxAnswerTimeout = std::chrono::milliseconds(200);
 /// An unanswered question is repeated after this time, doubled up to MaxQuestionRepeat.
 inline constexpr common::Duration QuestionRepeat = std::chrono::milliseconds(100);
 inline constexpr common::Duration MaxQuestionRepeat = std::chrono::milliseconds(1600);
@@ -37,8 +43,19 @@
 /// Questions repeated in one call, so that a lost zone doesn't fill a link.
 inline constexpr std::size_t MaxRepeatedQuestions = 20;
 /// An agent that has left questions unanswered for this time, and did not say that it stops,
-/// doesn't run or can't be reached: longer than a start.
+/// doesn't run or can't be reached: longer than a start. While answers are slow, the time that two
+/// of them take is added.
 inline constexpr common::Duration LostTime = std::chrono::milliseconds(1200);
+/// Other balancers are asked about an agent that has left questions unanswered for this time, at
+/// this interval.
+inline constexpr common::Duration LossDoubt = std::chrono::milliseconds(300);
+inline constexpr common::Duration LossQueryInterval = std::chrono::milliseconds(200);
+/// Balancers that are asked about an agent, and those of them that must find it silent as well:
+/// what is silent may be this node's own link. They are the same ones for all who ask.
+inline constexpr std::size_t LossWitnesses = 4;
+inline constexpr std::size_t MinLossWitnesses = 2;
+/// Agents in one LossQuery, so that it stays below an Ethernet frame.
+inline constexpr std::size_t MaxDoubtedAgents = 100;
 /// So many questions must have been lost, as a datagram may be lost at any time.
 inline constexpr std::uint32_t MinLostQuestions = 4;
 /// An agent that said that it stops is back after this time, or never: several times the second
@@ -107,6 +124,12 @@
   /// Agents that are to be asked again: those that left questions unanswered, those that took no
   /// flows when they were last heard, and some others if nobody has been heard for HearingDoubt.
   [[nodiscard]] std::vector<NodeAddress> takeQuestions(common::TimePoint Now);
+  /// The question for agents of takeQuestions.
+  [[nodiscard]] static LoadQuery repeatedQuestion(common::TimePoint Now) noexcept;
+  /// How long to wait for something that an agent does at once.
+  [[nodiscard]] common::Duration patience(common::Duration Least) const noexcept {
+    return Answers.patience(Least, std::max(Least, MaxAnswerTimeout));
+  }
 
   /// Chooses the best of some agents for a new flow, none of Excluded and none that is full; empty
   /// without a usable one.
@@ -138,9 +161,17 @@
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
   /// Those that are in a record of the store, have not reported, and may still do so.
   [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
-  /// Agents that have become lost since the last call. None are while more agents are silent than
+  /// Questions to Balancers about agents that may be lost, with the balancer to ask.
+  [[nodiscard]] std::vector<std::pair<NodeAddress, LossQuery>>
+  takeLossQueries(std::span<const NodeAddress> Balancers, common::TimePoint Now);
+  /// Answers another balancer. Its doubtful agents that have not been heard here are asked by
+  /// takeQuestions from now on.
+  [[nodiscard]] LossAnswer onLossQuery(const LossQuery &Question, common::TimePoint Now);
+  void onLossAnswer(const LossAnswer &Answer, NodeAddress From);
+  /// Agents that have become lost since the last call: silent here and towards MinLossWitnesses of
+  /// the Balancers known, or all if there are fewer. None are while more agents are silent than
   /// heard: then this node is the one that is cut off.
-  [[nodiscard]] std::vector<NodeAddress> takeLost(common::TimePoint Now);
+  [[nodiscard]] std::vector<NodeAddress> takeLost(std::size_t Balancers, common::TimePoint Now);
   /// True if any agent has reported lately.
   [[nodiscard]] bool hearsAgents(common::TimePoint Now) const;
   [[nodiscard]] std::size_t size() const noexcept { return Agents.size(); }
@@ -156,6 +187,7 @@
     common::TimePoint AskedAt{};                      ///< The last question.
     std::optional<common::TimePoint> UnansweredSince; ///< The first question without an answer.
     std::uint32_t Unanswered = 0;                     ///< Questions since then.
+    std::set<NodeAddress> Witnesses;                  ///< Balancers that find it silent as well.
     bool TakenAsLost = false;
   };
   /// Preference between groups of agents; the best group with a member is used.
@@ -165,7 +197,7 @@
   [[nodiscard]] static bool full(const Known &Agent);
   [[nodiscard]] double score(const Known &Agent, FlowKind Kind, common::TimePoint Now) const;
   /// True if the agent has left a question unanswered for AnswerTimeout.
-  [[nodiscard]] static bool silent(const Known &Agent, common::TimePoint Now);
+  [[nodiscard]] bool silent(const Known &Agent, common::TimePoint Now) const;
   [[nodiscard]] std::span<const NodeAddress> agentsOf(const std::string &Service) const;
   [[nodiscard]] static bool questionDue(const Known &Agent, common::TimePoint Now);
   void noteHeard(Known &Agent, common::TimePoint Now);
@@ -182,6 +214,8 @@
   Rotation AskedWhenCutOff;
   common::TimePoint AskedWhenCutOffAt{};
   common::TimePoint LastHeardAt{};
+  common::TimePoint LossQueryAt{};
+  ResponseTime Answers;
   common::TimePoint ListeningSince{};
 };
 
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -113,7 +113,8 @@
   /// Which of the flows are here.
   [[nodiscard]] FlowAnswer onQuery(const FlowQuery &Query, common::TimePoint Now) const;
   /// The upstream's load. If it is full, the balancer is told when there is room again.
-  [[nodiscard]] LoadAnswer onLoadQuery(NodeAddress Balancer, common::TimePoint Now);
+  [[nodiscard]] LoadAnswer onLoadQuery(const LoadQuery &Question, NodeAddress Balancer,
+                                       common::TimePoint Now);
   /// True if the upstream has given no sign of life for so long that it has ended.
   [[nodiscard]] bool upstreamGone(common::TimePoint Now) const;
   /// This process stood still: the upstream's silence counts from now on, and the settings may name
--- a/src/common/http.cpp
+++ b/src/common/http.cpp
@@ -9,7 +9,9 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/version.hpp>
 
+#include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <exception>
 
 namespace galenarelay::common {
@@ -166,9 +168,16 @@
   beast::flat_buffer Buffer;
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(HttpServer::MaxBodyBytes);
-  const auto [ReadFailure, ReadSize] = co_await http::async_read(Stream, Buffer, Parser, AsTuple);
-  if (ReadFailure)
-    co_return Unknown(ReadFailure);
+  // A long answer over a slow link takes more time than a short one, so that the timeout is for the
+  // next bytes.
+  const auto Deadline = std::chrono::steady_clock::now() + MaxHttpTimeouts * Timeout;
+  while (!Parser.is_done()) {
+    const auto [ReadFailure, ReadSize] =
+        co_await http::async_read_some(Stream, Buffer, Parser, AsTuple);
+    if (ReadFailure)
+      co_return Unknown(ReadFailure);
+    Stream.expires_at(std::min(std::chrono::steady_clock::now() + Timeout, Deadline));
+  }
   HttpResponse Answer;
   Answer.Status = Parser.get().result_int();
   Answer.Body = Parser.get().body();
--- a/src/relay/candidates.cpp
+++ b/src/relay/candidates.cpp
@@ -8,13 +8,12 @@
 
 namespace galenarelay::relay {
 
-std::vector<NodeAddress> rankCandidates(const packet::FlowKey &Key,
-                                        std::span<const NodeAddress> Agents, std::size_t Count) {
-  const std::uint64_t Hash = packet::hash(Key);
+std::vector<NodeAddress> rankNodes(std::uint64_t Hash, std::span<const NodeAddress> Nodes,
+                                   std::size_t Count) {
   std::vector<std::pair<std::uint64_t, NodeAddress>> Scores;
-  Scores.reserve(Agents.size());
-  for (const NodeAddress Agent : Agents)
-    Scores.emplace_back(common::mixHash(Hash, Agent), Agent);
+  Scores.reserve(Nodes.size());
+  for (const NodeAddress Node : Nodes)
+    Scores.emplace_back(common::mixHash(Hash, Node), Node);
   const auto Taken = static_cast<std::ptrdiff_t>(std::min(Count, Scores.size()));
   std::partial_sort(Scores.begin(), Scores.begin() + Taken, Scores.end(), std::greater<>());
   std::vector<NodeAddress> Ranked;
@@ -24,6 +23,11 @@
   return Ranked;
 }
 
+std::vector<NodeAddress> rankCandidates(const packet::FlowKey &Key,
+                                        std::span<const NodeAddress> Agents, std::size_t Count) {
+  return rankNodes(packet::hash(Key), Agents, Count);
+}
+
 std::optional<NodeAddress> Rotation::next(std::span<const NodeAddress> Sorted) {
   if (Sorted.empty())
     return std::nullopt;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -231,7 +231,7 @@
   Open.Waiting = true;
   Held.Agent = Agent;
   Directory.notePlacement(Agent, Open.Kind, Now);
-  PlacementChecks.emplace_back(Now + PlacementTimeout, Key);
+  PlacementChecks.emplace_back(Now + Directory.patience(PlacementTimeout), Key);
   Transit Fields = transitTo(Open.Service, false, Insist);
   Fields.Long = Open.Kind == FlowKind::Long;
   Fields.OthersWait = Open.OthersWait;
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -22,7 +22,9 @@
   Query,
   Answer,
   LoadQuery,
-  LoadAnswer
+  LoadAnswer,
+  LossQuery,
+  LossAnswer
 };
 
 json loadJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
@@ -75,10 +77,27 @@
   return json::array({Type::Answer, Answer.Number, Answer.Held, Answer.Unsure});
 }
 
-json toJson(const LoadQuery & /*Question*/) { return json::array({Type::LoadQuery}); }
+json toJson(const LoadQuery &Question) {
+  json Fields = json::array({Type::LoadQuery});
+  if (Question.Stamp != 0)
+    Fields.push_back(Question.Stamp);
+  return Fields;
+}
 
 json toJson(const LoadAnswer &Answer) {
-  return json::array({Type::LoadAnswer, Answer.State, loadJson(Answer.Load)});
+  json Fields = json::array({Type::LoadAnswer, Answer.State, loadJson(Answer.Load)});
+  if (Answer.Stamp != 0)
+    Fields.push_back(Answer.Stamp);
+  return Fields;
+}
+
+json toJson(const LossQuery &Question) { return json::array({Type::LossQuery, Question.Agents}); }
+
+json toJson(const LossAnswer &Answer) { return json::array({Type::LossAnswer, Answer.Silent}); }
+
+/// The stamp at a position, or 0 without one.
+std::uint16_t stampOf(const json &Fields, std::size_t Position) {
+  return Fields.size() > Position ? Fields.at(Position).get<std::uint16_t>() : 0;
 }
 
 template <typename E> E enumOf(const json &Value, E Last) {
@@ -123,7 +142,7 @@
 }
 
 PeerMessage messageOf(const json &Fields) {
-  switch (enumOf(Fields.at(0), Type::LoadAnswer)) {
+  switch (enumOf(Fields.at(0), Type::LossAnswer)) {
   case Type::Report:
     return reportOf(Fields);
   case Type::Beacon:
@@ -142,9 +161,14 @@
                       Fields.at(2).get<std::vector<std::uint8_t>>(),
                       Fields.at(3).get<std::vector<std::uint8_t>>()};
   case Type::LoadQuery:
-    return LoadQuery{};
+    return LoadQuery{stampOf(Fields, 1)};
   case Type::LoadAnswer:
-    return LoadAnswer{enumOf(Fields.at(1), UpstreamState::Ended), loadOf(Fields.at(2))};
+    return LoadAnswer{enumOf(Fields.at(1), UpstreamState::Ended), loadOf(Fields.at(2)),
+                      stampOf(Fields, 3)};
+  case Type::LossQuery:
+    return LossQuery{Fields.at(1).get<std::vector<NodeAddress>>()};
+  case Type::LossAnswer:
+    return LossAnswer{Fields.at(1).get<std::vector<NodeAddress>>()};
   }
   throw std::out_of_range("unknown type");
 }
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -20,8 +20,19 @@
 /// Agents that a balancer asks at a time if it hears none.
 constexpr std::size_t AskedIfCutOff = 3;
 
+/// See LoadQuery::Stamp.
+std::uint16_t stampOf(common::TimePoint Now) noexcept {
+  const auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now.time_since_epoch()).count();
+  return static_cast<std::uint16_t>(Milliseconds);
+}
+
 } // namespace
 
+LoadQuery UpstreamDirectory::repeatedQuestion(common::TimePoint Now) noexcept {
+  return {std::max<std::uint16_t>(1, stampOf(Now))};
+}
+
 UpstreamDirectory::Change UpstreamDirectory::onReport(NodeAddress From, const AgentReport &Report,
                                                       common::TimePoint Now) {
   Expected.erase(From);
@@ -78,6 +89,7 @@
   Agent.TakenAsLost = false;
   Agent.UnansweredSince.reset();
   Agent.Unanswered = 0;
+  Agent.Witnesses.clear();
 }
 
 void UpstreamDirectory::onHeard(NodeAddress From, common::TimePoint Now) {
@@ -98,10 +110,15 @@
 // A report about the end of an upstream may have overtaken the answer, and isn't taken back by it.
 void UpstreamDirectory::onAnswer(NodeAddress From, const LoadAnswer &Answer,
                                  common::TimePoint Now) {
-  onLoad(From, Answer.Load, Now);
   const auto Found = Agents.find(From);
   if (Found == Agents.end())
     return;
+  if (Answer.Stamp != 0)
+    Answers.onAnswer(
+        std::chrono::milliseconds(static_cast<std::uint16_t>(stampOf(Now) - Answer.Stamp)), Now);
+  else if (const auto Since = Found->second.UnansweredSince)
+    Answers.onAnswer(Now - *Since, Now);
+  onLoad(From, Answer.Load, Now);
   AgentReport &Held = Found->second.View.Report;
   if (Held.State != UpstreamState::Ended && Answer.State != UpstreamState::Ended)
     Held.State = Answer.State;
@@ -118,8 +135,8 @@
   return rankCandidates(Key, agentsOf(Service), MaxCandidates);
 }
 
-bool UpstreamDirectory::silent(const Known &Agent, common::TimePoint Now) {
-  return Agent.UnansweredSince && Now - *Agent.UnansweredSince > AnswerTimeout;
+bool UpstreamDirectory::silent(const Known &Agent, common::TimePoint Now) const {
+  return Agent.UnansweredSince && Now - *Agent.UnansweredSince > patience(AnswerTimeout);
 }
 
 bool UpstreamDirectory::needsQuestion(NodeAddress Agent, common::TimePoint Now) const {
@@ -149,7 +166,7 @@
   if (Agent.UnansweredSince) {
     // Until an agent is taken for lost, it is asked often enough for MinLostQuestions.
     const std::uint32_t Doublings =
-        Agent.TakenAsLost ? MostDoublings : std::min(Agent.Unanswered - 1, 1U);
+        Agent.TakenAsLost ? MostDoublings : std::min(std::max(Agent.Unanswered, 1U) - 1, 1U);
     return Now - Agent.AskedAt >= QuestionRepeat * (1U << Doublings);
   }
   const UpstreamState State = Agent.View.Report.State;
@@ -358,7 +375,7 @@
     return false;
   const bool Announced = Agent.View.Report.State == UpstreamState::Stopping;
   return Now - std::max(*Agent.UnansweredSince, ListeningSince) >
-         (Announced ? StoppedLostTime : LostTime);
+         (Announced ? StoppedLostTime : LostTime) + 2 * Answers.slowest(Now);
 }
 
 std::vector<NodeAddress> UpstreamDirectory::reportingHolders(common::TimePoint Now) const {
@@ -377,7 +394,50 @@
   return Found;
 }
 
-std::vector<NodeAddress> UpstreamDirectory::takeLost(common::TimePoint Now) {
+std::vector<std::pair<NodeAddress, LossQuery>>
+UpstreamDirectory::takeLossQueries(std::span<const NodeAddress> Balancers, common::TimePoint Now) {
+  if (Now - LossQueryAt < LossQueryInterval)
+    return {};
+  LossQueryAt = Now;
+  std::map<NodeAddress, LossQuery> Queries;
+  for (const auto &[Address, Agent] : Agents) {
+    if (!Agent.UnansweredSince || Agent.TakenAsLost || Now - *Agent.UnansweredSince < LossDoubt)
+      continue;
+    for (const NodeAddress Witness : rankNodes(Address, Balancers, LossWitnesses)) {
+      auto &Asked = Queries[Witness].Agents;
+      if (Asked.size() < MaxDoubtedAgents)
+        Asked.push_back(Address);
+    }
+  }
+  return {Queries.begin(), Queries.end()};
+}
+
+LossAnswer UpstreamDirectory::onLossQuery(const LossQuery &Question, common::TimePoint Now) {
+  LossAnswer Answer;
+  for (const NodeAddress Address : Question.Agents) {
+    const auto Found = Agents.find(Address);
+    if (Found == Agents.end())
+      continue;
+    Known &Agent = Found->second;
+    if (lost(Agent, Now)) {
+      Answer.Silent.push_back(Address);
+    } else if (!Agent.UnansweredSince && Now - Agent.View.HeardAt > LossDoubt) {
+      // Due at once: no question has left yet.
+      Agent.UnansweredSince = Now;
+      Agent.AskedAt = Now - MaxQuestionRepeat;
+    }
+  }
+  return Answer;
+}
+
+void UpstreamDirectory::onLossAnswer(const LossAnswer &Answer, NodeAddress From) {
+  for (const NodeAddress Address : Answer.Silent)
+    if (const auto Found = Agents.find(Address);
+        Found != Agents.end() && Found->second.UnansweredSince)
+      Found->second.Witnesses.insert(From);
+}
+
+std::vector<NodeAddress> UpstreamDirectory::takeLost(std::size_t Balancers, common::TimePoint Now) {
   std::size_t Silent = 0;
   std::size_t Heard = 0;
   for (const auto &[Address, Agent] : Agents) {
@@ -387,8 +447,10 @@
   std::vector<NodeAddress> Found;
   if (Silent >= Heard)
     return Found;
+  const std::size_t Needed = std::min(MinLossWitnesses, Balancers);
   for (auto &[Address, Agent] : Agents)
-    if (lost(Agent, Now) && !std::exchange(Agent.TakenAsLost, true))
+    if (lost(Agent, Now) && Agent.Witnesses.size() >= Needed &&
+        !std::exchange(Agent.TakenAsLost, true))
       Found.push_back(Address);
   return Found;
 }
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -137,10 +137,11 @@
   return Answer;
 }
 
-LoadAnswer UpstreamFlows::onLoadQuery(NodeAddress Balancer, common::TimePoint Now) {
+LoadAnswer UpstreamFlows::onLoadQuery(const LoadQuery &Question, NodeAddress Balancer,
+                                      common::TimePoint Now) {
   if (full())
     noteWaiting(Balancer);
-  return {state(Now), load()};
+  return {state(Now), load(), Question.Stamp};
 }
 
 bool UpstreamFlows::upstreamGone(common::TimePoint Now) const {
--- a/tests/common_test.cpp
+++ b/tests/common_test.cpp
@@ -4,6 +4,10 @@
 #include "galenarelay/common/settings.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -110,6 +114,7 @@
   CPPUNIT_TEST(testCall_runningServer_returnsItsAnswer);
   CPPUNIT_TEST(testCall_closedPort_isPeerUnreachable);
   CPPUNIT_TEST(testCall_answerLost_isOutcomeUnknown);
+  CPPUNIT_TEST(testCall_slowLongAnswer_isReadWhileBytesCome);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Loopback = 0x7f000001;
@@ -159,6 +164,32 @@
     CPPUNIT_ASSERT(!Answer);
     CPPUNIT_ASSERT(Answer.Failure.Code == ResultCode::RequestOutcomeUnknown);
   }
+
+  // sunbox-relay-large trouble-1 in its small form: a configuration took longer over the link than
+  // the timeout of a call, so that no balancer got it after all power had been cut.
+  void testCall_slowLongAnswer_isReadWhileBytesCome() {
+    using boost::asio::ip::tcp;
+    constexpr Duration ShortTimeout = std::chrono::seconds(2);
+    constexpr int Parts = 4;
+    boost::asio::io_context Io;
+    tcp::acceptor Acceptor(Io, {boost::asio::ip::address_v4(Loopback), 0});
+    std::thread Server([&] {
+      tcp::socket Caller = Acceptor.accept();
+      boost::asio::streambuf Request;
+      boost::asio::read_until(Caller, Request, "\r\n\r\n");
+      const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+      boost::asio::write(Caller, boost::asio::buffer(Head));
+      for (int I = 0; I < Parts; ++I) {
+        std::this_thread::sleep_for(ShortTimeout * 3 / (2 * Parts));
+        boost::asio::write(Caller, boost::asio::buffer("x", 1));
+      }
+    });
+    const auto Answer = httpCallBlocking({Loopback, Acceptor.local_endpoint().port()}, "GET", "/",
+                                         "", ShortTimeout);
+    Server.join();
+    CPPUNIT_ASSERT(Answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("xxxx"), Answer->Body);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -320,7 +320,7 @@
   void ask(relay::NodeAddress From, relay::NodeAddress To) {
     ++Questions;
     after(Hop, [this, From, To] {
-      const auto Answer = agent(To).Flows.onLoadQuery(From, Now);
+      const auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
       after(Hop, [this, From, To, Answer] {
         balancer(From).Directory.onAnswer(To, Answer, Now);
         steer(From, balancer(From).Steering.onLoadKnown(Now), {});
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -556,7 +556,7 @@
       for (const auto Other : {AgentOne, AgentTwo, AgentThree})
         if (Other != Agent)
           Balancer.Directory.onHeard(Other, Now);
-      if (Balancer.Directory.takeLost(Now) == std::vector{Agent})
+      if (Balancer.Directory.takeLost(0, Now) == std::vector{Agent})
         return Waited;
     }
     return Waited;
@@ -570,7 +570,7 @@
     // Within the bound that held while agents reported by themselves, from the caller's first
     // repetition on.
     CPPUNIT_ASSERT(Waited >= relay::LostTime && Waited <= relay::LostTime + 300ms);
-    CPPUNIT_ASSERT(Balancer.Directory.takeLost(RelayStart + Waited).empty());
+    CPPUNIT_ASSERT(Balancer.Directory.takeLost(0, RelayStart + Waited).empty());
     const auto Resets = Balancer.Steering.onAgentLost(Agent);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countKind(Resets, Kind::Reset));
     // An order can't be repeated, and its answer may be ready.
@@ -587,11 +587,11 @@
         (void)Balancer.send(callerData(relayKey(1), 77, 2000), Now);
       (void)Balancer.Directory.takeQuestions(Now);
       Balancer.Directory.onHeard(Agent == AgentOne ? AgentTwo : AgentOne, Now);
-      CPPUNIT_ASSERT(Balancer.Directory.takeLost(Now).empty());
+      CPPUNIT_ASSERT(Balancer.Directory.takeLost(0, Now).empty());
     }
     Balancer.Directory.onAnswer(Agent, {relay::UpstreamState::Ready, {}},
                                 RelayStart + relay::LostTime);
-    CPPUNIT_ASSERT(Balancer.Directory.takeLost(RelayStart + 5s).empty());
+    CPPUNIT_ASSERT(Balancer.Directory.takeLost(0, RelayStart + 5s).empty());
     CPPUNIT_ASSERT_EQUAL(Agent, Balancer.Steering.agentOf(relayKey(1)));
   }
 
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -3,7 +3,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <deque>
 #include <map>
+#include <optional>
+#include <tuple>
 
 namespace galenarelay::tests {
 
@@ -27,6 +30,9 @@
   CPPUNIT_TEST(testLost_announcedStop_isNotLost);
   CPPUNIT_TEST(testLost_oneAgentSilent_isLostAfterQuestions);
   CPPUNIT_TEST(testLost_fewOrNoQuestions_isNotLost);
+  CPPUNIT_TEST(testLost_ownLinkSlow_isNotBlamedOnAgents);
+  CPPUNIT_TEST(testLost_silentOnlyTowardsThisNode_isNotLost);
+  CPPUNIT_TEST(testLost_silentTowardsAll_isLostOnceWitnessesAgree);
   CPPUNIT_TEST(testQuestions_manyAgentsSilent_areBounded);
   CPPUNIT_TEST(testQuestions_agentThatStopped_isAskedUntilItIsBack);
   CPPUNIT_TEST(testReadiness_nobodyHeard_asksSomeBeforeItIsStale);
@@ -168,8 +174,88 @@
     askUntil(Directory, RelayStart + relay::LostTime, {AgentTwo, AgentThree});
     for (const auto Answering : {AgentTwo, AgentThree})
       Directory.onHeard(Answering, RelayStart + relay::LostTime);
-    CPPUNIT_ASSERT(Directory.takeLost(RelayStart + relay::LostTime).empty());
-    CPPUNIT_ASSERT(Directory.takeLost(RelayStart + relay::LostTime + 1ms) == std::vector{AgentOne});
+    CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + relay::LostTime).empty());
+    CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + relay::LostTime + 1ms) ==
+                   std::vector{AgentOne});
+  }
+
+  // sunbox-relay-large quiet-1 in its small form: the balancer's link was full, answers took more
+  // than a second, and open flows of living upstreams were reset.
+  void testLost_ownLinkSlow_isNotBlamedOnAgents() {
+    auto Directory = directory();
+    (void)Directory.onReport(AgentThree, agentReport(1), RelayStart);
+    constexpr common::Duration Way = 1500ms;
+    std::deque<std::tuple<common::TimePoint, relay::NodeAddress, relay::LoadQuery>> Sent;
+    const auto Ask = [&](relay::NodeAddress Agent, common::TimePoint Now) {
+      if (Directory.needsQuestion(Agent, Now)) {
+        Directory.noteQuestion(Agent, Now);
+        Sent.emplace_back(Now, Agent, relay::LoadQuery{});
+      }
+    };
+    for (auto Now = RelayStart + 100ms; Now < RelayStart + 20s; Now += 20ms) {
+      // The way grows longer over ten seconds.
+      const auto Taken = std::min<common::Duration>(Way, (Now - RelayStart) * 3 / 20);
+      while (!Sent.empty() && std::get<0>(Sent.front()) + Taken <= Now) {
+        const auto &[At, Agent, Question] = Sent.front();
+        Directory.onAnswer(Agent, {UpstreamState::Ready, {}, Question.Stamp}, Now);
+        Sent.pop_front();
+      }
+      for (const auto Agent : {AgentOne, AgentTwo, AgentThree})
+        Ask(Agent, Now);
+      for (const auto Agent : Directory.takeQuestions(Now))
+        Sent.emplace_back(Now, Agent, UpstreamDirectory::repeatedQuestion(Now));
+      CPPUNIT_ASSERT(Directory.takeLost(0, Now).empty());
+    }
+  }
+
+  struct Judgement {
+    std::optional<common::Duration> LostAfter;
+    std::size_t Questions = 0; ///< Of all witnesses to the agent.
+  };
+  /// A balancer and four others watch AgentOne, which answers the others if Cut.
+  static Judgement judge(bool Cut) {
+    constexpr std::size_t Others = 4;
+    std::vector<UpstreamDirectory> All;
+    std::vector<relay::NodeAddress> Balancers;
+    for (std::size_t I = 0; I <= Others; ++I) {
+      All.push_back(directory());
+      (void)All[I].onReport(AgentThree, agentReport(1), RelayStart);
+      if (I > 0)
+        Balancers.push_back(BalancerOne + static_cast<relay::NodeAddress>(I));
+    }
+    All[0].noteQuestion(AgentOne, RelayStart);
+    Judgement Made;
+    for (auto Now = RelayStart; Now < RelayStart + 5s; Now += 20ms) {
+      for (std::size_t I = 0; I <= Others; ++I) {
+        for (const auto Living : {AgentTwo, AgentThree})
+          All[I].onHeard(Living, Now);
+        for (const auto Asked : All[I].takeQuestions(Now)) {
+          Made.Questions += I > 0 ? 1 : 0;
+          if (Cut && I > 0)
+            All[I].onAnswer(Asked, {UpstreamState::Ready, {}}, Now);
+        }
+      }
+      for (const auto &[Witness, Question] : All[0].takeLossQueries(Balancers, Now))
+        All[0].onLossAnswer(All[Witness - BalancerOne].onLossQuery(Question, Now), Witness);
+      if (!All[0].takeLost(Others, Now).empty()) {
+        Made.LostAfter = Now - RelayStart;
+        return Made;
+      }
+    }
+    return Made;
+  }
+
+  void testLost_silentOnlyTowardsThisNode_isNotLost() {
+    const auto Made = judge(true);
+    CPPUNIT_ASSERT(!Made.LostAfter);
+    CPPUNIT_ASSERT(Made.Questions > 0);
+  }
+
+  void testLost_silentTowardsAll_isLostOnceWitnessesAgree() {
+    const auto Made = judge(false);
+    CPPUNIT_ASSERT(Made.LostAfter.has_value());
+    CPPUNIT_ASSERT(*Made.LostAfter <=
+                   relay::LossDoubt + 2 * relay::LossQueryInterval + relay::LostTime + 40ms);
   }
 
   // One lost datagram is no sign of a lost agent, and agents that nobody asks are not silent.
@@ -178,7 +264,7 @@
     Directory.noteQuestion(AgentOne, RelayStart);
     (void)Directory.onReport(AgentThree, agentReport(1), RelayStart + 5s);
     Directory.onHeard(AgentTwo, RelayStart + 5s);
-    CPPUNIT_ASSERT(Directory.takeLost(RelayStart + 5s).empty());
+    CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + 5s).empty());
   }
 
   void testQuestions_manyAgentsSilent_areBounded() {
@@ -268,7 +354,7 @@
     for (const auto Agent : {AgentOne, AgentTwo})
       Directory.noteQuestion(Agent, RelayStart);
     askUntil(Directory, RelayStart + 5s, {});
-    CPPUNIT_ASSERT(Directory.takeLost(RelayStart + 5s).empty());
+    CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + 5s).empty());
     Directory.restartListening(RelayStart + 5s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Directory.reportingHolders(RelayStart + 5s).size());
   }
@@ -281,7 +367,7 @@
     Directory.noteQuestion(AgentOne, RelayStart);
     askUntil(Directory, RelayStart + 2s, {AgentTwo});
     Directory.onHeard(AgentTwo, RelayStart + 2s);
-    CPPUNIT_ASSERT(Directory.takeLost(RelayStart + 2s).empty());
+    CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + 2s).empty());
   }
 
   void testRoute_split_sameOnEveryNode() {
@@ -327,7 +413,11 @@
         relay::FlowQuery{7, {{relayKey(1), 5}, {relayKey(2), 6}}},
         relay::FlowAnswer{7, {0}, {1}},
         relay::LoadQuery{},
-        relay::LoadAnswer{UpstreamState::Draining, {1, 2}}};
+        relay::LoadQuery{65535},
+        relay::LoadAnswer{UpstreamState::Draining, {1, 2}},
+        relay::LoadAnswer{UpstreamState::Draining, {1, 2}, 65535},
+        relay::LossQuery{{AgentOne, AgentTwo}},
+        relay::LossAnswer{{AgentTwo}}};
     for (const auto &Message : Messages) {
       const auto Read = relay::decodeMessage(relay::encode(Message));
       CPPUNIT_ASSERT(Read && *Read == Message);
