Find open flows without a configuration, and refuse waiting first packets at the end of a stop

Change: without a configuration the candidates are the nearest of each service, if there are few services. The first balancer with a configuration tells those that have none. A stopping balancer goes on while packets wait in it, and refuses first packets that still do at its end: they have not run.

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -22,6 +22,8 @@
 /// Balancers that are told at once of a new configuration, and tell as many in turn: 98% have it
 /// after log(n) steps (Demers et al. 1987), and the others learn of it from beacons.
 inline constexpr std::size_t SpreadFanout = 4;
+/// Balancers without a configuration that are told at once.
+inline constexpr std::size_t MaxToldWithout = 100;
 /// Balancers named in a beacon. One that names fewer knows no more, and gets whole lists.
 inline constexpr std::size_t BeaconSample = 8;
 /// Interval at which a node checks whether it has become one that watches the store.
@@ -34,7 +36,8 @@
 /// A stopping balancer forwards for this time at least: two readiness checks, half a second apart,
 /// must fail before routers turn away.
 inline constexpr common::Duration MinDrainTime = std::chrono::milliseconds(1300);
-/// It ends once no packet has come for this time, or after MaxDrainTime, below the grace time.
+/// It ends once no packet has come for this time and none waits, or after MaxDrainTime, below the
+/// grace time.
 inline constexpr common::Duration QuietTime = std::chrono::milliseconds(400);
 inline constexpr common::Duration MaxDrainTime = std::chrono::milliseconds(4500);
 
@@ -81,10 +84,12 @@
     while (true) {
       co_await impl::pauseFor(impl::RelayTick);
       const auto Now = common::suspendAwareNow();
-      const bool Quiet = Now - LastPacketAt >= QuietTime && Now - Begin >= MinDrainTime;
+      const bool Quiet = Now - LastPacketAt >= QuietTime && Now - Begin >= MinDrainTime &&
+                         !Steering.holdsPackets();
       if (Quiet || Now - Begin >= MaxDrainTime)
         break;
     }
+    perform(Steering.refuseWaiting(), {}, common::suspendAwareNow());
     common::log(common::LogLevel::Info, "stopped",
                 {{"drain_ms", common::wholeMilliseconds(common::suspendAwareNow() - Begin)}});
   }
@@ -329,14 +334,16 @@
     sendToAll(Directory.agents(), Message);
   }
 
-  /// Tells some balancers of a new configuration.
+  /// Tells some balancers of a new configuration, and those that have none and can't serve: after
+  /// the end of all processes the first one that the store answers has it for all.
   void spreadRevision(common::TimePoint Now) {
+    auto Told = Peers.withoutConfiguration(MaxToldWithout);
     auto Live = Peers.live(Now);
     const auto Count = std::min(SpreadFanout, Live.size());
     for (std::size_t I = 0; I < Count; ++I)
       std::swap(Live[I], Live[I + common::uniformBelow(Random, Live.size() - I)]);
-    Live.resize(Count);
-    sendToAll(Live, beacon(Now));
+    Told.insert(Told.end(), Live.begin(), Live.begin() + static_cast<std::ptrdiff_t>(Count));
+    sendToAll(Told, beacon(Now));
   }
 
   void sendBeacons(common::TimePoint Now) {
@@ -510,9 +517,10 @@
     }
   }
 
-  /// One that watches the store waits for it, so that a peer isn't asked in vain.
+  /// One that watches the store waits for it, so that a peer isn't asked in vain, unless it can't
+  /// serve without a configuration.
   Awaitable<void> fetchFromPeers() {
-    if (Peers.watches(Options.Zone, common::suspendAwareNow()))
+    if (Steering.routes().revision() != 0 && Peers.watches(Options.Zone, common::suspendAwareNow()))
       co_await impl::pauseFor(PeerFetchDelay);
     while (const auto Ahead = Peers.aheadOf(Steering.routes().revision(), Options.Zone)) {
       const common::Endpoint Peer{*Ahead, Options.Admin.Port};
--- a/include/galenarelay/relay/balancer_peers.h
+++ b/include/galenarelay/relay/balancer_peers.h
@@ -58,6 +58,8 @@
   [[nodiscard]] const Peer *find(NodeAddress Address) const;
   /// A peer with a newer configuration than Held, of the own zone if there is one.
   [[nodiscard]] std::optional<NodeAddress> aheadOf(Revision Held, const std::string &OwnZone) const;
+  /// At most Count peers that had no configuration when they were last heard.
+  [[nodiscard]] std::vector<NodeAddress> withoutConfiguration(std::size_t Count) const;
   /// The peer could not be reached: its configuration isn't asked for until it is heard again.
   void noteUnreachable(NodeAddress Address);
   /// True if this node is one of the WatchersPerZone of its zone: those with the highest hashes
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -137,6 +137,14 @@
                                          common::TimePoint Now);
   /// An agent has told its load: flows that wait for that, or for room, may be placed.
   [[nodiscard]] SteeringActions onLoadKnown(common::TimePoint Now);
+  /// Whether packets wait here that nobody else knows of: first packets without an upstream, and
+  /// those of flows that are searched.
+  [[nodiscard]] bool holdsPackets() const noexcept {
+    return !HeldFlows.empty() || !AskingFlows.empty() || Search.size() > 0;
+  }
+  /// This process ends: refuses the first packets that wait, which have not run, so that their
+  /// callers try again at once.
+  [[nodiscard]] SteeringActions refuseWaiting();
   /// Times from first packets to their acceptance, since the last call.
   [[nodiscard]] std::vector<common::Duration> takeOpeningTimes() {
     return std::exchange(OpeningTimes, {});
@@ -228,6 +236,8 @@
            SteeringActions &Out);
   [[nodiscard]] std::vector<NodeAddress> candidatesOf(const packet::FlowKey &Key) const;
   [[nodiscard]] bool mayConclude(common::TimePoint Now) const noexcept;
+  /// Whether a caller may repeat the requests of a flow.
+  [[nodiscard]] bool repeatable(const packet::FlowKey &Key) const noexcept;
   [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
   void forgetOld(common::TimePoint Now);
   void setState(Flow &Held, Phase State, common::TimePoint Now) {
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -115,6 +115,9 @@
   /// The first agents of a service for a flow, by rendezvous hashing.
   [[nodiscard]] std::vector<NodeAddress> candidates(const std::string &Service,
                                                     const packet::FlowKey &Key) const;
+  /// The nearest candidates for a flow of an unknown service, at most MaxCandidates of all services
+  /// together; empty with more services than that.
+  [[nodiscard]] std::vector<NodeAddress> candidatesOfAll(const packet::FlowKey &Key) const;
   /// Whether a placement at the agent should ask it for its load first.
   [[nodiscard]] bool needsQuestion(NodeAddress Agent, common::TimePoint Now) const;
   /// Whether an answer may still come in time for a placement.
--- a/src/relay/balancer_peers.cpp
+++ b/src/relay/balancer_peers.cpp
@@ -88,6 +88,14 @@
   return Found;
 }
 
+std::vector<NodeAddress> BalancerPeers::withoutConfiguration(std::size_t Count) const {
+  std::vector<NodeAddress> Found;
+  for (const auto &[Address, Known] : Peers)
+    if (Known.Held == 0 && !Known.Leaving && Found.size() < Count)
+      Found.push_back(Address);
+  return Found;
+}
+
 void BalancerPeers::noteUnreachable(NodeAddress Address) {
   if (const auto Found = Peers.find(Address); Found != Peers.end())
     Found->second.Held = 0;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -421,8 +421,10 @@
 
 std::vector<NodeAddress> FlowSteering::candidatesOf(const packet::FlowKey &Key) const {
   const Route *Found = Routes->find(Key.Service);
+  // Open flows need no configuration. After the end of all processes while the store is away they
+  // are found without it.
   if (Found == nullptr)
-    return {};
+    return Routes->revision() == 0 ? Directory.candidatesOfAll(Key) : std::vector<NodeAddress>{};
   return Directory.candidates(RouteTable::serviceFor(*Found, Key), Key);
 }
 
@@ -504,14 +506,17 @@
   Flows.erase(Found);
 }
 
+bool FlowSteering::repeatable(const packet::FlowKey &Key) const noexcept {
+  const Route *Found = Routes->find(Key.Service);
+  return Found != nullptr && Found->Idempotent;
+}
+
 SteeringActions FlowSteering::onAgentLost(NodeAddress Agent) {
   SteeringActions Out;
   for (auto At = Flows.begin(); At != Flows.end();) {
     const Flow &Held = At->second;
-    const Route *Found = Routes->find(At->first.Service);
-    const bool Repeatable = Found != nullptr && Found->Idempotent;
     if (Held.Agent != Agent || Held.State != Phase::Open || !Held.HasAcknowledgement ||
-        !Repeatable) {
+        !repeatable(At->first)) {
       ++At;
       continue;
     }
@@ -594,6 +599,25 @@
   return Out;
 }
 
+SteeringActions FlowSteering::refuseWaiting() {
+  SteeringActions Out;
+  std::vector<packet::FlowKey> Waiting = std::exchange(HeldFlows, {});
+  const auto Asking = std::exchange(AskingFlows, {});
+  Waiting.insert(Waiting.end(), Asking.begin(), Asking.end());
+  for (const auto &Key : Waiting) {
+    const auto Found = Flows.find(Key);
+    if (Found == Flows.end() || Found->second.Open == nullptr ||
+        !(Found->second.Open->Held || Found->second.Open->Asking))
+      continue;
+    // An agent that still has the packet may answer.
+    if (Found->second.Open->Waiting)
+      continue;
+    refuse(Key, SteeringReason::Overloaded, Out);
+    Flows.erase(Found);
+  }
+  return Out;
+}
+
 SteeringActions FlowSteering::onTimer(common::TimePoint Now) {
   SteeringActions Out;
   while (!PlacementChecks.empty() && PlacementChecks.front().first <= Now) {
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -135,6 +135,16 @@
   return rankCandidates(Key, agentsOf(Service), MaxCandidates);
 }
 
+std::vector<NodeAddress> UpstreamDirectory::candidatesOfAll(const packet::FlowKey &Key) const {
+  std::vector<NodeAddress> Found;
+  if (ByService.size() * NearCandidates > MaxCandidates)
+    return Found;
+  for (const auto &[Service, Own] : ByService)
+    for (const NodeAddress Agent : rankCandidates(Key, Own, NearCandidates))
+      Found.push_back(Agent);
+  return Found;
+}
+
 bool UpstreamDirectory::silent(const Known &Agent, common::TimePoint Now) const {
   return Agent.UnansweredSince && Now - *Agent.UnansweredSince > patience(AnswerTimeout);
 }
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -43,6 +43,9 @@
   CPPUNIT_TEST(testNotHeld_secondAcceptingAgent_getsThePacket);
   CPPUNIT_TEST(testAgentLost_repeatableFlows_areReset);
   CPPUNIT_TEST(testAgentSilentForAWhile_openFlows_stay);
+  CPPUNIT_TEST(testSearch_withoutConfiguration_findsOpenFlows);
+  CPPUNIT_TEST(testStop_whileFirstPacketsWait_refusesThemAtTheEnd);
+  CPPUNIT_TEST(testStop_whileFlowsAreSearched_waitsForThem);
   CPPUNIT_TEST(testSearch_manyUnsureAgents_onlyCandidatesGetThePacket);
   CPPUNIT_TEST(testSearch_allFlowsMoved_areFoundWithOneRoundOfQuestions);
   CPPUNIT_TEST(testCandidates_oneAgentMore_changesItsOwnPlaceOnly);
@@ -255,6 +258,32 @@
     CPPUNIT_ASSERT(Now < RelayStart + relay::OpenTimeout);
   }
 
+  // A caller repeats its first packet after 200 and 600 ms, so that a balancer whose routers had
+  // turned away heard nothing for 400 ms, ended, and left the callers of held flows waiting.
+  void testStop_whileFirstPacketsWait_refusesThemAtTheEnd() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    CPPUNIT_ASSERT(!Balancer.Steering.holdsPackets());
+    (void)Balancer.send(firstPacket(relayKey(1)));
+    CPPUNIT_ASSERT(Balancer.Steering.holdsPackets());
+    const auto Refused = Balancer.Steering.refuseWaiting();
+    CPPUNIT_ASSERT(Refused.size() == 1 && Refused[0].What == Kind::Reset);
+    CPPUNIT_ASSERT(Refused[0].Key == relayKey(1));
+    CPPUNIT_ASSERT(!Balancer.Steering.holdsPackets());
+    // A first packet that an agent has may have been accepted.
+    Balancer.Directory.onLoad(AgentOne, {}, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(2)));
+    CPPUNIT_ASSERT(Balancer.Steering.refuseWaiting().empty());
+  }
+
+  void testStop_whileFlowsAreSearched_waitsForThem() {
+    Node Balancer;
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT(Balancer.Steering.holdsPackets());
+    (void)Balancer.denyAll();
+    CPPUNIT_ASSERT(!Balancer.Steering.holdsPackets());
+  }
+
   void testFirstPacket_justAfterStart_isNotRefused() {
     UpstreamDirectory Nobody("a", 1);
     FlowSteering Fresh(BalancerOne, Nobody, RelayStart);
@@ -436,6 +465,34 @@
     CPPUNIT_ASSERT_EQUAL(Holder, Many.Steering.agentOf(Key));
   }
 
+  // burbuja-xela trouble-3: all processes ended while the store was away, and feeds of living
+  // upstreams waited for the store's return.
+  void testSearch_withoutConfiguration_findsOpenFlows() {
+    UpstreamDirectory Directory("a", 1);
+    (void)Directory.onReport(AgentOne, agentReport(1), RelayStart);
+    auto Intake = agentReport(1);
+    Intake.Service = "intake";
+    (void)Directory.onReport(AgentTwo, Intake, RelayStart);
+    FlowSteering Fresh(BalancerOne, Directory, RelayStart);
+    const relay::Bytes Raw{1, 2, 3};
+    (void)Fresh.onPacket(callerData(relayKey(1), 77), Raw, RelayStart);
+    SteeringActions Settled;
+    SteeringActions Freed;
+    for (auto Now = RelayStart; Now < RelayStart + 200ms; Now += 20ms) {
+      for (const auto &Asked : Fresh.takeQuestions(Now, Settled))
+        for (const auto &Each :
+             Fresh.onAnswer({Asked.Message.Number,
+                             Asked.Agent == AgentTwo ? std::vector<std::uint8_t>{0}
+                                                     : std::vector<std::uint8_t>{},
+                             {}},
+                            Asked.Agent, Now))
+          Freed.push_back(Each);
+      (void)Fresh.onTimer(Now);
+    }
+    CPPUNIT_ASSERT((targets(Freed) == std::set{AgentTwo}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countKind(Freed, Kind::Reset));
+  }
+
   // A change of a zone's rotation moves nearly all flows to other balancers at once.
   void testSearch_allFlowsMoved_areFoundWithOneRoundOfQuestions() {
     Fleet Many(163);
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -396,8 +396,11 @@
     CPPUNIT_ASSERT((Peers.contacts(RelayStart) == std::vector{Third}));
     CPPUNIT_ASSERT(Peers.aheadOf(6, "a") == BalancerTwo);
     CPPUNIT_ASSERT(!Peers.aheadOf(7, "a"));
+    CPPUNIT_ASSERT(Peers.withoutConfiguration(9).empty());
     Peers.noteUnreachable(BalancerTwo);
     CPPUNIT_ASSERT(!Peers.aheadOf(6, "a"));
+    CPPUNIT_ASSERT((Peers.withoutConfiguration(9) == std::vector{BalancerTwo}));
+    CPPUNIT_ASSERT(Peers.withoutConfiguration(0).empty());
     Beacon.Incarnation = 6;
     CPPUNIT_ASSERT(Peers.onBeacon(BalancerTwo, Beacon, RelayStart));
     CPPUNIT_ASSERT(Peers.live(RelayStart + 10s).empty());
