Ask agents of the store's records until they report, and introduce agents to all balancers at once

One lost datagram was enough: an agent of a record was contacted once, and an agent that had heard one balancer no longer asked the store for the others.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -21,9 +21,6 @@
 inline constexpr common::Duration ReportRepeat = std::chrono::milliseconds(300);
 /// Interval of reports to all addresses that may be balancers while none has answered.
 inline constexpr common::Duration FirstContactInterval = std::chrono::milliseconds(60);
-/// The store is asked for balancers if none has been heard when this time has passed: they know an
-/// agent from its record, and contact it once they run.
-inline constexpr common::Duration FirstLookupDelay = std::chrono::milliseconds(300);
 /// The store is asked for balancers again if none has been heard when this time has passed.
 inline constexpr common::Duration LookupInterval = std::chrono::seconds(2);
 /// An answer that took this long gets a log line: about a latency objective.
@@ -189,12 +186,18 @@
     }
     if (const auto *Question = Message ? std::get_if<relay::LoadQuery>(&*Message) : nullptr) {
       Peers.addContact(From, Now);
+      // The balancer has missed an answer, or knows this agent only from the store.
+      if (Question->Stamp != 0)
+        sendTo(From, report(Now));
       return sendTo(From, Flows.onLoadQuery(*Question, From, Now));
     }
     const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
     if (Beacon == nullptr)
       return MalformedPackets.Increment();
-    if (!Peers.onBeacon(From, *Beacon, Now))
+    const auto Before = Peers.all();
+    const bool New = Peers.onBeacon(From, *Beacon, Now);
+    introduce(Before, From, Now);
+    if (!New)
       return;
     common::log(common::LogLevel::Info, "balancer_appeared",
                 {{"balancer", Beacon->Id},
@@ -219,6 +222,18 @@
     return Made;
   }
 
+  /// Reports to balancers that have just become known, except From: a flow of this upstream may
+  /// move to any of them, and one that doesn't know this agent would take the flow for ended.
+  void introduce(const std::vector<relay::NodeAddress> &Before, relay::NodeAddress From,
+                 common::TimePoint Now) {
+    auto Fresh = Peers.all();
+    std::erase_if(Fresh, [&](relay::NodeAddress Each) {
+      return Each == From || std::binary_search(Before.begin(), Before.end(), Each);
+    });
+    if (!Fresh.empty())
+      sendToAll(Fresh, report(Now));
+  }
+
   void reportToAll(common::TimePoint Now) { sendToAll(Peers.all(), report(Now)); }
 
   void reportChange(common::TimePoint Now) {
@@ -338,12 +353,14 @@
 
   Awaitable<void> findBalancers() {
     impl::CallPause Pause(impl::MinCallPause, impl::MaxCallPause, Random);
-    co_await impl::pauseFor(FirstLookupDelay);
+    bool Listed = false;
     while (true) {
-      if (Peers.live(common::suspendAwareNow()).empty()) {
+      if (!Listed || Peers.live(common::suspendAwareNow()).empty()) {
         const auto Page = co_await Store.list(impl::BalancerRecords);
-        if (Page)
+        if (Page) {
           takeRecords(*Page);
+          Listed = true;
+        }
         co_await impl::pauseFor(Pause.take());
       } else {
         Pause.reset();
@@ -357,7 +374,7 @@
     this->readRecords(Page, [&](const std::string &, relay::NodeAddress Address) {
       Peers.addContact(Address, Now);
     });
-    NextReport = {};
+    reportChange(Now);
   }
 
   common::Endpoint Upstream;     ///< UDP, packets for the upstream.
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -368,7 +368,9 @@
     Steering.setRoutesCurrent(routesCurrent(Now));
     perform(Steering.onTimer(Now), {}, Now);
     sendQuestions(Now);
-    sendToAll(Directory.takeQuestions(Now), relay::UpstreamDirectory::repeatedQuestion(Now));
+    const auto Repeated = relay::UpstreamDirectory::repeatedQuestion(Now);
+    sendToAll(Directory.takeQuestions(Now), Repeated);
+    sendToAll(Directory.takeExpected(Now), Repeated);
     const auto Balancers = Peers.live(Now);
     for (const auto &[Witness, Question] : Directory.takeLossQueries(Balancers, Now))
       sendTo(Witness, Question);
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -127,7 +127,9 @@
   /// Agents that are to be asked again: those that left questions unanswered, those that took no
   /// flows when they were last heard, and some others if nobody has been heard for HearingDoubt.
   [[nodiscard]] std::vector<NodeAddress> takeQuestions(common::TimePoint Now);
-  /// The question for agents of takeQuestions.
+  /// Agents in records of the store that have not reported and are to be asked (again).
+  [[nodiscard]] std::vector<NodeAddress> takeExpected(common::TimePoint Now);
+  /// The question for agents of takeQuestions and takeExpected. Its answer comes with a report.
   [[nodiscard]] static LoadQuery repeatedQuestion(common::TimePoint Now) noexcept;
   /// How long to wait for something that an agent does at once.
   [[nodiscard]] common::Duration patience(common::Duration Least) const noexcept {
@@ -193,6 +195,11 @@
     std::set<NodeAddress> Witnesses;                  ///< Balancers that find it silent as well.
     bool TakenAsLost = false;
   };
+  struct Expectation {
+    common::TimePoint Since{};
+    common::TimePoint AskedAt{};
+    std::uint32_t Questions = 0;
+  };
   /// Preference between groups of agents; the best group with a member is used.
   enum class Fitness : std::uint8_t { Good, Doubtful, Unfit };
 
@@ -202,6 +209,8 @@
   /// True if the agent has left a question unanswered for AnswerTimeout.
   [[nodiscard]] bool silent(const Known &Agent, common::TimePoint Now) const;
   [[nodiscard]] std::span<const NodeAddress> agentsOf(const std::string &Service) const;
+  /// True if an agent of the store's records may still report.
+  [[nodiscard]] static bool awaited(const Expectation &Each, common::TimePoint Now);
   [[nodiscard]] static bool questionDue(const Known &Agent, common::TimePoint Now);
   void noteHeard(Known &Agent, common::TimePoint Now);
   void enlist(NodeAddress Agent, const std::string &Service);
@@ -213,7 +222,7 @@
   common::Engine Random;
   std::map<NodeAddress, Known> Agents;
   std::unordered_map<std::string, std::vector<NodeAddress>> ByService; ///< Without ended ones.
-  std::map<NodeAddress, common::TimePoint> Expected; ///< With the time since when.
+  std::map<NodeAddress, Expectation> Expected;
   Rotation AskedWhenCutOff;
   common::TimePoint AskedWhenCutOffAt{};
   common::TimePoint LastHeardAt{};
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -377,7 +377,7 @@
 
 void UpstreamDirectory::expect(NodeAddress Agent, common::TimePoint Now) {
   if (!Agents.contains(Agent))
-    Expected.try_emplace(Agent, Now);
+    Expected.try_emplace(Agent, Expectation{.Since = Now});
 }
 
 bool UpstreamDirectory::lost(const Known &Agent, common::TimePoint Now) const {
@@ -396,14 +396,32 @@
   return Found;
 }
 
+// A record alone doesn't say whether its agent runs. One that has not been asked often enough may
+// only have lost a datagram.
+bool UpstreamDirectory::awaited(const Expectation &Each, common::TimePoint Now) {
+  return Now - Each.Since <= LostTime || Each.Questions < MinLostQuestions;
+}
+
 std::vector<NodeAddress> UpstreamDirectory::expectedHolders(common::TimePoint Now) const {
   std::vector<NodeAddress> Found;
-  for (const auto &[Address, Since] : Expected)
-    if (Now - Since <= LostTime)
+  for (const auto &[Address, Each] : Expected)
+    if (awaited(Each, Now))
       Found.push_back(Address);
   return Found;
 }
 
+std::vector<NodeAddress> UpstreamDirectory::takeExpected(common::TimePoint Now) {
+  std::vector<NodeAddress> Due;
+  for (auto &[Address, Each] : Expected) {
+    if (!awaited(Each, Now) || Now - Each.AskedAt < QuestionRepeat)
+      continue;
+    Each.AskedAt = Now;
+    ++Each.Questions;
+    Due.push_back(Address);
+  }
+  return Due;
+}
+
 std::vector<std::pair<NodeAddress, LossQuery>>
 UpstreamDirectory::takeLossQueries(std::span<const NodeAddress> Balancers, common::TimePoint Now) {
   if (Now - LossQueryAt < LossQueryInterval)
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testQuestions_agentThatStopped_isAskedUntilItIsBack);
   CPPUNIT_TEST(testReadiness_nobodyHeard_asksSomeBeforeItIsStale);
   CPPUNIT_TEST(testAnswer_afterEnd_doesNotBringUpstreamBack);
+  CPPUNIT_TEST(testExpected_agentOfStoreRecord_isAskedUntilItReports);
   CPPUNIT_TEST(testWatchers_ofAZone_areFewAndReplaced);
   CPPUNIT_TEST(testRotation_changingSet_visitsEachInTurn);
   CPPUNIT_TEST(testRoute_split_sameOnEveryNode);
@@ -311,6 +312,26 @@
     CPPUNIT_ASSERT(Ranked == std::vector{AgentTwo});
   }
 
+  // sunbox-relay-large trouble-1: a balancer that had just started lost the one datagram of an
+  // agent and reset an open flow that nobody else held.
+  void testExpected_agentOfStoreRecord_isAskedUntilItReports() {
+    UpstreamDirectory Directory("a", 1);
+    Directory.expect(AgentOne, RelayStart);
+    std::uint32_t Asked = 0;
+    auto Now = RelayStart;
+    for (; Now < RelayStart + relay::LostTime; Now += 20ms)
+      Asked += static_cast<std::uint32_t>(Directory.takeExpected(Now).size());
+    CPPUNIT_ASSERT(Asked >= relay::MinLostQuestions);
+    CPPUNIT_ASSERT(Directory.expectedHolders(Now + 1ms).empty());
+    // A node that stood still meanwhile has asked nobody.
+    UpstreamDirectory Late("a", 1);
+    Late.expect(AgentOne, RelayStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Late.expectedHolders(RelayStart + 10s).size());
+    (void)Late.onReport(AgentOne, agentReport(1), RelayStart + 10s);
+    CPPUNIT_ASSERT(Late.expectedHolders(RelayStart + 10s).empty());
+    CPPUNIT_ASSERT(Late.takeExpected(RelayStart + 10s).empty());
+  }
+
   void testWatchers_ofAZone_areFewAndReplaced() {
     constexpr std::uint32_t Count = 17;
     std::vector<relay::BalancerPeers> All;
