--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -163,6 +163,8 @@
 inline constexpr std::size_t MaxQueriedFlows = 40;
 /// Addresses of one kind in a beacon, for the same reason.
 inline constexpr std::size_t MaxBeaconAddresses = 100;
+/// Agents in one LossQuery, for the same reason.
+inline constexpr std::size_t MaxDoubtedAgents = 100;
 
 [[nodiscard]] std::string_view name(UpstreamState State) noexcept;
 [[nodiscard]] std::string_view name(ReturnReason Reason) noexcept;
@@ -170,7 +172,8 @@
 /// Writes a message as a CBOR datagram.
 [[nodiscard]] Bytes encode(const PeerMessage &Message);
 
-/// Reads a datagram. Errors: MessageMalformed.
+/// Reads a datagram; one with more entries than the bounds above is malformed. Errors:
+/// MessageMalformed.
 [[nodiscard]] common::Outcome<PeerMessage> decodeMessage(std::span<const std::uint8_t> Datagram);
 
 } // namespace galenarelay::relay
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -54,8 +54,6 @@
 /// what is silent may be this node's own link. They are the same ones for all who ask.
 inline constexpr std::size_t LossWitnesses = 4;
 inline constexpr std::size_t MinLossWitnesses = 2;
-/// Agents in one LossQuery, so that it stays below an Ethernet frame.
-inline constexpr std::size_t MaxDoubtedAgents = 100;
 /// So many questions must have been lost, as a datagram may be lost at any time.
 inline constexpr std::uint32_t MinLostQuestions = 4;
 /// An agent that said that it stops is back after this time, or never: several times the second
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -107,6 +107,13 @@
   return static_cast<E>(Number);
 }
 
+/// A list of at most Most entries.
+template <typename T> std::vector<T> listOf(const json &Value, std::size_t Most) {
+  if (Value.size() > Most)
+    throw std::out_of_range("list of " + std::to_string(Value.size()) + " entries");
+  return Value.get<std::vector<T>>();
+}
+
 AgentReport reportOf(const json &Fields) {
   AgentReport Read;
   Read.Id = Fields.at(1).get<std::string>();
@@ -129,13 +136,15 @@
   Read.Incarnation = Fields.at(3).get<std::uint64_t>();
   Read.Held = Fields.at(4).get<std::uint64_t>();
   Read.Leaving = Fields.at(5).get<bool>();
-  Read.Balancers = Fields.at(6).get<std::vector<NodeAddress>>();
-  Read.Agents = Fields.at(7).get<std::vector<NodeAddress>>();
+  Read.Balancers = listOf<NodeAddress>(Fields.at(6), MaxBeaconAddresses);
+  Read.Agents = listOf<NodeAddress>(Fields.at(7), MaxBeaconAddresses);
   return Read;
 }
 
 FlowQuery queryOf(const json &Fields) {
   FlowQuery Read{Fields.at(1).get<std::uint64_t>(), {}};
+  if (Fields.at(2).size() > MaxQueriedFlows)
+    throw std::out_of_range("question for " + std::to_string(Fields.at(2).size()) + " flows");
   for (const json &Row : Fields.at(2))
     Read.Rows.push_back({keyOf(Row.at(0)), Row.at(1).get<std::uint32_t>()});
   return Read;
@@ -158,17 +167,17 @@
     return queryOf(Fields);
   case Type::Answer:
     return FlowAnswer{Fields.at(1).get<std::uint64_t>(),
-                      Fields.at(2).get<std::vector<std::uint8_t>>(),
-                      Fields.at(3).get<std::vector<std::uint8_t>>()};
+                      listOf<std::uint8_t>(Fields.at(2), MaxQueriedFlows),
+                      listOf<std::uint8_t>(Fields.at(3), MaxQueriedFlows)};
   case Type::LoadQuery:
     return LoadQuery{stampOf(Fields, 1)};
   case Type::LoadAnswer:
     return LoadAnswer{enumOf(Fields.at(1), UpstreamState::Ended), loadOf(Fields.at(2)),
                       stampOf(Fields, 3)};
   case Type::LossQuery:
-    return LossQuery{Fields.at(1).get<std::vector<NodeAddress>>()};
+    return LossQuery{listOf<NodeAddress>(Fields.at(1), MaxDoubtedAgents)};
   case Type::LossAnswer:
-    return LossAnswer{Fields.at(1).get<std::vector<NodeAddress>>()};
+    return LossAnswer{listOf<NodeAddress>(Fields.at(1), MaxDoubtedAgents)};
   }
   throw std::out_of_range("unknown type");
 }
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(testPeers_beacons_leadToLiveAndContacts);
   CPPUNIT_TEST(testMessage_allTypes_readBack);
   CPPUNIT_TEST(testMessage_damaged_isRefused);
+  CPPUNIT_TEST(testMessage_longerThanItsBound_isRefused);
   CPPUNIT_TEST_SUITE_END();
 
   static UpstreamDirectory directory() {
@@ -461,6 +462,28 @@
       }
   }
 
+  void testMessage_longerThanItsBound_isRefused() {
+    const auto Reads = [](const relay::PeerMessage &Message) {
+      return static_cast<bool>(relay::decodeMessage(relay::encode(Message)));
+    };
+    for (const std::size_t Excess : {0, 1, 5000}) {
+      const std::vector<relay::NodeAddress> Beaconed(relay::MaxBeaconAddresses + Excess, AgentOne);
+      const std::vector<relay::NodeAddress> Doubted(relay::MaxDoubtedAgents + Excess, AgentOne);
+      const std::vector<relay::FlowQuery::Row> Rows(relay::MaxQueriedFlows + Excess);
+      const std::vector<std::uint8_t> Positions(relay::MaxQueriedFlows + Excess, 1);
+      const bool Allowed = Excess == 0;
+      CPPUNIT_ASSERT_EQUAL(Allowed,
+                           Reads(relay::BalancerBeacon{"b", "z", 1, 2, false, Beaconed, {}}));
+      CPPUNIT_ASSERT_EQUAL(Allowed,
+                           Reads(relay::BalancerBeacon{"b", "z", 1, 2, false, {}, Beaconed}));
+      CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::LossQuery{Doubted}));
+      CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::LossAnswer{Doubted}));
+      CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::FlowQuery{1, Rows}));
+      CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::FlowAnswer{1, Positions, {}}));
+      CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::FlowAnswer{1, {}, Positions}));
+    }
+  }
+
   using ReturnReason = relay::ReturnReason;
 };
 
