List balancers for agents with a read that may be stale

Cause: every agent lists all balancers at its start; on deployments with many agents these calls are most of what the store is asked. A list that is some seconds old misses only balancers that started since, and these learn of the agent from its own record. Balancers, whose list decides when a search is complete, read the current state as before.

--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -33,6 +33,10 @@
   Answer<relay::StorePage> list(std::string Prefix) {
     return exchange("list", Protocol::list(Prefix), StoreCallTimeout, &Protocol::readPage);
   }
+  Answer<relay::StorePage> listRecent(std::string Prefix) {
+    return exchange("list_recent", Protocol::listRecent(Prefix), StoreCallTimeout,
+                    &Protocol::readPage);
+  }
   Answer<relay::StorePage> watch(std::string Prefix, std::uint64_t After) {
     return exchange("watch", Protocol::watch(Prefix, After, StoreWatchWait),
                     StoreWatchWait + StoreCallTimeout, &Protocol::readPage);
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -356,7 +356,8 @@
     bool Listed = false;
     while (true) {
       if (!Listed || Peers.live(common::suspendAwareNow()).empty()) {
-        const auto Page = co_await Store.list(impl::BalancerRecords);
+        // Balancers that this list misses learn of the agent from its own record.
+        const auto Page = co_await Store.listRecent(impl::BalancerRecords);
         if (Page) {
           takeRecords(*Page);
           Listed = true;
--- a/include/galenarelay/platform/store_protocol.h
+++ b/include/galenarelay/platform/store_protocol.h
@@ -13,6 +13,8 @@
   [[nodiscard]] static std::string configurationKey();
   /// All keys below a prefix, with their values; the answer may be a first page.
   [[nodiscard]] static relay::StoreCall list(const std::string &Prefix);
+  /// The same as it was up to some seconds ago: a cheaper call, without the newest changes.
+  [[nodiscard]] static relay::StoreCall listRecent(const std::string &Prefix);
   /// Waits for changes below a prefix after a revision of the store.
   [[nodiscard]] static relay::StoreCall watch(const std::string &Prefix, std::uint64_t After,
                                               common::Duration Wait);
--- a/include/galenarelay/relay/store_call.h
+++ b/include/galenarelay/relay/store_call.h
@@ -56,6 +56,7 @@
                                  common::Duration Time, const common::HttpResponse &Answer) {
   { T::configurationKey() } -> std::convertible_to<std::string>;
   { T::list(Text) } -> std::same_as<StoreCall>;
+  { T::listRecent(Text) } -> std::same_as<StoreCall>;
   { T::watch(Text, Number, Time) } -> std::same_as<StoreCall>;
   { T::put(Text, Text, Number) } -> std::same_as<StoreCall>;
   { T::remove(Text) } -> std::same_as<StoreCall>;
--- a/src/platform/store_protocol.cpp
+++ b/src/platform/store_protocol.cpp
@@ -81,6 +81,12 @@
   return {"GET", "/-/kv-range?prefix=" + common::encodeQuery(Prefix), ""};
 }
 
+relay::StoreCall StoreProtocol::listRecent(const std::string &Prefix) {
+  auto Call = list(Prefix);
+  Call.Target += "&allowStale=1";
+  return Call;
+}
+
 relay::StoreCall StoreProtocol::watch(const std::string &Prefix, std::uint64_t After,
                                       common::Duration Wait) {
   return {"GET",
