--- a/include/galenarelay/common/settings.h
+++ b/include/galenarelay/common/settings.h
@@ -14,7 +14,15 @@
 namespace galenarelay::common {
 
 /// What the value of a key must look like.
-enum class SettingKind : std::uint8_t { Text, Integer, Real, Boolean, Address, AddressList };
+enum class SettingKind : std::uint8_t {
+  Text,
+  Integer,
+  Real,
+  Boolean,
+  Address,
+  AddressList,
+  NameList
+};
 
 /// One key that a program accepts; without a default the key is required.
 struct SettingRule {
@@ -25,6 +33,7 @@
   double Minimum = 0;
   double Maximum = 0; ///< Range check for numbers when Maximum > Minimum.
   std::string Brief;
+  std::vector<std::string> Choices = {}; ///< The names that a NameList may hold.
 };
 
 /// Checked settings of a program.
@@ -44,6 +53,8 @@
   [[nodiscard]] Endpoint endpoint(std::string_view Section, std::string_view Key) const;
   [[nodiscard]] std::vector<Endpoint> endpoints(std::string_view Section,
                                                 std::string_view Key) const;
+  [[nodiscard]] std::vector<std::string> names(std::string_view Section,
+                                               std::string_view Key) const;
   /// A seed of a random engine: the setting, or one from the system if it is 0, so that processes
   /// that share their settings don't act in step.
   [[nodiscard]] std::uint64_t seed(std::string_view Section, std::string_view Key) const;
--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -108,6 +108,8 @@
     Fields["zone"] = Options.Zone;
     Fields["incarnation"] = Incarnation;
     Fields["version"] = GALENARELAY_VERSION;
+    if (!Options.InUse.all())
+      Fields["without"] = namesOff(Options.InUse);
     common::log(common::LogLevel::Info, "started", Fields);
   }
 
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -37,7 +37,7 @@
   RelayAgent(boost::asio::io_context &Io, RelayAgentOptions Settings, common::Metrics &Metrics)
       : Base(Io, std::move(Settings.Node), Metrics, impl::AgentRecords),
         Upstream(Settings.Upstream), FromUpstream(Settings.FromUpstream),
-        Flows(std::move(Settings.Service), Settings.HeartbeatInterval, StartedAt),
+        Flows(std::move(Settings.Service), Settings.HeartbeatInterval, StartedAt, Options.InUse),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
         AnswerSeconds(Metrics.histogram("upstream_answer_seconds",
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -49,7 +49,8 @@
 public:
   RelayBalancer(boost::asio::io_context &Io, RelayOptions Settings, common::Metrics &Metrics)
       : Base(Io, std::move(Settings), Metrics, impl::BalancerRecords),
-        Directory(Options.Zone, Random()), Steering(Options.Packets.Address, Directory, StartedAt),
+        Directory(Options.Zone, Random(), Options.InUse),
+        Steering(Options.Packets.Address, Directory, StartedAt, Options.InUse),
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
         OpeningSeconds(Metrics.histogram(
--- a/include/galenarelay/node/relay_settings.h
+++ b/include/galenarelay/node/relay_settings.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/common/settings.h"
 #include "galenarelay/common/time.h"
+#include "galenarelay/relay/policy/mechanism.h"
 
 #include <cstdint>
 #include <string>
@@ -22,6 +23,7 @@
   common::Endpoint Store;
   std::vector<common::Endpoint> Seeds; ///< Addresses of balancers, possibly of earlier ones.
   std::uint64_t Seed = 0;
+  relay::policy::Mechanisms InUse;
 
   friend bool operator==(const RelayOptions &, const RelayOptions &) = default;
 };
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -21,8 +21,10 @@
 inline constexpr common::Duration NarrowInterval = std::chrono::milliseconds(10);
 /// Searches whose candidates are asked at a time.
 inline constexpr std::size_t MaxNarrowSearches = 200;
-/// Questions to all agents leave at most this often, for MaxQueriedFlows flows at a time.
+/// Questions to all agents leave at most this often, for MaxQueriedFlows flows at a time. With
+/// fewer agents they leave more often, at WideMessageTime for each one asked.
 inline constexpr common::Duration WideInterval = std::chrono::milliseconds(50);
+inline constexpr common::Duration WideMessageTime = std::chrono::milliseconds(1);
 /// Candidates that have not answered after this time are passed over: several times the way between
 /// zones and an agent's turn.
 inline constexpr common::Duration StageTimeout = std::chrono::milliseconds(60);
@@ -60,6 +62,8 @@
     std::vector<packet::FlowKey> Nowhere; ///< All agents deny these.
   };
 
+  /// Whether small fleets are asked more often than at WideInterval.
+  void setPaced(bool Is) noexcept { Paced = Is; }
   /// Whether all agents are known, so that a flow that no candidate holds is asked for everywhere.
   void setMayWiden(bool May) noexcept { MayWiden = May; }
   /// Begins or continues a search; false if the packet had to be dropped.
@@ -130,8 +134,10 @@
   std::uint64_t OldestNumber = 1;
   std::size_t HeldPackets = 0;
   bool MayWiden = false;
+  bool Paced = true;
   common::TimePoint NarrowAt{};
   common::TimePoint WideAt{};
+  common::Duration WidePause = NarrowInterval; ///< After the last questions to all agents.
 };
 
 template <typename F>
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -5,6 +5,9 @@
 #include "galenarelay/relay/flow_search.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/policy/admission.h"
+#include "galenarelay/relay/policy/mechanism.h"
+#include "galenarelay/relay/policy/release_order.h"
 #include "galenarelay/relay/route_table.h"
 #include "galenarelay/relay/upstream_directory.h"
 
@@ -33,9 +36,6 @@
 inline constexpr common::Duration OpenTimeout = std::chrono::milliseconds(1400);
 /// Time for peers to name agents that are in no record of the store.
 inline constexpr common::Duration ListSettleTime = std::chrono::milliseconds(300);
-/// A first packet waits at most this long for an upstream that isn't full, before its caller stops
-/// waiting at OpenTimeout.
-inline constexpr common::Duration HoldTimeout = std::chrono::milliseconds(1200);
 /// First packets that wait. At the bound a new one is refused at once.
 inline constexpr std::size_t MaxHeldFlows = 1000;
 /// A caller's packet that repeats an earlier one is taken for a sign that its agent may be lost if
@@ -103,7 +103,8 @@
 /// the agent whose upstream holds their flow. All its state may be lost at any time.
 class FlowSteering {
 public:
-  FlowSteering(NodeAddress Self, UpstreamDirectory &Directory, common::TimePoint StartedAt);
+  FlowSteering(NodeAddress Self, UpstreamDirectory &Directory, common::TimePoint StartedAt,
+               policy::Mechanisms InUse = {});
 
   void setRoutes(std::shared_ptr<const RouteTable> Table) { Routes = std::move(Table); }
   [[nodiscard]] const RouteTable &routes() const noexcept { return *Routes; }
@@ -157,20 +158,18 @@
   struct Opening {
     std::string Service;
     FlowKind Kind = FlowKind::Short;
+    policy::WaitingFlow Caller;
     std::shared_ptr<const Bytes> Packet;
     std::vector<NodeAddress> Candidates;     ///< Best first.
     std::size_t Considered = NearCandidates; ///< How many of them may get the flow so far.
     std::vector<NodeAddress> Tried;          ///< In order; the last one has the packet.
     std::vector<NodeAddress> Busy; ///< Those of Tried that declined because they are busy.
-    common::TimePoint StartedAt{};
-    bool Waiting = false; ///< The last one of Tried has not declined yet.
-    bool Asking = false;  ///< In AskingFlows.
-    bool Held = false;    ///< In HeldFlows.
+    bool Waiting = false;          ///< The last one of Tried has not declined yet.
+    bool Asking = false;           ///< In AskingFlows.
+    bool Held = false;             ///< In HeldFlows.
     bool WasHeld = false;
     bool OthersWait = false; ///< Further held flows go to the same service.
     bool MetFull = false;    ///< An agent declined because its upstream has enough work.
-    common::Duration LatencyObjective{};
-    std::uint32_t Priority = 0; ///< 0 is the most urgent.
   };
   enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
   struct Flow {
@@ -212,6 +211,8 @@
   void hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now, SteeringActions &Out);
   void keepHeld(const packet::FlowKey &Key, Flow &Held, SteeringActions &Out);
   void releaseHeld(common::TimePoint Now, SteeringActions &Out);
+  template <policy::ReleaseOrder Order>
+  void releaseBy(const Order &Ranking, common::TimePoint Now, SteeringActions &Out);
   [[nodiscard]] std::optional<NodeAddress> leastBusy(Opening &Open) const;
   /// The flow, if it is held; null otherwise.
   [[nodiscard]] Flow *heldFlow(const packet::FlowKey &Key);
@@ -235,7 +236,7 @@
   void ask(NodeAddress Agent, const packet::FlowKey &Key, common::TimePoint Now,
            SteeringActions &Out);
   [[nodiscard]] std::vector<NodeAddress> candidatesOf(const packet::FlowKey &Key) const;
-  [[nodiscard]] bool mayConclude(common::TimePoint Now) const noexcept;
+  [[nodiscard]] bool mayConclude(common::TimePoint Now) const;
   /// Whether a caller may repeat the requests of a flow.
   [[nodiscard]] bool repeatable(const packet::FlowKey &Key) const noexcept;
   [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
@@ -248,6 +249,7 @@
   NodeAddress Self;
   UpstreamDirectory &Directory;
   common::TimePoint StartedAt;
+  policy::Mechanisms InUse;
   std::shared_ptr<const RouteTable> Routes = std::make_shared<RouteTable>();
   bool RoutesCurrent = false;
   std::optional<common::TimePoint> AgentsListedAt;
@@ -255,6 +257,7 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
   FlowSearch Search;
   std::vector<packet::FlowKey> HeldFlows;
+  std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
   std::vector<packet::FlowKey> AskingFlows;
   std::size_t DoubtedPackets = 0; ///< Since the last timer call.
   std::vector<common::Duration> OpeningTimes;
--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -28,11 +28,11 @@
   friend bool operator==(const PacketHead &, const PacketHead &) = default;
 };
 
-/// Requests that may run or wait at an upstream before new flows wait elsewhere: one that runs and
-/// one that waits for each slot, so that no slot is idle between two, and one on its way from a
-/// balancer. More would only wait where no more urgent request can overtake them.
+/// Requests that may run or wait at an upstream before new flows wait elsewhere: one that runs for
+/// each slot, half as many that wait so that few slots are idle between two, and one on its way
+/// from a balancer. More would only wait where no more urgent request can overtake them.
 [[nodiscard]] constexpr std::uint32_t usefulRequests(std::uint32_t Slots) noexcept {
-  return 2 * Slots + 1;
+  return Slots + (Slots + 1) / 2 + 1;
 }
 
 /// What a balancer writes into the free fields of a packet for the agent that receives it.
--- a/include/galenarelay/relay/response_time.h
+++ b/include/galenarelay/relay/response_time.h
@@ -30,6 +30,8 @@
     }
   }
 
+  /// Whether any answer has come.
+  [[nodiscard]] bool known() const noexcept { return Known; }
   /// Time after which an answer isn't expected any more, within bounds.
   [[nodiscard]] common::Duration patience(common::Duration Least,
                                           common::Duration Most) const noexcept {
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -5,6 +5,7 @@
 #include "galenarelay/common/time.h"
 #include "galenarelay/relay/candidates.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/policy/mechanism.h"
 #include "galenarelay/relay/response_time.h"
 
 #include <algorithm>
@@ -67,6 +68,10 @@
 /// Agents compared for a short flow among all: the power of two choices (Mitzenmacher 2001).
 inline constexpr std::size_t PlacementChoices = 2;
 
+/// Upstreams that must be cold before their start counts as one event: a single new one is no sign
+/// of what happened to the others.
+inline constexpr std::size_t MinStartedTogether = 3;
+
 /// What a new flow is likely to be.
 enum class FlowKind : std::uint8_t {
   Short, ///< One request.
@@ -92,8 +97,8 @@
   /// Whether a report changed which flows the agent may get.
   enum class Change : std::uint8_t { None, Appeared, StateChanged, Outdated };
 
-  UpstreamDirectory(std::string OwnZone, std::uint64_t Seed)
-      : OwnZone(std::move(OwnZone)), Random(Seed) {}
+  UpstreamDirectory(std::string OwnZone, std::uint64_t Seed, policy::Mechanisms InUse = {})
+      : OwnZone(std::move(OwnZone)), Random(Seed), InUse(InUse) {}
 
   Change onReport(NodeAddress From, const AgentReport &Report, common::TimePoint Now);
   /// Takes a load figure that came with a packet.
@@ -164,6 +169,9 @@
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
   /// Those that are in a record of the store, have not reported, and may still do so.
   [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
+  /// Whether all upstreams have just started: after a loss of everything none of them holds an
+  /// earlier flow. False while most agents of the store's records have not reported.
+  [[nodiscard]] bool upstreamsStartedTogether(common::TimePoint Now) const;
   /// Questions to Balancers about agents that may be lost, with the balancer to ask.
   [[nodiscard]] std::vector<std::pair<NodeAddress, LossQuery>>
   takeLossQueries(std::span<const NodeAddress> Balancers, common::TimePoint Now);
@@ -218,6 +226,7 @@
 
   std::string OwnZone;
   common::Engine Random;
+  policy::Mechanisms InUse;
   std::map<NodeAddress, Known> Agents;
   std::unordered_map<std::string, std::vector<NodeAddress>> ByService; ///< Without ended ones.
   std::map<NodeAddress, Expectation> Expected;
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -4,7 +4,9 @@
 #include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/policy/mechanism.h"
 #include "galenarelay/relay/registration.h"
+#include "galenarelay/relay/response_time.h"
 
 #include <boost/container/small_vector.hpp>
 
@@ -29,8 +31,10 @@
 inline constexpr common::Duration ClosedRetention = std::chrono::seconds(4);
 /// A flow without packets is forgotten after this time; the upstream closed it long before.
 inline constexpr common::Duration UnusedRetention = std::chrono::seconds(90);
-/// A flow that has opened without a request for this time isn't counted as work: its caller gave up
-/// or answered another upstream.
+/// A flow that has opened without a request isn't counted as work any longer than callers usually
+/// take for it: its caller gave up or answered another upstream. Bounds of that time: a packet's
+/// way to a caller and back, and what a caller's second try at a packet takes.
+inline constexpr common::Duration MinRequestExpectation = std::chrono::milliseconds(20);
 inline constexpr common::Duration RequestExpectation = std::chrono::milliseconds(500);
 /// A flow without packets for this time is no load any more: its caller gave up without a word.
 /// Longer than a sender's longest retransmission interval (1.6 s) and any request's work.
@@ -98,7 +102,7 @@
 class UpstreamFlows {
 public:
   UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
-                common::TimePoint StartedAt);
+                common::TimePoint StartedAt, policy::Mechanisms InUse = {});
 
   [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Heard, common::TimePoint Now);
   bool onDeparture(const std::string &Id) { return Upstream.onDeparture(Id); }
@@ -162,6 +166,7 @@
     std::uint32_t UpstreamSequence = 0; ///< End of the upstream's data so far.
     common::TimePoint UsedAt{};
     common::TimePoint RequestAt{};
+    common::TimePoint AcceptedAt{};           ///< The upstream's answer to the first packet.
     std::shared_ptr<const Bytes> FirstPacket; ///< While offered.
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
@@ -182,6 +187,9 @@
   [[nodiscard]] static bool fits(const PacketHead &Head, const Flow &Held) noexcept;
   void expectRequest(Flow &Held);
   void endRequest(Flow &Held);
+  /// How long an accepted flow counts as work before its request has come.
+  [[nodiscard]] common::Duration requestPatience() const noexcept;
+  void endAbandoned(common::TimePoint Now, FlowActions &Out);
   void setLong(Flow &Held);
   void endLong(Flow &Held);
   void close(Flow &Held);
@@ -190,6 +198,7 @@
 
   std::string SettingsService;
   common::Duration HeartbeatInterval;
+  policy::Mechanisms InUse;
   Registration Upstream;
   common::TimePoint StartedAt;
   common::TimePoint LastSignAt; ///< Last heartbeat or packet of the upstream.
@@ -204,6 +213,8 @@
   std::uint32_t Unanswered = 0;
   std::uint32_t LongFlows = 0;
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerChecks;
+  std::deque<std::pair<common::TimePoint, packet::FlowKey>> AcceptedFlows; ///< Without a request.
+  ResponseTime RequestDelay;       ///< From an accepted flow to its first request.
   std::deque<NodeAddress> Waiting; ///< Balancers that wait for room, the first one first.
   std::vector<AnswerTime> Answers;
   common::BucketSweep Sweep;
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -31,6 +31,13 @@
   return Parts;
 }
 
+std::string joined(const std::vector<std::string> &Names) {
+  std::string Text;
+  for (const std::string &Name : Names)
+    Text += (Text.empty() ? "" : ", ") + Name;
+  return Text;
+}
+
 bool isNumber(const std::string &Text, bool IntegerOnly, double &Parsed) {
   if (Text.empty())
     return false;
@@ -67,6 +74,11 @@
       if (!capture([&] { return parseEndpoint(Part); }))
         return "a comma-separated list of addresses such as 10.0.0.1:80";
     return "";
+  case SettingKind::NameList:
+    for (const std::string &Part : splitList(Value))
+      if (std::find(Rule.Choices.begin(), Rule.Choices.end(), Part) == Rule.Choices.end())
+        return "a comma-separated list of " + joined(Rule.Choices);
+    return "";
   }
   return "";
 }
@@ -146,6 +158,10 @@
   return List;
 }
 
+std::vector<std::string> Settings::names(std::string_view Section, std::string_view Key) const {
+  return splitList(text(Section, Key));
+}
+
 Result<Settings> loadSettings(const std::string &Path, const std::vector<SettingRule> &Rules) {
   Collector Found;
   const int Status = ini_parse(Path.c_str(), collect, &Found);
--- a/src/node/relay_settings.cpp
+++ b/src/node/relay_settings.cpp
@@ -5,6 +5,17 @@
 using common::SettingKind;
 using common::SettingRule;
 
+namespace {
+
+std::vector<std::string> mechanismNames() {
+  std::vector<std::string> Names;
+  for (std::size_t I = 0; I < relay::policy::MechanismCount; ++I)
+    Names.emplace_back(relay::policy::name(static_cast<relay::policy::Mechanism>(I)));
+  return Names;
+}
+
+} // namespace
+
 std::vector<SettingRule> relayRules() {
   const auto Address = [](const char *Key, const char *Brief) {
     return SettingRule{"node", Key, SettingKind::Address, std::nullopt, 0, 0, Brief};
@@ -21,7 +32,9 @@
           {"node", "seed", SettingKind::Integer, "0", 0, 0,
            "seed of the random engine; 0 takes one from the system"},
           {"store", "address", SettingKind::Address, std::nullopt, 0, 0,
-           "address of the key-value store"}};
+           "address of the key-value store"},
+          {"policy", "without", SettingKind::NameList, "", 0, 0,
+           "mechanisms switched off for an experiment, comma-separated", mechanismNames()}};
 }
 
 std::vector<SettingRule> relayAgentRules() {
@@ -49,6 +62,9 @@
   Options.Seeds = Values.endpoints("node", "seeds");
   Options.Store = Values.endpoint("store", "address");
   Options.Seed = Values.seed("node", "seed");
+  for (const std::string &Name : Values.names("policy", "without"))
+    if (const auto Off = relay::policy::mechanismNamed(Name))
+      Options.InUse = Options.InUse.without(*Off);
   return Options;
 }
 
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -80,12 +80,14 @@
 }
 
 bool FlowSearch::wideDue(common::TimePoint Now) const noexcept {
-  return !WideQueue.empty() && Now - WideAt >= WideInterval;
+  return !WideQueue.empty() && Now - WideAt >= (Paced ? WidePause : WideInterval);
 }
 
 FlowSearch::Questions FlowSearch::takeWide(std::span<const NodeAddress> Holders,
                                            common::TimePoint Now, Outcome &Settled) {
   WideAt = Now;
+  WidePause = std::clamp<common::Duration>(
+      WideMessageTime * static_cast<std::int64_t>(Holders.size()), NarrowInterval, WideInterval);
   RowsByAgent Rows;
   for (std::size_t Taken = 0; Taken < MaxQueriedFlows && !WideQueue.empty(); ++Taken) {
     const packet::FlowKey Key = WideQueue.front();
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <map>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace galenarelay::relay {
@@ -25,8 +24,10 @@
 }
 
 FlowSteering::FlowSteering(NodeAddress Self, UpstreamDirectory &Directory,
-                           common::TimePoint StartedAt)
-    : Self(Self), Directory(Directory), StartedAt(StartedAt) {}
+                           common::TimePoint StartedAt, policy::Mechanisms InUse)
+    : Self(Self), Directory(Directory), StartedAt(StartedAt), InUse(InUse) {
+  Search.setPaced(InUse.uses(policy::Mechanism::WidePace));
+}
 
 NodeAddress FlowSteering::agentOf(const packet::FlowKey &Key) const {
   const auto Found = Flows.find(Key);
@@ -98,9 +99,10 @@
   // Callers keep a flow for requests that they may repeat, and open one for each other request.
   Held.Open->Kind = Found->Idempotent ? FlowKind::Long : FlowKind::Short;
   Held.Open->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
-  Held.Open->StartedAt = Now;
-  Held.Open->LatencyObjective = Found->LatencyObjective;
-  Held.Open->Priority = Found->Priority;
+  // The first packets before this one were lost, or reached another balancer.
+  const std::uint32_t Copies = InUse.uses(policy::Mechanism::CopyAge) ? Head.Acknowledgement : 0;
+  Held.Open->Caller = {Now - policy::copyTime(Copies), Head.Acknowledgement,
+                       Found->LatencyObjective, Found->Deadline, Found->Priority};
   if (HeldFlows.empty())
     return place(Head.Key, Held, Scope::Candidates, Now, Out);
   // Others wait already: the next one to be placed is chosen among all.
@@ -123,6 +125,7 @@
                      .Fields = transitTo("", false, true)});
     return;
   }
+  Held.Open->Caller.Copies = std::max(Held.Open->Caller.Copies, Head.Acknowledgement);
   if (Held.Open->Held || Held.Open->Asking) {
     Out.push_back({.Reason = Held.Open->Held ? SteeringReason::Held : SteeringReason::Asked,
                    .Key = Head.Key});
@@ -195,7 +198,7 @@
     const NodeAddress Agent = Open.Candidates[I];
     if (std::find(Open.Tried.begin(), Open.Tried.end(), Agent) != Open.Tried.end())
       continue;
-    if (Directory.needsQuestion(Agent, Now))
+    if (InUse.uses(policy::Mechanism::LoadQuestions) && Directory.needsQuestion(Agent, Now))
       ask(Agent, Key, Now, Out);
     Awaited = Awaited || Directory.awaitsAnswer(Agent, Now);
   }
@@ -234,7 +237,7 @@
   PlacementChecks.emplace_back(Now + Directory.patience(PlacementTimeout), Key);
   Transit Fields = transitTo(Open.Service, false, Insist);
   Fields.Long = Open.Kind == FlowKind::Long;
-  Fields.OthersWait = Open.OthersWait;
+  Fields.OthersWait = Open.OthersWait && InUse.uses(policy::Mechanism::RoomNotices);
   Out.push_back({.What = SteeringAction::Kind::Forward,
                  .Reason = Reason,
                  .Key = Key,
@@ -262,7 +265,8 @@
 
 void FlowSteering::hold(const packet::FlowKey &Key, Flow &Held, common::TimePoint Now,
                         SteeringActions &Out) {
-  if (HeldFlows.size() >= MaxHeldFlows || Now - Held.Open->StartedAt >= HoldTimeout) {
+  if (HeldFlows.size() >= MaxHeldFlows || policy::expired(Held.Open->Caller, Now) ||
+      !InUse.uses(policy::Mechanism::Holding)) {
     refuse(Key, SteeringReason::Overloaded, Out);
     Flows.erase(Key);
     return;
@@ -275,52 +279,61 @@
   keepHeld(Key, Held, Out);
 }
 
-// While upstreams are full, the order of release decides who is served in time. Flows that can
-// still meet their latency objective go before late ones. Among them the more urgent go first, then
-// the newest: in the order of arrival all would wait for as long as the objective allows, and be
-// late. Late ones go by urgency and arrival.
 void FlowSteering::releaseHeld(common::TimePoint Now, SteeringActions &Out) {
+  using policy::Mechanism;
+  if (InUse.uses(Mechanism::ReleaseOrder))
+    releaseBy(policy::UrgentAndFreshFirst{InUse.uses(Mechanism::AbsentCallers)}, Now, Out);
+  else
+    releaseBy(policy::OldestFirst{}, Now, Out);
+}
+
+template <policy::ReleaseOrder Order>
+void FlowSteering::releaseBy(const Order &Ranking, common::TimePoint Now, SteeringActions &Out) {
   struct Candidate {
-    bool Late;
-    std::uint32_t Priority;
-    common::Duration Order;
+    policy::ReleaseRank Rank;
     packet::FlowKey Key;
   };
   std::vector<Candidate> Waiting;
   Waiting.reserve(HeldFlows.size());
-  for (const auto &Key : HeldFlows) {
-    const Flow *Held = heldFlow(Key);
-    if (Held == nullptr)
-      continue;
-    const Opening &Open = *Held->Open;
-    const auto Age = Now - Open.StartedAt;
-    const bool Late = Age >= Open.LatencyObjective;
-    Waiting.push_back({Late, Open.Priority, Late ? -Age : Age, Key});
-  }
+  for (const auto &Key : HeldFlows)
+    if (const Flow *Held = heldFlow(Key))
+      Waiting.push_back({Ranking.rank(Held->Open->Caller, Now), Key});
   HeldFlows.clear();
   std::map<std::string, std::size_t> Remaining;
   for (const auto &Each : Waiting)
     ++Remaining[heldFlow(Each.Key)->Open->Service];
-  std::sort(Waiting.begin(), Waiting.end(), [](const Candidate &A, const Candidate &B) {
-    return std::tie(A.Late, A.Priority, A.Order) < std::tie(B.Late, B.Priority, B.Order);
-  });
+  std::sort(Waiting.begin(), Waiting.end(),
+            [](const Candidate &A, const Candidate &B) { return A.Rank < B.Rank; });
+  std::map<std::string, std::size_t> Before; // Flows of a service that go on waiting.
   std::set<std::string> Exhausted; // Services without an agent that could take another flow now.
-  for (const auto &[Late, Priority, Order, Key] : Waiting) {
+  for (const auto &[Rank, Key] : Waiting) {
     Flow *Held = heldFlow(Key);
     // A key stands here twice if its caller has used it again.
     if (Held == nullptr)
       continue;
     const std::string Service = Held->Open->Service;
     Held->Open->OthersWait = --Remaining[Service] > 0;
-    const bool Expired = Now - Held->Open->StartedAt >= HoldTimeout;
-    if (Exhausted.contains(Service) && !Expired) {
+    const double Rate =
+        InUse.uses(policy::Mechanism::PredictedWait) ? Releases[Service].perSecond(Now) : 0;
+    if (policy::expired(Held->Open->Caller, Now) ||
+        policy::unservable(Held->Open->Caller, Before[Service], Rate, Now)) {
+      refuse(Key, SteeringReason::Overloaded, Out);
+      Flows.erase(Key);
+      continue;
+    }
+    if (Exhausted.contains(Service)) {
+      ++Before[Service];
       keepHeld(Key, *Held, Out);
       continue;
     }
     Held->Open->Held = false;
     place(Key, *Held, Scope::Service, Now, Out);
-    if (heldFlow(Key) != nullptr)
+    if (heldFlow(Key) != nullptr) {
+      ++Before[Service];
       Exhausted.insert(Service);
+    } else {
+      Releases[Service].note(Now);
+    }
   }
 }
 
@@ -477,10 +490,14 @@
     forwardKnown(Key, Held, Out, std::move(Packet));
 }
 
-// Right after a start, agents may exist that nobody has named yet.
-bool FlowSteering::mayConclude(common::TimePoint Now) const noexcept {
-  return Now - StartedAt >= ViewSettleTime ||
-         (AgentsListedAt && Now - *AgentsListedAt >= ListSettleTime);
+// Right after a start, agents may exist that nobody has named yet. If all upstreams have started at
+// the same time, such an agent's upstream has no earlier flows either.
+bool FlowSteering::mayConclude(common::TimePoint Now) const {
+  if (Now - StartedAt >= ViewSettleTime)
+    return true;
+  return AgentsListedAt &&
+         (Now - *AgentsListedAt >= ListSettleTime ||
+          (InUse.uses(policy::Mechanism::CommonStart) && Directory.upstreamsStartedTogether(Now)));
 }
 
 SteeringActions FlowSteering::onAbsence(const FlowAbsence &Absence, NodeAddress From,
@@ -513,6 +530,8 @@
 
 SteeringActions FlowSteering::onAgentLost(NodeAddress Agent) {
   SteeringActions Out;
+  if (!InUse.uses(policy::Mechanism::LossReset))
+    return Out;
   for (auto At = Flows.begin(); At != Flows.end();) {
     const Flow &Held = At->second;
     if (Held.Agent != Agent || Held.State != Phase::Open || !Held.HasAcknowledgement ||
@@ -581,7 +600,7 @@
   }
   const bool New = Held.State != Phase::Open;
   if (Held.Open != nullptr && OpeningTimes.size() < MaxOpeningTimes)
-    OpeningTimes.push_back(Now - Held.Open->StartedAt);
+    OpeningTimes.push_back(Held.Open->Caller.age(Now));
   Held.Agent = From;
   Held.Open.reset();
   Held.UsedAt = Now;
@@ -628,7 +647,7 @@
       continue;
     Flow &Held = Found->second;
     const bool Unanswered = Held.State == Phase::Opening && Held.Open->Waiting &&
-                            !Held.Open->Held && Now - Held.Open->StartedAt < OpenTimeout;
+                            !Held.Open->Held && Held.Open->Caller.age(Now) < OpenTimeout;
     if (!Unanswered)
       continue;
     Directory.suspect(Held.Open->Tried.back(), Now);
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -249,11 +249,12 @@
                       [Which](const Placement &Each) { return Each.Kind == Which; }));
   };
   double Slots = std::max<std::uint32_t>(1, View.Report.Slots);
-  if (View.ColdUntil > Now)
+  if (View.ColdUntil > Now && InUse.uses(policy::Mechanism::ColdDiscount))
     Slots *= ColdSlotShare;
   const double Present = (View.Load.Unanswered + Placed(FlowKind::Short)) / Slots;
-  const double Distance = View.Report.Zone == OwnZone ? 0 : OtherZoneCost;
-  if (Kind == FlowKind::Short)
+  const bool Near = View.Report.Zone == OwnZone || !InUse.uses(policy::Mechanism::OwnZone);
+  const double Distance = Near ? 0 : OtherZoneCost;
+  if (Kind == FlowKind::Short || !InUse.uses(policy::Mechanism::LongFlowBalance))
     return Present + Distance;
   const double Lasting = (View.Load.LongFlows + Placed(FlowKind::Long)) / Slots;
   return Lasting + PresentWorkWeight * Present + Distance;
@@ -344,7 +345,7 @@
 
 void UpstreamDirectory::notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now) {
   const auto Found = Agents.find(Agent);
-  if (Found == Agents.end())
+  if (Found == Agents.end() || !InUse.uses(policy::Mechanism::PlacementCount))
     return;
   auto &Placements = Found->second.Placements;
   Placements.push_back({Now, Kind});
@@ -410,6 +411,19 @@
   return Found;
 }
 
+bool UpstreamDirectory::upstreamsStartedTogether(common::TimePoint Now) const {
+  std::size_t Cold = 0;
+  for (const auto &[Address, Agent] : Agents) {
+    const AgentReport &Report = Agent.View.Report;
+    if (Report.State == UpstreamState::Ended || Report.UpstreamIncarnation == 0)
+      continue; // No upstream, or none that has spoken yet.
+    if (Agent.View.ColdUntil <= Now)
+      return false;
+    ++Cold;
+  }
+  return Cold >= MinStartedTogether && Cold >= expectedHolders(Now).size();
+}
+
 std::vector<NodeAddress> UpstreamDirectory::takeExpected(common::TimePoint Now) {
   std::vector<NodeAddress> Due;
   for (auto &[Address, Each] : Expected) {
@@ -475,7 +489,8 @@
   std::vector<NodeAddress> Found;
   if (Silent >= Heard)
     return Found;
-  const std::size_t Needed = std::min(MinLossWitnesses, Balancers);
+  const std::size_t Needed =
+      InUse.uses(policy::Mechanism::LossWitnesses) ? std::min(MinLossWitnesses, Balancers) : 0;
   for (auto &[Address, Agent] : Agents)
     if (lost(Agent, Now) && Agent.Witnesses.size() >= Needed &&
         !std::exchange(Agent.TakenAsLost, true))
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -27,9 +27,9 @@
 }
 
 UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
-                             common::TimePoint StartedAt)
+                             common::TimePoint StartedAt, policy::Mechanisms InUse)
     : SettingsService(std::move(SettingsService)), HeartbeatInterval(HeartbeatInterval),
-      Upstream(HeartbeatInterval), StartedAt(StartedAt), LastSignAt(StartedAt),
+      InUse(InUse), Upstream(HeartbeatInterval), StartedAt(StartedAt), LastSignAt(StartedAt),
       ListeningSince(StartedAt) {}
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Heard, common::TimePoint Now) {
@@ -161,7 +161,8 @@
     return ReturnReason::Leaving;
   if (full())
     return ReturnReason::Full;
-  if (!Fields.Insist && slots() != 0 && Unanswered >= slots())
+  if (InUse.uses(policy::Mechanism::BusyDecline) && !Fields.Insist && slots() != 0 &&
+      Unanswered >= slots())
     return ReturnReason::Busy;
   if (Flows.size() >= MaxUpstreamFlows)
     return ReturnReason::Refused;
@@ -177,7 +178,7 @@
 }
 
 void UpstreamFlows::noteWaiting(NodeAddress Balancer) {
-  if (Waiting.size() < MaxWaitingBalancers &&
+  if (InUse.uses(policy::Mechanism::RoomNotices) && Waiting.size() < MaxWaitingBalancers &&
       std::find(Waiting.begin(), Waiting.end(), Balancer) == Waiting.end())
     Waiting.push_back(Balancer);
 }
@@ -263,6 +264,8 @@
     Held.HasUpstreamSequence = true;
     Held.UpstreamSequence = Head.Sequence;
     Held.FirstPacket.reset();
+    Held.AcceptedAt = Now;
+    AcceptedFlows.emplace_back(Now, Head.Key);
   }
   if (!Head.Bits.Syn)
     Held.Established = true;
@@ -361,10 +364,32 @@
     return;
   expectRequest(Held);
   Held.RequestAt = Now;
+  if (Held.Requests == 0 && Held.AcceptedAt != common::TimePoint{})
+    RequestDelay.onAnswer(Now - Held.AcceptedAt, Now);
   if (Held.Requests < UINT16_MAX && ++Held.Requests > 1)
     setLong(Held);
 }
 
+common::Duration UpstreamFlows::requestPatience() const noexcept {
+  if (!InUse.uses(policy::Mechanism::RequestPatience) || !RequestDelay.known())
+    return RequestExpectation;
+  return RequestDelay.patience(MinRequestExpectation, RequestExpectation);
+}
+
+// A first packet that waited may be placed after its caller has gone. Until its place is free
+// again, no other flow gets it.
+void UpstreamFlows::endAbandoned(common::TimePoint Now, FlowActions &Out) {
+  const auto Patience = requestPatience();
+  while (!AcceptedFlows.empty() && Now - AcceptedFlows.front().first > Patience) {
+    const auto Found = Flows.find(AcceptedFlows.front().second);
+    AcceptedFlows.pop_front();
+    if (Found == Flows.end() || Found->second.Requests > 0 || !Found->second.RequestPending)
+      continue;
+    endRequest(Found->second);
+    tellOfRoom(Out);
+  }
+}
+
 void UpstreamFlows::expectRequest(Flow &Held) {
   if (!std::exchange(Held.RequestPending, true))
     ++Unanswered;
@@ -425,6 +450,7 @@
                    .Reason = ReturnReason::Unanswered,
                    .Saved = Found->second.FirstPacket});
   }
+  endAbandoned(Now, Out);
   forgetOld(Now);
   return Out;
 }
--- a/tests/common_test.cpp
+++ b/tests/common_test.cpp
@@ -57,7 +57,8 @@
 
   static std::vector<SettingRule> rules() {
     return {{"node", "address", SettingKind::Address, std::nullopt, 0, 0, "own address"},
-            {"node", "slots", SettingKind::Integer, "5", 1, 64, "slots"}};
+            {"node", "slots", SettingKind::Integer, "5", 1, 64, "slots"},
+            {"node", "colors", SettingKind::NameList, "", 0, 0, "colors", {"red", "green"}}};
   }
 
 public:
@@ -80,6 +81,8 @@
     const Row Rows[] = {
         {"[node]\naddress = 1.2.3.4:5\nslots = 65\n", ResultCode::SettingsBadValue, "node.slots"},
         {"[node]\naddress = 1.2.3.4\n", ResultCode::SettingsBadValue, "node.address"},
+        {"[node]\naddress = 1.2.3.4:5\ncolors = red, blue\n", ResultCode::SettingsBadValue,
+         "red, green"},
         {"[node]\nslots = 3\n", ResultCode::SettingsMissingKey, "node.address"},
         {"[node]\naddress = 1.2.3.4:5\nslot = 3\n", ResultCode::SettingsUnknownKey, "node.slot"},
         {"[nodes]\naddress = 1.2.3.4:5\n", ResultCode::SettingsUnknownSection, "nodes"},
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -24,6 +24,7 @@
     common::Duration Work = 40ms;
     double UrgentShare = 0; ///< Part of the requests that goes to OrdersAddress.
     std::uint64_t Seed = 1;
+    relay::policy::Mechanisms InUse;
   };
 
   /// What one caller, or one kind of request, got.
@@ -31,20 +32,22 @@
     std::size_t Asked = 0;
     std::size_t Served = 0;
     std::size_t InTime = 0;
-    std::size_t Refused = 0; ///< Reset before the flow opened.
-    std::size_t Shed = 0;    ///< Refused by an upstream whose queue was full.
+    std::size_t Refused = 0;         ///< Reset before the flow opened.
+    std::size_t Shed = 0;            ///< Refused by an upstream whose queue was full.
+    common::Duration RefusedAfter{}; ///< Sum of the times from a request to its refusal.
 
     friend Caller operator-(const Caller &A, const Caller &B) {
-      return {A.Asked - B.Asked, A.Served - B.Served, A.InTime - B.InTime, A.Refused - B.Refused,
-              A.Shed - B.Shed};
+      return {A.Asked - B.Asked,     A.Served - B.Served, A.InTime - B.InTime,
+              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter};
     }
   };
 
   explicit RelayFleet(Options Chosen) : Chosen(Chosen), Random(Chosen.Seed) {
     for (std::size_t I = 0; I < Chosen.Balancers; ++I)
-      Balancers.push_back(std::make_unique<BalancerNode>(balancerAddress(I), Random()));
+      Balancers.push_back(
+          std::make_unique<BalancerNode>(balancerAddress(I), Random(), Chosen.InUse));
     for (std::size_t I = 0; I < Chosen.Agents; ++I)
-      Agents.push_back(std::make_unique<AgentNode>());
+      Agents.push_back(std::make_unique<AgentNode>(Chosen.InUse));
     for (auto &Each : Agents)
       (void)Each->Flows.onHeartbeat(upstreamHeartbeat(*Each), Now);
     tick();
@@ -63,6 +66,12 @@
     }
   }
 
+  /// Last copies of first packets whose callers give up before they are answered.
+  void abandon(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I)
+      fromCaller(firstPacket({{0x64500000U, ++NextPort}, DeskAddress}, 2));
+  }
+
   void runUntil(common::TimePoint Until) {
     while (!Events.empty() && Events.top().At <= Until) {
       auto Next = Events.top();
@@ -88,6 +97,7 @@
       Sum.InTime += Each.InTime;
       Sum.Refused += Each.Refused;
       Sum.Shed += Each.Shed;
+      Sum.RefusedAfter += Each.RefusedAfter;
     }
     return Sum;
   }
@@ -116,8 +126,8 @@
   static constexpr common::Duration Deadline = 3s;
 
   struct BalancerNode {
-    BalancerNode(relay::NodeAddress Address, std::uint64_t Seed)
-        : Directory("a", Seed), Steering(Address, Directory, RelayStart - 60s) {
+    BalancerNode(relay::NodeAddress Address, std::uint64_t Seed, relay::policy::Mechanisms InUse)
+        : Directory("a", Seed, InUse), Steering(Address, Directory, RelayStart - 60s, InUse) {
       Steering.setRoutes(relayRoutes());
       Steering.setRoutesCurrent(true);
     }
@@ -125,7 +135,9 @@
     relay::FlowSteering Steering;
   };
   struct AgentNode {
-    relay::UpstreamFlows Flows{"desk", 1200ms, RelayStart - 60s};
+    explicit AgentNode(relay::policy::Mechanisms InUse)
+        : Flows("desk", 1200ms, RelayStart - 60s, InUse) {}
+    relay::UpstreamFlows Flows;
     std::uint64_t Sequence = 0;
     std::uint64_t Reports = 0;
     std::uint32_t Running = 0;
@@ -314,6 +326,7 @@
     if (Found == Requests.end())
       return;
     count(Key, &Caller::Refused);
+    Callers[Key.Caller.Address].RefusedAfter += Now - Found->second.AskedAt;
     Requests.erase(Found);
   }
 
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(testLoad_twiceCapacity_isInTimeForMostOfWhatIsServed);
   CPPUNIT_TEST(testLoad_twiceCapacity_keepsUrgentRequestsInTime);
   CPPUNIT_TEST(testLoad_afterBurst_isInTimeAgainWithinTwoSeconds);
+  CPPUNIT_TEST(testLoad_backlogOfGoneCallers_leavesOthersInTime);
+  CPPUNIT_TEST(testLoad_threeTimesCapacity_refusesWhatItCannotServe);
   CPPUNIT_TEST(testLoad_anyFleetSize_isServedInTime);
   CPPUNIT_TEST(testLoad_ofDesignSize_staysBelowControlBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -119,6 +121,36 @@
     });
   }
 
+  // What follows an outage: first packets of callers that have gone, as many as the upstreams can
+  // serve in a second, and then a load that they can serve.
+  void testLoad_backlogOfGoneCallers_leavesOthersInTime() {
+    forSeeds([](const RelayFleet::Options &Chosen) {
+      RelayFleet Fleet(Chosen);
+      Fleet.runFor(200ms);
+      Fleet.offer(0.5 * Fleet.capacity(), 1s, CallerCount);
+      const auto Before = Fleet.total();
+      Fleet.abandon(static_cast<std::size_t>(Fleet.capacity()));
+      Fleet.offer(0.7 * Fleet.capacity(), 1s, CallerCount);
+      const auto Asked = Fleet.total().Asked - Before.Asked;
+      Fleet.runFor(1s);
+      CPPUNIT_ASSERT(static_cast<double>(Fleet.total().InTime - Before.InTime) >=
+                     InTimeTarget * static_cast<double>(Asked));
+    });
+  }
+
+  // Two of three requests can't be served. Their callers learn it earlier than at the end of the
+  // time for which a first packet may wait.
+  void testLoad_threeTimesCapacity_refusesWhatItCannotServe() {
+    forSeeds([](const RelayFleet::Options &Chosen) {
+      RelayFleet Fleet(Chosen);
+      const auto Got = steadyLoad(Fleet, 3);
+      CPPUNIT_ASSERT(static_cast<double>(Got.All.Served) >= GoodputTarget * Got.Capacity);
+      CPPUNIT_ASSERT(Got.All.Refused > 0);
+      CPPUNIT_ASSERT(Got.All.RefusedAfter / static_cast<std::int64_t>(Got.All.Refused) <
+                     relay::policy::HoldTimeout);
+    });
+  }
+
   // Figures of load are asked for from a few agents, whatever the number of agents and balancers.
   void testLoad_anyFleetSize_isServedInTime() {
     for (const std::size_t Agents : {7, 70, 700}) {
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -32,6 +32,10 @@
   CPPUNIT_TEST(testHeld_urgentFlows_goBeforeOthersInTime);
   CPPUNIT_TEST(testFirstPacket_whileUrgentFlowsWait_doesNotOvertakeThem);
   CPPUNIT_TEST(testHeld_untilCallerStopsWaiting_isRefused);
+  CPPUNIT_TEST(testHeld_copyOfLostFirstPackets_isAsOldAsThem);
+  CPPUNIT_TEST(testHeld_callerWithoutCopies_goesLast);
+  CPPUNIT_TEST(testHeld_tooManyBefore_isRefusedBeforeItsTimeIsOver);
+  CPPUNIT_TEST(testHeld_orderOff_goByArrival);
   CPPUNIT_TEST(testPacket_ofUnknownFlow_isSearchedAndThenKnown);
   CPPUNIT_TEST(testSearch_unsureAgent_getsThePacket);
   CPPUNIT_TEST(testSearch_allDeny_resetsNearAcknowledgement);
@@ -39,6 +43,7 @@
   CPPUNIT_TEST(testSearch_expectedAgentSilent_doesNotDelayQuestions);
   CPPUNIT_TEST(testSearch_oneSilent_neverResets);
   CPPUNIT_TEST(testSearch_justAfterStart_doesNotReset);
+  CPPUNIT_TEST(testSearch_afterCommonStart_resetsWithoutSettling);
   CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
   CPPUNIT_TEST(testNotHeld_secondAcceptingAgent_getsThePacket);
   CPPUNIT_TEST(testAgentLost_repeatableFlows_areReset);
@@ -56,8 +61,9 @@
   CPPUNIT_TEST_SUITE_END();
 
   struct Node {
-    explicit Node(common::TimePoint StartedAt = RelayStart - 60s)
-        : Directory("a", 1), Steering(BalancerOne, Directory, StartedAt) {
+    explicit Node(common::TimePoint StartedAt = RelayStart - 60s,
+                  relay::policy::Mechanisms InUse = {})
+        : Directory("a", 1, InUse), Steering(BalancerOne, Directory, StartedAt, InUse) {
       Steering.setRoutes(relayRoutes());
       Steering.setRoutesCurrent(true);
       for (const auto Agent : {AgentOne, AgentTwo})
@@ -117,8 +123,8 @@
                                Asked.Agent, Now);
     }
     /// All agents but one hold nothing; that one, if given, says nothing.
-    SteeringActions denyAll(relay::NodeAddress Silent = 0) {
-      return questionsUntil(RelayStart + 1s, [&](const auto &Asked, common::TimePoint Now) {
+    SteeringActions denyAll(relay::NodeAddress Silent = 0, common::Duration For = 1s) {
+      return questionsUntil(RelayStart + For, [&](const auto &Asked, common::TimePoint Now) {
         return Asked.Agent == Silent ? SteeringActions{} : answer(Asked, Now);
       });
     }
@@ -220,6 +226,57 @@
     CPPUNIT_ASSERT((releaseOrder(Balancer) == std::vector<std::uint16_t>{3, 2, 1}));
   }
 
+  // nkabom-relay trouble-2: after a power cut the copies of first packets from before the
+  // balancers' start took the places of callers that could still be in time.
+  void testHeld_copyOfLostFirstPackets_isAsOldAsThem() {
+    Node Balancer;
+    fill(Balancer, RelayStart + 200ms);
+    (void)Balancer.send(firstPacket(relayKey(1)), RelayStart + 200ms);
+    (void)Balancer.send(firstPacket(relayKey(2), 2), RelayStart + 260ms);
+    (void)Balancer.send(firstPacket(relayKey(3), 1), RelayStart + 270ms);
+    CPPUNIT_ASSERT((releaseOrder(Balancer) == std::vector<std::uint16_t>{1, 2, 3}));
+  }
+
+  void testHeld_callerWithoutCopies_goesLast() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1)), RelayStart - 60ms);
+    (void)Balancer.send(firstPacket(relayKey(2)), RelayStart - 50ms);
+    (void)Balancer.send(firstPacket(relayKey(2), 1), RelayStart + 150ms);
+    CPPUNIT_ASSERT((releaseOrder(Balancer) == std::vector<std::uint16_t>{2, 1}));
+  }
+
+  void testHeld_orderOff_goByArrival() {
+    Node Balancer(RelayStart - 60s,
+                  relay::policy::Mechanisms().without(relay::policy::Mechanism::ReleaseOrder));
+    fill(Balancer, RelayStart);
+    for (const std::uint16_t Port : {1, 2, 3})
+      (void)Balancer.send(firstPacket(relayKey(Port)), RelayStart + 10ms * Port);
+    CPPUNIT_ASSERT((releaseOrder(Balancer) == std::vector<std::uint16_t>{1, 2, 3}));
+  }
+
+  // One place a 30 ms, and a hundred flows before the last one: it can't begin in 1.2 s.
+  void testHeld_tooManyBefore_isRefusedBeforeItsTimeIsOver() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    for (std::uint16_t Port = 1; Port <= 150; ++Port)
+      (void)Balancer.send(firstPacket(relayKey(Port)), RelayStart);
+    std::size_t Refused = 0;
+    std::size_t Placed = 0;
+    for (auto Now = RelayStart; Now < RelayStart + 600ms; Now += 30ms) {
+      for (std::uint16_t Port = 1; Now == RelayStart + 210ms && Port <= 150; ++Port)
+        (void)Balancer.send(firstPacket(relayKey(Port), 1), Now);
+      Balancer.Directory.onLoad(AgentTwo, {relay::usefulRequests(2) - 2, 0}, Now);
+      for (const auto &Each : Balancer.Steering.onTimer(Now)) {
+        Refused += Each.What == Kind::Reset ? 1 : 0;
+        Placed += Each.What == Kind::Forward ? 1 : 0;
+      }
+    }
+    CPPUNIT_ASSERT(Placed > 10);
+    // At twice the rate fewer than a hundred begin in the time that is left.
+    CPPUNIT_ASSERT(Refused >= 30 && Refused + Placed < 150);
+  }
+
   void testHeld_urgentFlows_goBeforeOthersInTime() {
     Node Balancer;
     fill(Balancer, RelayStart);
@@ -395,6 +452,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countKind(Balancer.denyAll(), Kind::Reset));
   }
 
+  // nkabom-relay trouble-1: after a power cut every flow of the time before waited 300 ms for its
+  // reset, and all of their callers then came back at once.
+  void testSearch_afterCommonStart_resetsWithoutSettling() {
+    const auto ResetsWith = [](common::Duration ColdOfLast) {
+      Node Balancer(RelayStart);
+      std::uint64_t Upstream = 100;
+      for (const auto Agent : {AgentOne, AgentTwo, AgentThree}) {
+        auto Report = agentReport(2);
+        Report.Service = Agent == AgentThree ? "intake" : "desk";
+        Report.UpstreamIncarnation = ++Upstream;
+        Report.ColdFor = Agent == AgentThree ? ColdOfLast : 2s;
+        (void)Balancer.Directory.onReport(Agent, Report, RelayStart);
+      }
+      Balancer.Steering.setAgentsListed(RelayStart);
+      (void)Balancer.send(callerData(relayKey(1), 77));
+      return countKind(Balancer.denyAll(0, relay::ListSettleTime - 20ms), Kind::Reset);
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ResetsWith(2s));
+    // An upstream that has run for long: only some have started again.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ResetsWith(0s));
+  }
+
   void testSearch_agentOfStoreRecordNotHeard_blocksReset() {
     Node Balancer;
     constexpr relay::NodeAddress Unheard = 0x0a020009;
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(testLoad_adoptedFlow_isWorkUntilAnswered);
   CPPUNIT_TEST(testLoad_endedOrAbandonedFlow_isNone);
   CPPUNIT_TEST(testLoad_flowWithoutRequest_isNoWorkForLong);
+  CPPUNIT_TEST(testLoad_callerGone_freesItsPlaceAfterTheUsualDelay);
   CPPUNIT_TEST(testDeparture_openFlows_areResetNearAcknowledgement);
   CPPUNIT_TEST_SUITE_END();
 
@@ -352,6 +353,33 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
   }
 
+  // nkabom-relay trouble-2: after a power cut, callers that had gone kept upstreams full for half a
+  // second each, while those that were there waited.
+  void testLoad_callerGone_freesItsPlaceAfterTheUsualDelay() {
+    auto Flows = readyFlows();
+    auto Now = RelayStart;
+    const auto Open = [&](std::uint16_t Port) {
+      (void)fromBalancer(Flows, firstPacket(relayKey(Port)), {.Insist = true, .OthersWait = true},
+                         Now);
+      (void)fromUpstream(Flows, upstreamAccept(relayKey(Port), Sequence), Now);
+    };
+    for (std::uint16_t Port = 1; Port <= 20; ++Port) {
+      Open(Port);
+      Now += 7ms; // The caller's way.
+      (void)fromBalancer(Flows, callerData(relayKey(Port), Sequence), {BalancerOne, 0}, Now);
+      (void)fromUpstream(Flows, upstreamData(relayKey(Port), Sequence), Now);
+    }
+    for (std::uint16_t Port = 101; Port <= 110; ++Port)
+      Open(Port);
+    const auto Most = Flows.load().Unanswered;
+    CPPUNIT_ASSERT(Most >= 2);
+    std::size_t Notices = 0;
+    for (const auto End = Now + 60ms; Now < End; Now += 20ms)
+      Notices += countKind(Flows.onTimer(Now), Kind::Report);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Notices); // One balancer waits, and is told once.
+  }
+
   void testDeparture_openFlows_areResetNearAcknowledgement() {
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
