Ask agents that peers name until they report

Change: such agents are expected like those of the store's records, which are asked every 100 ms, at least four times. Lists for peers leave out agents that are lost or whose upstream has ended, so that nobody waits for these. Ruled out: a third way to repeat questions; both kinds of expected agents share one. Test: RelayViewTest::testExpected_agentNamedByPeer_isAskedUntilItReports; without the expectation no question is due.

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -235,10 +235,7 @@
 
   void take(const relay::BalancerBeacon &Beacon, relay::NodeAddress From, common::TimePoint Now) {
     const bool New = Peers.onBeacon(From, Beacon, Now);
-    auto Unheard = Beacon.Agents;
-    std::erase_if(Unheard,
-                  [this](relay::NodeAddress Agent) { return Directory.find(Agent) != nullptr; });
-    if (!Unheard.empty())
+    if (const auto Unheard = Directory.expectNamed(Beacon.Agents, Now); !Unheard.empty())
       sendToAll(Unheard, beacon(Now));
     if (New) {
       common::log(common::LogLevel::Info, "balancer_appeared",
@@ -311,7 +308,7 @@
   /// Tells a node that has just started of all others, in as many messages as it takes.
   void sendLists(relay::NodeAddress To, common::TimePoint Now) {
     const auto Live = Peers.live(Now);
-    const auto Agents = Directory.agents();
+    const auto Agents = Directory.reportingHolders(Now);
     for (std::size_t Begin = 0; Begin == 0 || Begin < std::max(Live.size(), Agents.size());
          Begin += relay::MaxBeaconAddresses) {
       auto Part = beacon(Now);
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -110,8 +110,10 @@
   /// A first packet sent to the agent stayed unanswered.
   void suspect(NodeAddress Agent, common::TimePoint Now);
   void forgetSilent(common::TimePoint Now);
-  /// The store has a record of an agent that has not reported here.
+  /// The store, or a peer, knows an agent that has not reported here.
   void expect(NodeAddress Agent, common::TimePoint Now);
+  /// Expects the agents that a peer has named; returns those that have not reported here.
+  std::vector<NodeAddress> expectNamed(std::span<const NodeAddress> Named, common::TimePoint Now);
   /// This process stood still: nobody is taken for lost before it could be heard again.
   void restartListening(common::TimePoint Now) noexcept { ListeningSince = Now; }
 
@@ -130,7 +132,7 @@
   /// Agents that are to be asked again: those that left questions unanswered, those that took no
   /// flows when they were last heard, and some others if nobody has been heard for HearingDoubt.
   [[nodiscard]] std::vector<NodeAddress> takeQuestions(common::TimePoint Now);
-  /// Agents in records of the store that have not reported and are to be asked (again).
+  /// Expected agents that have not reported and are to be asked (again).
   [[nodiscard]] std::vector<NodeAddress> takeExpected(common::TimePoint Now);
   /// The question for agents of takeQuestions and takeExpected. Its answer comes with a report.
   [[nodiscard]] static LoadQuery repeatedQuestion(common::TimePoint Now) noexcept;
@@ -167,7 +169,7 @@
   [[nodiscard]] std::vector<NodeAddress> agents() const;
   /// Agents that may hold any flow: those that have reported and aren't lost.
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
-  /// Those that are in a record of the store, have not reported, and may still do so.
+  /// Those that are expected, have not reported, and may still do so.
   [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
   /// Whether all upstreams have just started: after a loss of everything none of them holds an
   /// earlier flow. False while most agents of the store's records have not reported.
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -381,6 +381,18 @@
     Expected.try_emplace(Agent, Expectation{.Since = Now});
 }
 
+std::vector<NodeAddress> UpstreamDirectory::expectNamed(std::span<const NodeAddress> Named,
+                                                        common::TimePoint Now) {
+  std::vector<NodeAddress> Unheard;
+  for (const NodeAddress Agent : Named) {
+    if (Agents.contains(Agent))
+      continue;
+    expect(Agent, Now);
+    Unheard.push_back(Agent);
+  }
+  return Unheard;
+}
+
 bool UpstreamDirectory::lost(const Known &Agent, common::TimePoint Now) const {
   if (!Agent.UnansweredSince || Agent.Unanswered < MinLostQuestions)
     return false;
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(testReadiness_nobodyHeard_asksSomeBeforeItIsStale);
   CPPUNIT_TEST(testAnswer_afterEnd_doesNotBringUpstreamBack);
   CPPUNIT_TEST(testExpected_agentOfStoreRecord_isAskedUntilItReports);
+  CPPUNIT_TEST(testExpected_agentNamedByPeer_isAskedUntilItReports);
+  CPPUNIT_TEST(testCommonStart_upstreams_tellWhetherAnyIsOld);
   CPPUNIT_TEST(testWatchers_ofAZone_areFewAndReplaced);
   CPPUNIT_TEST(testRotation_changingSet_visitsEachInTurn);
   CPPUNIT_TEST(testRoute_split_sameOnEveryNode);
@@ -324,6 +326,53 @@
     CPPUNIT_ASSERT(Late.takeExpected(RelayStart + 10s).empty());
   }
 
+  // Incident inc-cdcb of nkabom-relay: an agent that peers named was sent one datagram, and two
+  // balancers did not know it for more than a second.
+  void testExpected_agentNamedByPeer_isAskedUntilItReports() {
+    UpstreamDirectory Directory("a", 1);
+    (void)Directory.onReport(AgentOne, agentReport(1), RelayStart);
+    const auto Unheard = Directory.expectNamed(std::vector{AgentOne, AgentTwo}, RelayStart);
+    CPPUNIT_ASSERT(Unheard == std::vector{AgentTwo});
+    CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart) == std::vector{AgentTwo});
+    std::uint32_t Asked = 0;
+    for (auto Now = RelayStart; Now < RelayStart + relay::LostTime; Now += 20ms)
+      Asked += static_cast<std::uint32_t>(Directory.takeExpected(Now).size());
+    CPPUNIT_ASSERT(Asked >= relay::MinLostQuestions);
+    (void)Directory.onReport(AgentTwo, agentReport(1), RelayStart + 1300ms);
+    CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart + 1300ms).empty());
+  }
+
+  void testCommonStart_upstreams_tellWhetherAnyIsOld() {
+    struct Case {
+      const char *Name;
+      std::vector<common::Duration> ColdFor; ///< Of each agent's upstream.
+      std::size_t Unknown;                   ///< Agents whose upstream has not spoken.
+      std::size_t Expected;                  ///< Agents of records that have not reported.
+      bool Together;
+    };
+    for (const Case &Each : {Case{"all cold", {2s, 2s, 1s}, 0, 0, true},
+                             {"one old", {2s, 2s, 0s}, 0, 0, false},
+                             {"too few to tell", {2s, 2s}, 0, 0, false},
+                             {"one without upstream", {2s, 2s, 2s}, 1, 0, true},
+                             {"most not heard yet", {2s, 2s, 2s}, 0, 4, false},
+                             {"no longer cold", {100ms, 100ms, 100ms}, 0, 0, false}}) {
+      UpstreamDirectory Directory("a", 1);
+      relay::NodeAddress Agent = AgentOne;
+      for (const auto Cold : Each.ColdFor) {
+        auto Report = agentReport(1);
+        Report.UpstreamIncarnation = 5;
+        Report.ColdFor = Cold;
+        (void)Directory.onReport(Agent++, Report, RelayStart);
+      }
+      for (std::size_t I = 0; I < Each.Unknown; ++I)
+        (void)Directory.onReport(Agent++, agentReport(1), RelayStart);
+      for (std::size_t I = 0; I < Each.Expected; ++I)
+        Directory.expect(Agent++, RelayStart);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Together,
+                                   Directory.upstreamsStartedTogether(RelayStart + 200ms));
+    }
+  }
+
   void testWatchers_ofAZone_areFewAndReplaced() {
     constexpr std::uint32_t Count = 17;
     std::vector<relay::BalancerPeers> All;
