--- a/programs/relay-balancer/main.cpp
+++ b/programs/relay-balancer/main.cpp
@@ -2,7 +2,7 @@
 #include "galenarelay/common/program.h"
 #include "galenarelay/node/relay_balancer.h"
 #include "galenarelay/node/relay_program.h"
-#include "galenarelay/platform/platform.h"
+#include "platform/platform.h"
 
 namespace galenarelay {
 
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -1,6 +1,6 @@
 #include "galenarelay/common/log.h"
-#include "galenarelay/platform/documents.h"
-#include "galenarelay/platform/store_protocol.h"
+#include "platform/documents.h"
+#include "platform/store_protocol.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
--- a/tests/platform_packet_test.cpp
+++ b/tests/platform_packet_test.cpp
@@ -1,4 +1,4 @@
-#include "galenarelay/platform/packet_codec.h"
+#include "platform/packet_codec.h"
 #include "relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/relay_store_test.cpp
+++ b/tests/relay_store_test.cpp
@@ -1,7 +1,7 @@
 #include "galenarelay/common/http.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/node/impl/relay_store.h"
-#include "galenarelay/platform/store_protocol.h"
+#include "platform/store_protocol.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/soak/stream.h
+++ b/tests/soak/stream.h
@@ -2,8 +2,8 @@
 #define GALENARELAY_TESTS_SOAK_STREAM_H
 
 #include "galenarelay/common/time.h"
-#include "galenarelay/platform/packet_codec.h"
 #include "galenarelay/relay/packet_head.h"
+#include "platform/packet_codec.h"
 
 #include <deque>
 #include <functional>
