Check a placement only against the agent that it was made at

Callers saw a SYN at two or three upstreams at once although the first agent had already declined it: the check that was scheduled 60 ms after the first placement took the second agent, asked just before, for silent, suspected it and sent the SYN to a third one. Both accepted, one slot was taken for nothing for up to half a second, and the caller's packets had to find out which of the two it had answered.

A check carries the number of its placement and is void once the SYN has been sent on, also if the flow was held in between.

--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -189,6 +189,7 @@
   struct FlowEntry {
     Phase State = Phase::Opening;
     NodeAddress Agent = 0;
+    std::uint32_t Placements = 0;                 ///< Times that the SYN was sent to an agent.
     NodeAddress SecondAgent = 0; ///< A second agent whose upstream accepted the SYN.
     common::TimePoint StateSince{};
     common::TimePoint LastUsedAt{};
@@ -272,7 +273,13 @@
   bool RoutesCurrent = false;
   std::optional<common::TimePoint> AgentsListedAt;
   FlowMap Flows;
-  std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
+  /// A time at which a flow is placed again if its agent has not answered.
+  struct PlacementCheck {
+    common::TimePoint At{};
+    packet::FlowKey Key;
+    std::uint32_t Placement = 0; ///< PendingFlow::Placements when the SYN was sent.
+  };
+  std::deque<PlacementCheck> PlacementChecks;
   FlowSearch Search;
   std::vector<packet::FlowKey> HeldFlows;
   std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -245,7 +245,8 @@
   Pending.AwaitingAnswer = true;
   Entry.Agent = Agent;
   Directory.notePlacement(Agent, Pending.Kind, Now);
-  PlacementChecks.emplace_back(Now + Directory.answerTimeout(PlacementTimeout), Key);
+  PlacementChecks.push_back(
+      {Now + Directory.answerTimeout(PlacementTimeout), Key, ++Pending.Placements});
   Transit Fields = transitTo(Pending.Service, false, Insist);
   Fields.Long = Pending.Kind == FlowKind::Long;
   Fields.OthersWait = Pending.OthersWait && InUse.uses(policy::Mechanism::SlotNotices);
@@ -661,11 +662,12 @@
 
 SteeringActions FlowSteering::onTimer(common::TimePoint Now) {
   SteeringActions Actions;
-  while (!PlacementChecks.empty() && PlacementChecks.front().first <= Now) {
-    const packet::FlowKey Key = PlacementChecks.front().second;
+  while (!PlacementChecks.empty() && PlacementChecks.front().At <= Now) {
+    const auto [At, Key, Placement] = PlacementChecks.front();
     PlacementChecks.pop_front();
     const auto It = Flows.find(Key);
-    if (It == Flows.end() || It->second.Pending == nullptr)
+    if (It == Flows.end() || It->second.Pending == nullptr ||
+        It->second.Pending->Placements != Placement)
       continue;
     FlowEntry &Entry = It->second;
     const bool Unanswered = Entry.State == Phase::Opening && Entry.Pending->AwaitingAnswer &&
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(testSynRetransmission_notYetAccepted_goesToAnotherAgent);
   CPPUNIT_TEST(testSynRetransmission_ofAcceptedFlow_goesToTheSameAgent);
   CPPUNIT_TEST(testPlacement_unanswered_isRepeatedBeforeTheRetransmission);
+  CPPUNIT_TEST(testPlacement_checkOfEarlierAgent_doesNotConcernTheNext);
   CPPUNIT_TEST(testReturn_allAgentsRefuse_resets);
   CPPUNIT_TEST(testReturn_allBusy_insistsOnTheLeastBusy);
   CPPUNIT_TEST(testSyn_allUpstreamsFull_waitsForCapacity);
@@ -381,6 +382,23 @@
     Node Balancer;
     const auto Head = firstPacket(relayKey(1));
     const auto First = Balancer.send(Head)[0].Agent;
+  // Guards against a SYN that is sent to a third agent while the second one is about to accept it.
+  void testPlacement_checkOfEarlierAgent_doesNotConcernTheNext() {
+    Node Balancer;
+    Balancer.report(0x0a020004);
+    const auto Head = firstPacket(relayKey(1));
+    const auto First = Balancer.send(Head)[0].Agent;
+    const auto Due = RelayStart + relay::PlacementTimeout;
+    const auto Second =
+        Balancer.returnPacket(Head, ReturnReason::Refused, First, 0, Due - 1ms).at(0);
+    CPPUNIT_ASSERT(Second.Operation == Kind::Forward);
+    CPPUNIT_ASSERT(Balancer.Steering.onTimer(Due).empty());
+    const auto SecondDue = Due - 1ms + relay::PlacementTimeout;
+    CPPUNIT_ASSERT(countActions(Balancer.Steering.onTimer(SecondDue), Kind::QueryLoad) > 0);
+    const auto Third = Balancer.Steering.onTimer(SecondDue + relay::AnswerTimeout + 1ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Third, Kind::Forward));
+  }
+
     const auto Second = Balancer.returnPacket(Head, ReturnReason::Refused, First);
     CPPUNIT_ASSERT(Second[0].Operation == Kind::Forward && Second[0].Agent != First);
     const auto Last = Balancer.returnPacket(Head, ReturnReason::Refused, Second[0].Agent);
