Keep silent agents among the possible holders of a flow until others agree

A balancer that had lost its own way to an agent for 1.2 s left it out of the agents that may hold a searched flow. All others denied the flow, and the caller of a sound upstream got a reset: the second opinion of other balancers, which onAgentLost waits for, was not asked here. And where they agreed, orders were reset as well, although onAgentLost spares them because their upstream may still run and have the response ready.

An agent is left out now only once takeLost has returned it, that is with two witnesses, and as long as it stays silent. Flows whose requests must not be repeated aren't reset while an agent has been lost for less than 10 s.

testHolders_agentSilentTowardsThisNodeOnly_isIncluded (2 holders instead of 3), testSearch_agentSilentTowardsThisNodeOnly_doesNotReset and testSearch_agentLost_resetsIdempotentFlowsOnly (a reset instead of none) fail without the change.

--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -61,6 +61,9 @@
 /// An agent is lost only after it has left this many queries unanswered, since a single datagram
 /// may be lost at any time.
 inline constexpr std::uint32_t MinUnansweredQueries = 4;
+/// A lost agent's upstream may still answer a request that its caller must not repeat, once the
+/// agent is back: for at most this time, which is longer than callers wait for an answer.
+inline constexpr common::Duration LostHolderRetention = std::chrono::seconds(10);
 /// Replaces LostTime for an agent that has announced a stop, which then either restarts within this
 /// time or stays away: several times the second that a restart takes.
 inline constexpr common::Duration StoppingLostTime = std::chrono::milliseconds(2500);
@@ -178,8 +181,12 @@
   [[nodiscard]] const AgentView *find(NodeAddress Agent) const;
   /// Agents that have reported, in ascending order.
   [[nodiscard]] std::vector<NodeAddress> agents() const;
-  /// Agents that have reported and may hold flows: those that are neither lost nor ended.
+  /// Agents that have reported and may hold flows: those whose upstream hasn't ended, and that
+  /// aren't lost by the judgement of takeLost.
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
+  /// Whether an agent has become lost within LostHolderRetention, so that it can't be asked whether
+  /// its upstream holds a flow.
+  [[nodiscard]] bool hasRecentlyLostAgent(common::TimePoint Now) const;
   /// Agents that may hold flows but have not reported: those that are expected and may still
   /// report.
   [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
@@ -238,6 +245,9 @@
   void addToService(NodeAddress Agent, const std::string &Service);
   void removeFromService(NodeAddress Agent, const std::string &Service);
   [[nodiscard]] bool isLost(const AgentEntry &Agent, common::TimePoint Now) const;
+  /// Whether takeLost has returned the agent, and it is still silent.
+  [[nodiscard]] bool isAgreedLost(const AgentEntry &Agent, common::TimePoint Now) const;
+  [[nodiscard]] bool mayHoldFlows(const AgentEntry &Agent, common::TimePoint Now) const;
   static void dropReportedPlacements(AgentEntry &Agent);
 
   std::string OwnZone;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -539,6 +539,9 @@
   if (It == Flows.end() || It->second.State != Phase::Searching || !It->second.HasAcknowledgement ||
       !agentsKnown(Now))
     return;
+  // As in onAgentLost, an upstream that still runs may have the response of an order ready.
+  if (!isIdempotent(Key) && Directory.hasRecentlyLostAgent(Now))
+    return;
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
                      .Key = Key,
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -406,14 +406,32 @@
          (Announced ? StoppingLostTime : LostTime) + 2 * AnswerTimes.slowest(Now);
 }
 
+// An agent that is silent towards this balancer only may hold flows: it counts as lost once other
+// balancers find it silent too.
+bool UpstreamDirectory::isAgreedLost(const AgentEntry &Agent, common::TimePoint Now) const {
+  return Agent.ReportedLost && isLost(Agent, Now);
+}
+
+bool UpstreamDirectory::mayHoldFlows(const AgentEntry &Agent, common::TimePoint Now) const {
+  return !isAgreedLost(Agent, Now) && Agent.View.Report.State != UpstreamState::Ended;
+}
+
 std::vector<NodeAddress> UpstreamDirectory::reportingHolders(common::TimePoint Now) const {
   std::vector<NodeAddress> Holders;
   for (const auto &[Address, Agent] : Agents)
-    if (!isLost(Agent, Now) && Agent.View.Report.State != UpstreamState::Ended)
+    if (mayHoldFlows(Agent, Now))
       Holders.push_back(Address);
   return Holders;
 }
 
+bool UpstreamDirectory::hasRecentlyLostAgent(common::TimePoint Now) const {
+  return std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
+    const AgentView &View = Entry.second.View;
+    return isAgreedLost(Entry.second, Now) && View.Report.State != UpstreamState::Ended &&
+           Now - View.HeardAt <= LostHolderRetention;
+  });
+}
+
 // A store record doesn't show whether its agent is running. An agent that has not been queried
 // often enough may only have missed a lost datagram.
 bool UpstreamDirectory::mayStillReport(const ExpectedAgent &Entry, common::TimePoint Now) {
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -46,6 +46,8 @@
   CPPUNIT_TEST(testSearch_justAfterStart_doesNotReset);
   CPPUNIT_TEST(testSearch_afterCommonStart_resetsWithoutSettling);
   CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
+  CPPUNIT_TEST(testSearch_agentSilentTowardsThisNodeOnly_doesNotReset);
+  CPPUNIT_TEST(testSearch_agentLost_resetsIdempotentFlowsOnly);
   CPPUNIT_TEST(testReturn_flowNotHeld_goesToSecondAcceptingAgent);
   CPPUNIT_TEST(testAgentLost_idempotentFlows_areReset);
   CPPUNIT_TEST(testAgentSilent_lessThanLostTime_keepsOpenFlows);
@@ -378,10 +380,6 @@
     CPPUNIT_ASSERT(Again[0].Agent != First && Again[0].SavedPacket->size() == 3);
   }
 
-  void testReturn_allAgentsRefuse_resets() {
-    Node Balancer;
-    const auto Head = firstPacket(relayKey(1));
-    const auto First = Balancer.send(Head)[0].Agent;
   // Guards against a SYN that is sent to a third agent while the second one is about to accept it.
   void testPlacement_checkOfEarlierAgent_doesNotConcernTheNext() {
     Node Balancer;
@@ -399,6 +397,10 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Third, Kind::Forward));
   }
 
+  void testReturn_allAgentsRefuse_resets() {
+    Node Balancer;
+    const auto Head = firstPacket(relayKey(1));
+    const auto First = Balancer.send(Head)[0].Agent;
     const auto Second = Balancer.returnPacket(Head, ReturnReason::Refused, First);
     CPPUNIT_ASSERT(Second[0].Operation == Kind::Forward && Second[0].Agent != First);
     const auto Last = Balancer.returnPacket(Head, ReturnReason::Refused, Second[0].Agent);
@@ -497,6 +499,51 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ResetsWith(0s));
   }
 
+  /// Leaves queries to AgentOne unanswered until it is lost, or silent for as long. Returns the
+  /// time.
+  static common::TimePoint silenceAgentOne(Node &Balancer, std::size_t OtherBalancers) {
+    auto Now = RelayStart;
+    Balancer.Directory.noteQuery(AgentOne, Now);
+    for (; Now < RelayStart + 2s; Now += 20ms) {
+      (void)Balancer.Directory.takeRepeatedQueries(Now);
+      for (const auto Agent : {AgentTwo, AgentThree})
+        Balancer.Directory.onHeard(Agent, Now);
+      (void)Balancer.Directory.takeLost(OtherBalancers, Now);
+    }
+    return Now;
+  }
+
+  /// Searches a flow from a time on. All agents deny it, except AgentOne, which doesn't answer.
+  static std::size_t resetsWithoutAgentOne(Node &Balancer, const packet::FlowKey &Key,
+                                           common::TimePoint From) {
+    (void)Balancer.send(callerData(Key, 77), From);
+    const auto Actions = Balancer.answerQueriesUntil(
+        From + 500ms,
+        [&](const auto &Query, common::TimePoint Now) {
+          return Query.Agent == AgentOne ? SteeringActions{} : Balancer.answer(Query, Now);
+        },
+        From);
+    return countActions(Actions, Kind::Reset);
+  }
+
+  // Guards against a reset by a balancer whose own link to the flow's agent is cut.
+  void testSearch_agentSilentTowardsThisNodeOnly_doesNotReset() {
+    Node Balancer;
+    const auto Now = silenceAgentOne(Balancer, 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resetsWithoutAgentOne(Balancer, relayKey(1), Now));
+  }
+
+  // Guards against the reset of an order whose upstream runs while its agent is restarting.
+  void testSearch_agentLost_resetsIdempotentFlowsOnly() {
+    Node Balancer;
+    const auto Now = silenceAgentOne(Balancer, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resetsWithoutAgentOne(Balancer, relayKey(1), Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         resetsWithoutAgentOne(Balancer, relayKey(2, OrdersAddress), Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resetsWithoutAgentOne(Balancer, relayKey(3, OrdersAddress),
+                                                               Now + relay::LostHolderRetention));
+  }
+
   void testSearch_agentOfStoreRecordNotHeard_blocksReset() {
     Node Balancer;
     constexpr relay::NodeAddress Unheard = 0x0a020009;
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testAnswer_afterUpstreamEnded_keepsItEnded);
   CPPUNIT_TEST(testExpected_agentOfStoreRecord_isQueriedUntilItReports);
   CPPUNIT_TEST(testExpected_agentNamedByPeer_isQueriedUntilItReports);
+  CPPUNIT_TEST(testHolders_agentSilentTowardsThisNodeOnly_isIncluded);
   CPPUNIT_TEST(testCommonStart_upstreamColdTimes_showWhetherAnyIsOlder);
   CPPUNIT_TEST(testWatchers_silentBalancer_isReplaced);
   CPPUNIT_TEST(testRotation_changingSet_visitsEachInTurn);
@@ -255,6 +256,29 @@
                    relay::LossQueryDelay + 2 * relay::LossQueryInterval + relay::LostTime + 40ms);
   }
 
+  // Guards against the reset of an open flow by a balancer whose link to the flow's agent is cut.
+  void testHolders_agentSilentTowardsThisNodeOnly_isIncluded() {
+    auto Directory = directory();
+    (void)Directory.onReport(AgentThree, agentReport(1), RelayStart);
+    Directory.noteQuery(AgentOne, RelayStart);
+    constexpr std::size_t Balancers = 4;
+    auto Now = RelayStart;
+    for (; Now < RelayStart + 5s; Now += 20ms) {
+      (void)Directory.takeRepeatedQueries(Now);
+      for (const auto Agent : {AgentTwo, AgentThree})
+        Directory.onHeard(Agent, Now);
+      CPPUNIT_ASSERT(Directory.takeLost(Balancers, Now).empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Directory.reportingHolders(Now).size());
+    CPPUNIT_ASSERT(!Directory.hasRecentlyLostAgent(Now));
+    for (const auto Witness : {BalancerOne, BalancerTwo})
+      Directory.onLossAnswer({{AgentOne}}, Witness);
+    CPPUNIT_ASSERT(Directory.takeLost(Balancers, Now) == std::vector{AgentOne});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Directory.reportingHolders(Now).size());
+    CPPUNIT_ASSERT(Directory.hasRecentlyLostAgent(Now));
+    CPPUNIT_ASSERT(!Directory.hasRecentlyLostAgent(Now + relay::LostHolderRetention));
+  }
+
   // A single unanswered query may be a lost datagram, and an agent that isn't queried needn't
   // answer.
   void testLost_fewOrNoQueries_isNotLost() {
