Ask other balancers for agents before a flow is taken for ended

A balancer resets a searched flow once every agent that it knows has denied it. An agent that it has never heard of, or whose upstream it still takes for ended since both reports of the new one were lost, isn't asked: its sound upstream's flows are cut, with a valid sequence number, as soon as they move to this balancer. Agents report to one balancer every 200 ms in turn, so that with 26 balancers such a gap lasts up to five seconds, and planned restarts of balancers move nearly all flows meanwhile.

The reset now also needs the answers of two other balancers, out of four asked, to a query that was sent after the search began: the agents that they know to hold flows, with the version of their last report. Agents that are new here, or have a newer report than the one that says ended, are asked until they report, and the search goes on. Balancers with the same agents only exchange a digest; one round every 50 ms at most serves all searches, and is sent when a search reaches its last stage, beside the questions to all agents. Without another live balancer nothing changes.

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/flow_steering.h"
+#include "galenarelay/relay/holder_survey.h"
 
 #include <algorithm>
 #include <array>
@@ -147,6 +148,15 @@
                    {"searches", Steering.searches()},
                    {"agents_known", Directory.size()}});
     perform(Actions, {}, Now);
+    surveyHolders(Now);
+  }
+
+  /// Asks other balancers for agents that may hold searched flows and aren't known here.
+  void surveyHolders(common::TimePoint Now) {
+    if (!Steering.needsHolderSurvey())
+      return;
+    if (const auto Round = Survey.begin(Peers.live(Now), Directory.holderDigest(Now), Random, Now))
+      sendToAll(Round->Recipients, Round->Query);
   }
 
   void perform(const relay::SteeringActions &Actions, std::span<std::uint8_t> Raw,
@@ -285,6 +295,33 @@
     Directory.onLossAnswer(Answer, From);
   }
 
+  void handle(const relay::HolderQuery &Query, relay::NodeAddress From, common::TimePoint Now) {
+    const bool Settled = Steering.agentsKnown(Now);
+    const auto Holders = Query.Digest == Directory.holderDigest(Now)
+                             ? std::vector<relay::KnownAgent>{}
+                             : Directory.knownHolders(Now);
+    const auto Parts = std::max<std::size_t>(1, (Holders.size() + relay::MaxNamedHolders - 1) /
+                                                    relay::MaxNamedHolders);
+    for (std::size_t Part = 0; Part < Parts; ++Part)
+      sendTo(From, relay::HolderAnswer{Query.Id, Settled, static_cast<std::uint16_t>(Part),
+                                       static_cast<std::uint16_t>(Parts),
+                                       slice(Holders, Part, relay::MaxNamedHolders)});
+  }
+
+  void handle(const relay::HolderAnswer &Answer, relay::NodeAddress From, common::TimePoint Now) {
+    if (const auto Missed = Directory.noteHolders(Answer.Agents, Now); !Missed.empty()) {
+      common::log(common::LogLevel::Info, "agents_named_by_peer",
+                  {{"peer", common::addressToString(From)},
+                   {"agents", Missed.size()},
+                   {"agents_known", Directory.size()}});
+      sendToAll(Missed, makeBeacon(Now));
+    }
+    if (const auto Confirmed = Survey.onAnswer(Answer, From)) {
+      Steering.onHoldersConfirmed(*Confirmed);
+      sendFlowQueries(Now);
+    }
+  }
+
   void handle(const relay::ReturnedPacket &Returned, relay::NodeAddress From,
               common::TimePoint Now) {
     const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
@@ -318,18 +355,21 @@
   void sendNodeLists(relay::NodeAddress To, common::TimePoint Now) {
     const auto Live = Peers.live(Now);
     const auto Agents = Directory.reportingHolders(Now);
-    for (std::size_t Begin = 0; Begin == 0 || Begin < std::max(Live.size(), Agents.size());
-         Begin += relay::MaxBeaconAddresses) {
+    for (std::size_t Part = 0;
+         Part == 0 || Part * relay::MaxBeaconAddresses < std::max(Live.size(), Agents.size());
+         ++Part) {
       auto Beacon = makeBeacon(Now);
-      Beacon.Balancers = slice(Live, Begin);
-      Beacon.Agents = slice(Agents, Begin);
+      Beacon.Balancers = slice(Live, Part, relay::MaxBeaconAddresses);
+      Beacon.Agents = slice(Agents, Part, relay::MaxBeaconAddresses);
       sendTo(To, std::move(Beacon));
     }
   }
-  static std::vector<relay::NodeAddress> slice(const std::vector<relay::NodeAddress> &All,
-                                               std::size_t Begin) {
-    const auto From = std::min(Begin, All.size());
-    const auto To = std::min(Begin + relay::MaxBeaconAddresses, All.size());
+
+  /// The part of a list with this number, if each part has Size entries.
+  template <typename T>
+  static std::vector<T> slice(const std::vector<T> &All, std::size_t Part, std::size_t Size) {
+    const auto From = std::min(Part * Size, All.size());
+    const auto To = std::min(From + Size, All.size());
     return {All.begin() + static_cast<std::ptrdiff_t>(From),
             All.begin() + static_cast<std::ptrdiff_t>(To)};
   }
@@ -375,6 +415,7 @@
       Directory.onResume(Now);
     }
     Steering.setRoutesCurrent(routesCurrent(Now));
+    Steering.setSurveyPossible(!Peers.live(Now).empty());
     perform(Steering.onTimer(Now), {}, Now);
     sendFlowQueries(Now);
     const auto RepeatedQuery = relay::UpstreamDirectory::repeatedQuery(Now);
@@ -587,6 +628,7 @@
 
   relay::UpstreamDirectory Directory;
   relay::FlowSteering Steering;
+  relay::HolderSurvey Survey;
   common::TimePoint LastPacketAt{};
   common::TimePoint NextBeaconAt{};
   common::TimePoint NextContactAt{};
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -90,6 +90,16 @@
   bool onAbsence(const packet::FlowKey &Key, NodeAddress From);
   /// The oldest waiting packet of the flow, for an agent that is unsure; null if there is none.
   [[nodiscard]] std::shared_ptr<const Bytes> oldestPacket(const packet::FlowKey &Key) const;
+  /// Time of the flow's first packet; the flow must be searched.
+  [[nodiscard]] common::TimePoint startedAt(const packet::FlowKey &Key) const {
+    return Searches.at(Key).StartedAt;
+  }
+  /// Start of the latest search that has reached its last stage.
+  [[nodiscard]] common::TimePoint latestBroadcastStart() const noexcept {
+    return LatestBroadcastStart;
+  }
+  /// For flows that all queried agents have denied: queries those that have become known since.
+  void repeatDeniedBroadcasts();
   /// Ends a search and returns its waiting packets.
   [[nodiscard]] Packets finish(const packet::FlowKey &Key);
   /// Advances searches whose agents don't answer, and gives up those without packets from callers.
@@ -112,6 +122,7 @@
     std::uint32_t Rounds = 0;
     std::vector<NodeAddress> AwaitingAnswer;
     std::vector<NodeAddress> DeniedBy;
+    common::TimePoint StartedAt{};
     common::TimePoint QueriedAt{};
     common::TimePoint LastPacketAt{};
   };
@@ -144,6 +155,7 @@
   bool PacedByFleetSize = true;
   common::TimePoint LastCandidateQueryAt{};
   common::TimePoint LastBroadcastAt{};
+  common::TimePoint LatestBroadcastStart{};
   common::Duration BroadcastPause = CandidateQueryInterval; ///< After the last broadcast.
 };
 
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -122,6 +122,17 @@
   /// Called once the store's list of agents is read: AgentListSettleTime later a flow that all
   /// agents deny is reset, even before ViewSettleTime is over.
   void noteAgentsListed(common::TimePoint Now) noexcept { AgentsListedAt = Now; }
+  /// Sets whether other balancers can be asked for agents that this one doesn't know. If so, a flow
+  /// that all agents known here deny is reset only after onHoldersConfirmed.
+  void setSurveyPossible(bool Possible) noexcept { SurveyPossible = Possible; }
+  /// Whether other balancers are to be asked for the agents that may hold flows.
+  [[nodiscard]] bool needsHolderSurvey() const noexcept {
+    return SurveyPossible && Search.latestBroadcastStart() > HoldersConfirmedAt;
+  }
+  /// Called once the agents that other balancers knew at a time, or later, are in the directory.
+  void onHoldersConfirmed(common::TimePoint At);
+  /// Whether this balancer has had the time to hear of all agents.
+  [[nodiscard]] bool agentsKnown(common::TimePoint Now) const;
   /// Sets whether the routes are known to be current. If so, an unknown endpoint is refused at
   /// once.
   void setRoutesCurrent(bool Current) noexcept { RoutesCurrent = Current; }
@@ -178,6 +189,7 @@
     std::size_t ConsideredCount = NearCandidates; ///< Of Candidates, so far.
     std::vector<NodeAddress> TriedAgents;         ///< In order; the last one has the SYN.
     std::vector<NodeAddress> BusyAgents;          ///< Those of TriedAgents that declined as busy.
+    std::uint32_t Placements = 0;                 ///< Times that the SYN was sent to an agent.
     bool AwaitingAnswer = false; ///< The last one of TriedAgents has not answered yet.
     bool AwaitingLoad = false;   ///< Waits for load answers; its key is in LoadQueryFlows.
     bool Held = false;           ///< Waits for capacity; its key is in HeldFlows.
@@ -189,7 +201,6 @@
   struct FlowEntry {
     Phase State = Phase::Opening;
     NodeAddress Agent = 0;
-    std::uint32_t Placements = 0;                 ///< Times that the SYN was sent to an agent.
     NodeAddress SecondAgent = 0; ///< A second agent whose upstream accepted the SYN.
     common::TimePoint StateSince{};
     common::TimePoint LastUsedAt{};
@@ -255,7 +266,6 @@
   void queryLoad(NodeAddress Agent, const packet::FlowKey &Key, common::TimePoint Now,
                  SteeringActions &Actions);
   [[nodiscard]] std::vector<NodeAddress> candidatesOf(const packet::FlowKey &Key) const;
-  [[nodiscard]] bool agentsKnown(common::TimePoint Now) const;
   /// Whether callers may retry the requests of a flow.
   [[nodiscard]] bool isIdempotent(const packet::FlowKey &Key) const noexcept;
   [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
@@ -281,6 +291,8 @@
   };
   std::deque<PlacementCheck> PlacementChecks;
   FlowSearch Search;
+  bool SurveyPossible = false;
+  common::TimePoint HoldersConfirmedAt{};
   std::vector<packet::FlowKey> HeldFlows;
   std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
   std::vector<packet::FlowKey> LoadQueryFlows;
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -157,9 +157,38 @@
   friend bool operator==(const LossAnswer &, const LossAnswer &) = default;
 };
 
-using PeerMessage =
-    std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket, FlowAbsence, FlowQuery,
-                 FlowAnswer, LoadQuery, LoadAnswer, LossQuery, LossAnswer>;
+/// Sent by a balancer to another one to ask which agents may hold flows.
+struct HolderQuery {
+  std::uint64_t Id = 0;
+  std::uint64_t Digest = 0; ///< UpstreamDirectory::holderDigest() of the sender.
+
+  friend bool operator==(const HolderQuery &, const HolderQuery &) = default;
+};
+
+/// An agent that may hold flows, with the version of its last report to the sender.
+struct KnownAgent {
+  NodeAddress Address = 0;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+
+  friend bool operator==(const KnownAgent &, const KnownAgent &) = default;
+};
+
+/// Answer to a HolderQuery, in one or more parts. A balancer with the same digest sends one part
+/// without agents.
+struct HolderAnswer {
+  std::uint64_t Id = 0; ///< Of the query.
+  bool Settled = false; ///< The sender has had the time to hear of all agents.
+  std::uint16_t Part = 0;
+  std::uint16_t Parts = 1;
+  std::vector<KnownAgent> Agents;
+
+  friend bool operator==(const HolderAnswer &, const HolderAnswer &) = default;
+};
+
+using PeerMessage = std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket,
+                                 FlowAbsence, FlowQuery, FlowAnswer, LoadQuery, LoadAnswer,
+                                 LossQuery, LossAnswer, HolderQuery, HolderAnswer>;
 
 /// Maximum number of flows in a FlowQuery, so that it fits into one Ethernet frame.
 inline constexpr std::size_t MaxQueriedFlows = 40;
@@ -167,6 +196,8 @@
 inline constexpr std::size_t MaxBeaconAddresses = 100;
 /// Maximum number of agents in a LossQuery, so that it fits into one Ethernet frame.
 inline constexpr std::size_t MaxSuspectedAgents = 100;
+/// Maximum number of agents in a part of a HolderAnswer, so that it fits into one Ethernet frame.
+inline constexpr std::size_t MaxNamedHolders = 60;
 
 [[nodiscard]] std::string_view name(UpstreamState State) noexcept;
 [[nodiscard]] std::string_view name(ReturnReason Reason) noexcept;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -184,6 +184,14 @@
   /// Agents that have reported and may hold flows: those whose upstream hasn't ended, and that
   /// aren't lost by the judgement of takeLost.
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
+  /// The same agents with the versions of their last reports.
+  [[nodiscard]] std::vector<KnownAgent> knownHolders(common::TimePoint Now) const;
+  /// Digest of the addresses of reportingHolders, independent of their order.
+  [[nodiscard]] std::uint64_t holderDigest(common::TimePoint Now) const;
+  /// Notes the holders that a peer has named. Those that are unknown here, or that have sent the
+  /// peer a newer report than the one here that says their upstream has ended, are expected to
+  /// report. Returns them.
+  std::vector<NodeAddress> noteHolders(std::span<const KnownAgent> Named, common::TimePoint Now);
   /// Whether an agent has become lost within LostHolderRetention, so that it can't be asked whether
   /// its upstream holds a flow.
   [[nodiscard]] bool hasRecentlyLostAgent(common::TimePoint Now) const;
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -12,8 +12,10 @@
   Search &Entry = It->second;
   Entry.LastPacketAt = Now;
   Entry.Acknowledgement = Acknowledgement;
-  if (Added)
+  if (Added) {
+    Entry.StartedAt = Now;
     enqueue(Key, Entry, Stage::Nearest);
+  }
   if (Entry.Waiting.size() >= MaxHeldPerFlow || WaitingPackets >= MaxHeldPackets)
     return false;
   Entry.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
@@ -35,9 +37,17 @@
   Entry.Queried = false;
   Entry.Queued = true;
   Entry.AwaitingAnswer.clear();
+  if (Next == Stage::AllAgents)
+    LatestBroadcastStart = std::max(LatestBroadcastStart, Entry.StartedAt);
   (Next == Stage::AllAgents ? BroadcastQueue : CandidateQueue).push_back(Key);
 }
 
+void FlowSearch::repeatDeniedBroadcasts() {
+  for (auto &[Key, Entry] : Searches)
+    if (Entry.CurrentStage == Stage::AllAgents && Entry.Queried && Entry.AwaitingAnswer.empty())
+      enqueue(Key, Entry, Stage::AllAgents);
+}
+
 FlowSearch::Search *FlowSearch::takeQueued(const packet::FlowKey &Key, bool IsBroadcast) {
   const auto It = Searches.find(Key);
   if (It == Searches.end() || !It->second.Queued ||
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -542,6 +542,9 @@
   // As in onAgentLost, an upstream that still runs may have the response of an order ready.
   if (!isIdempotent(Key) && Directory.hasRecentlyLostAgent(Now))
     return;
+  // Other balancers may know agents that this one has missed.
+  if (SurveyPossible && Search.startedAt(Key) > HoldersConfirmedAt)
+    return;
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
                      .Key = Key,
@@ -550,6 +553,11 @@
   Flows.erase(It);
 }
 
+void FlowSteering::onHoldersConfirmed(common::TimePoint At) {
+  HoldersConfirmedAt = At;
+  Search.repeatDeniedBroadcasts();
+}
+
 bool FlowSteering::isIdempotent(const packet::FlowKey &Key) const noexcept {
   const Route *MatchedRoute = Routes->find(Key.Service);
   return MatchedRoute != nullptr && MatchedRoute->Idempotent;
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -24,7 +24,9 @@
   LoadQuery,
   LoadAnswer,
   LossQuery,
-  LossAnswer
+  LossAnswer,
+  HolderQuery,
+  HolderAnswer
 };
 
 json loadToJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
@@ -98,6 +100,18 @@
   return json::array({MessageType::LossAnswer, Answer.Silent});
 }
 
+json toJson(const HolderQuery &Query) {
+  return json::array({MessageType::HolderQuery, Query.Id, Query.Digest});
+}
+
+json toJson(const HolderAnswer &Answer) {
+  json Rows = json::array();
+  for (const auto &Agent : Answer.Agents)
+    Rows.push_back(json::array({Agent.Address, Agent.Incarnation, Agent.Sequence}));
+  return json::array({MessageType::HolderAnswer, Answer.Id, Answer.Settled, Answer.Part,
+                      Answer.Parts, std::move(Rows)});
+}
+
 /// Returns the stamp at an index, or 0 if the array ends before it.
 std::uint16_t stampFromJson(const json &Fields, std::size_t Index) {
   return Fields.size() > Index ? Fields.at(Index).get<std::uint16_t>() : 0;
@@ -155,8 +169,26 @@
   return Query;
 }
 
+HolderAnswer holderAnswerFromJson(const json &Fields) {
+  HolderAnswer Answer{Fields.at(1).get<std::uint64_t>(),
+                      Fields.at(2).get<bool>(),
+                      Fields.at(3).get<std::uint16_t>(),
+                      Fields.at(4).get<std::uint16_t>(),
+                      {}};
+  if (Answer.Part >= Answer.Parts)
+    throw std::out_of_range("part " + std::to_string(Answer.Part) + " of " +
+                            std::to_string(Answer.Parts));
+  if (Fields.at(5).size() > MaxNamedHolders)
+    throw std::out_of_range("holder answer is too long: " + std::to_string(Fields.at(5).size()) +
+                            " agents");
+  for (const json &Row : Fields.at(5))
+    Answer.Agents.push_back({Row.at(0).get<NodeAddress>(), Row.at(1).get<std::uint64_t>(),
+                             Row.at(2).get<std::uint64_t>()});
+  return Answer;
+}
+
 PeerMessage messageFromJson(const json &Fields) {
-  switch (enumFromJson(Fields.at(0), MessageType::LossAnswer)) {
+  switch (enumFromJson(Fields.at(0), MessageType::HolderAnswer)) {
   case MessageType::Report:
     return reportFromJson(Fields);
   case MessageType::Beacon:
@@ -183,6 +215,10 @@
     return LossQuery{listFromJson<NodeAddress>(Fields.at(1), MaxSuspectedAgents)};
   case MessageType::LossAnswer:
     return LossAnswer{listFromJson<NodeAddress>(Fields.at(1), MaxSuspectedAgents)};
+  case MessageType::HolderQuery:
+    return HolderQuery{Fields.at(1).get<std::uint64_t>(), Fields.at(2).get<std::uint64_t>()};
+  case MessageType::HolderAnswer:
+    return holderAnswerFromJson(Fields);
   }
   throw std::out_of_range("unknown message type");
 }
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/relay/upstream_directory.h"
 
+#include "galenarelay/common/hash_mix.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -424,6 +426,39 @@
   return Holders;
 }
 
+std::vector<KnownAgent> UpstreamDirectory::knownHolders(common::TimePoint Now) const {
+  std::vector<KnownAgent> Holders;
+  for (const auto &[Address, Agent] : Agents)
+    if (mayHoldFlows(Agent, Now))
+      Holders.push_back({Address, Agent.View.Report.Incarnation, Agent.View.Report.Sequence});
+  return Holders;
+}
+
+std::uint64_t UpstreamDirectory::holderDigest(common::TimePoint Now) const {
+  std::uint64_t Digest = 0;
+  for (const auto &[Address, Agent] : Agents)
+    if (mayHoldFlows(Agent, Now))
+      Digest ^= common::mixHash(1, Address);
+  return Digest;
+}
+
+std::vector<NodeAddress> UpstreamDirectory::noteHolders(std::span<const KnownAgent> Named,
+                                                        common::TimePoint Now) {
+  std::vector<NodeAddress> Unreported;
+  for (const KnownAgent &Holder : Named) {
+    const auto It = Agents.find(Holder.Address);
+    if (It != Agents.end()) {
+      const AgentReport &Report = It->second.View.Report;
+      if (Report.State != UpstreamState::Ended || std::tie(Holder.Incarnation, Holder.Sequence) <=
+                                                      std::tie(Report.Incarnation, Report.Sequence))
+        continue;
+    }
+    if (Expected.try_emplace(Holder.Address, ExpectedAgent{.Since = Now}).second)
+      Unreported.push_back(Holder.Address);
+  }
+  return Unreported;
+}
+
 bool UpstreamDirectory::hasRecentlyLostAgent(common::TimePoint Now) const {
   return std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
     const AgentView &View = Entry.second.View;
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
   CPPUNIT_TEST(testSearch_agentSilentTowardsThisNodeOnly_doesNotReset);
   CPPUNIT_TEST(testSearch_agentLost_resetsIdempotentFlowsOnly);
+  CPPUNIT_TEST(testSearch_agentKnownToOthersOnly_isAskedBeforeReset);
+  CPPUNIT_TEST(testSearch_othersNameNoFurtherAgent_resetsOnceConfirmed);
   CPPUNIT_TEST(testReturn_flowNotHeld_goesToSecondAcceptingAgent);
   CPPUNIT_TEST(testAgentLost_idempotentFlows_areReset);
   CPPUNIT_TEST(testAgentSilent_lessThanLostTime_keepsOpenFlows);
@@ -544,6 +546,45 @@
                                                                Now + relay::LostHolderRetention));
   }
 
+  // Guards against the reset of an open flow by a balancer that doesn't know the flow's agent.
+  void testSearch_agentKnownToOthersOnly_isAskedBeforeReset() {
+    constexpr relay::NodeAddress Missed = 0x0a020009;
+    Node Balancer;
+    Balancer.Steering.setSurveyPossible(true);
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countActions(Balancer.denyAll(), Kind::Reset));
+    CPPUNIT_ASSERT(Balancer.Steering.needsHolderSurvey());
+    const auto Later = RelayStart + 1s;
+    (void)Balancer.Directory.noteHolders(std::vector<relay::KnownAgent>{{Missed, 1, 1}}, Later);
+    Balancer.Steering.onHoldersConfirmed(Later);
+    const auto Forwarded = Balancer.answerQueriesUntil(
+        Later + 200ms,
+        [&](const auto &Query, common::TimePoint Now) {
+          return Query.Agent == Missed ? Balancer.answer(Query, Now, {0})
+                                       : Balancer.answer(Query, Now);
+        },
+        Later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countActions(Forwarded, Kind::Reset));
+    CPPUNIT_ASSERT((targets(Forwarded) == std::set{Missed}));
+  }
+
+  void testSearch_othersNameNoFurtherAgent_resetsOnceConfirmed() {
+    Node Balancer;
+    Balancer.Steering.setSurveyPossible(true);
+    (void)Balancer.send(callerData(relayKey(1), 77));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countActions(Balancer.denyAll(), Kind::Reset));
+    // Answers to a query that was sent before the search say nothing about its flow.
+    Balancer.Steering.onHoldersConfirmed(RelayStart - 1ms);
+    CPPUNIT_ASSERT(Balancer.Steering.needsHolderSurvey());
+    Balancer.Steering.onHoldersConfirmed(RelayStart + 1s);
+    CPPUNIT_ASSERT(!Balancer.Steering.needsHolderSurvey());
+    const auto Resets = Balancer.answerQueriesUntil(
+        RelayStart + 1100ms,
+        [&](const auto &Query, common::TimePoint Now) { return Balancer.answer(Query, Now); },
+        RelayStart + 1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::Reset));
+  }
+
   void testSearch_agentOfStoreRecordNotHeard_blocksReset() {
     Node Balancer;
     constexpr relay::NodeAddress Unheard = 0x0a020009;
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -1,10 +1,12 @@
 #include "galenarelay/relay/balancer_peers.h"
+#include "galenarelay/relay/holder_survey.h"
 #include "relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace galenarelay::tests {
 
@@ -38,6 +40,10 @@
   CPPUNIT_TEST(testExpected_agentOfStoreRecord_isQueriedUntilItReports);
   CPPUNIT_TEST(testExpected_agentNamedByPeer_isQueriedUntilItReports);
   CPPUNIT_TEST(testHolders_agentSilentTowardsThisNodeOnly_isIncluded);
+  CPPUNIT_TEST(testHolders_namedByPeer_areExpectedUnlessOwnReportIsNewer);
+  CPPUNIT_TEST(testHolders_sameAgents_haveTheSameDigest);
+  CPPUNIT_TEST(testSurvey_enoughFullAnswers_completeTheRound);
+  CPPUNIT_TEST(testSurvey_withoutAnswers_asksAgainAfterTimeout);
   CPPUNIT_TEST(testCommonStart_upstreamColdTimes_showWhetherAnyIsOlder);
   CPPUNIT_TEST(testWatchers_silentBalancer_isReplaced);
   CPPUNIT_TEST(testRotation_changingSet_visitsEachInTurn);
@@ -279,6 +285,75 @@
     CPPUNIT_ASSERT(!Directory.hasRecentlyLostAgent(Now + relay::LostHolderRetention));
   }
 
+  void testHolders_namedByPeer_areExpectedUnlessOwnReportIsNewer() {
+    auto Directory = directory();
+    auto Ended = agentReport(5);
+    Ended.State = UpstreamState::Ended;
+    (void)Directory.onReport(AgentTwo, Ended, RelayStart);
+    const auto Name = [&](relay::KnownAgent Agent) {
+      return Directory.noteHolders(std::vector{Agent}, RelayStart);
+    };
+    CPPUNIT_ASSERT(Name({AgentOne, 1, 99}).empty());
+    CPPUNIT_ASSERT(Name({AgentTwo, 1, 4}).empty());
+    CPPUNIT_ASSERT(Name({AgentTwo, 1, 5}).empty());
+    CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart).empty());
+    CPPUNIT_ASSERT(Name({AgentTwo, 1, 6}) == std::vector{AgentTwo});
+    CPPUNIT_ASSERT(Name({AgentThree, 1, 1}) == std::vector{AgentThree});
+    CPPUNIT_ASSERT(Name({AgentThree, 1, 2}).empty());
+    CPPUNIT_ASSERT((Directory.expectedHolders(RelayStart) == std::vector{AgentTwo, AgentThree}));
+    (void)Directory.onReport(AgentTwo, agentReport(7), RelayStart);
+    CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart) == std::vector{AgentThree});
+    CPPUNIT_ASSERT((Directory.reportingHolders(RelayStart) == std::vector{AgentOne, AgentTwo}));
+  }
+
+  void testHolders_sameAgents_haveTheSameDigest() {
+    auto First = directory();
+    UpstreamDirectory Second("b", 2);
+    CPPUNIT_ASSERT(First.holderDigest(RelayStart) != Second.holderDigest(RelayStart));
+    for (const auto Agent : {AgentTwo, AgentOne})
+      (void)Second.onReport(Agent, agentReport(8), RelayStart);
+    CPPUNIT_ASSERT_EQUAL(First.holderDigest(RelayStart), Second.holderDigest(RelayStart));
+    const std::vector<relay::KnownAgent> Known{{AgentOne, 1, 8}, {AgentTwo, 1, 8}};
+    CPPUNIT_ASSERT(Second.knownHolders(RelayStart) == Known);
+  }
+
+  static std::vector<relay::NodeAddress> sixBalancers() { return {1, 2, 3, 4, 5, 6}; }
+
+  void testSurvey_enoughFullAnswers_completeTheRound() {
+    relay::HolderSurvey Survey;
+    common::Engine Random(1);
+    const auto Round = Survey.begin(sixBalancers(), 7, Random, RelayStart);
+    CPPUNIT_ASSERT(Round && Round->Query.Digest == 7);
+    const auto &Asked = Round->Recipients;
+    CPPUNIT_ASSERT_EQUAL(relay::SurveyedBalancers, std::set(Asked.begin(), Asked.end()).size());
+    const auto Id = Round->Query.Id;
+    // Answers that don't count: of another round, not settled, in part, from a balancer not asked.
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id + 1, true, 0, 1, {}}, Asked[0]));
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id, false, 0, 1, {}}, Asked[0]));
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id, true, 0, 2, {}}, Asked[0]));
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id, true, 0, 2, {}}, Asked[0]));
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id, true, 0, 1, {}}, 77));
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id, true, 0, 1, {}}, Asked[1]));
+    CPPUNIT_ASSERT(Survey.onAnswer({Id, true, 1, 2, {}}, Asked[0]) == RelayStart);
+    CPPUNIT_ASSERT(!Survey.onAnswer({Id, true, 0, 1, {}}, Asked[2]));
+  }
+
+  void testSurvey_withoutAnswers_asksAgainAfterTimeout() {
+    relay::HolderSurvey Survey;
+    common::Engine Random(1);
+    CPPUNIT_ASSERT(!Survey.begin({}, 7, Random, RelayStart));
+    const auto First = Survey.begin({BalancerTwo}, 7, Random, RelayStart);
+    CPPUNIT_ASSERT(First && First->Recipients == std::vector{BalancerTwo});
+    const auto Later = RelayStart + relay::SurveyTimeout;
+    CPPUNIT_ASSERT(!Survey.begin(sixBalancers(), 7, Random, Later - 1ms));
+    CPPUNIT_ASSERT(Survey.begin({BalancerTwo}, 7, Random, Later));
+    CPPUNIT_ASSERT(!Survey.onAnswer({First->Query.Id, true, 0, 1, {}}, BalancerTwo));
+    // A single other balancer is enough if there are no more.
+    CPPUNIT_ASSERT(Survey.onAnswer({First->Query.Id + 1, true, 0, 1, {}}, BalancerTwo) == Later);
+    CPPUNIT_ASSERT(!Survey.begin({BalancerTwo}, 7, Random, Later + relay::SurveyInterval - 1ms));
+    CPPUNIT_ASSERT(Survey.begin({BalancerTwo}, 7, Random, Later + relay::SurveyInterval));
+  }
+
   // A single unanswered query may be a lost datagram, and an agent that isn't queried needn't
   // answer.
   void testLost_fewOrNoQueries_isNotLost() {
@@ -513,7 +588,9 @@
         relay::LoadAnswer{UpstreamState::Draining, {1, 2}},
         relay::LoadAnswer{UpstreamState::Draining, {1, 2}, 65535},
         relay::LossQuery{{AgentOne, AgentTwo}},
-        relay::LossAnswer{{AgentTwo}}};
+        relay::LossAnswer{{AgentTwo}},
+        relay::HolderQuery{8, 0xffffffffffffffff},
+        relay::HolderAnswer{8, true, 1, 2, {{AgentOne, 3, 4}, {AgentTwo, 5, 6}}}};
     for (const auto &Message : Messages) {
       const auto Read = relay::decodeMessage(relay::encode(Message));
       CPPUNIT_ASSERT(Read && *Read == Message);
@@ -552,6 +629,8 @@
       CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::FlowQuery{1, Rows}));
       CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::FlowAnswer{1, Positions, {}}));
       CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::FlowAnswer{1, {}, Positions}));
+      const std::vector<relay::KnownAgent> Holders(relay::MaxNamedHolders + Excess);
+      CPPUNIT_ASSERT_EQUAL(Allowed, Reads(relay::HolderAnswer{1, true, 0, 1, Holders}));
     }
   }
 
