Name the decision in flow_event lines and log each reset of an open flow with its evidence

The field is "decision" now, as in the lines of balancers.

A held_nowhere line says how many agents denied the flow, how many are known, how long the search took and how long the balancer has run. Lines about resets of open flows have a rate limit of their own: beside the lines of a busy second they were suppressed.

--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -27,6 +27,8 @@
 inline constexpr common::Duration ProcessPauseThreshold = std::chrono::milliseconds(500);
 /// Maximum number of log lines per second about single flows.
 inline constexpr std::uint32_t FlowLogLimit = 50;
+/// Maximum number of log lines per second about resets of open flows.
+inline constexpr std::uint32_t ResetLogLimit = 50;
 /// Maximum number of log lines per second about messages and calls that can't be parsed.
 inline constexpr std::uint32_t RejectLogLimit = 5;
 /// Key prefixes of node records in the store; a record's value is the node's IPv4 address.
@@ -116,12 +118,10 @@
   }
 
   /// Whether the rate limit permits a log line about a flow; counts the line as suppressed if not.
-  bool mayLogFlow(common::TimePoint Now) {
-    if (FlowLogLimiter.allow(Now))
-      return true;
-    SuppressedLines.Increment();
-    return false;
-  }
+  bool mayLogFlow(common::TimePoint Now) { return mayLog(FlowLogLimiter, Now); }
+  /// The same for a line about the reset of an open flow. These lines have a limit of their own, so
+  /// that lines about other flows don't displace them.
+  bool mayLogReset(common::TimePoint Now) { return mayLog(ResetLogLimiter, Now); }
 
   /// Serves the paths that all nodes have, /healthz and /metrics; 404 for any other.
   common::HttpResponse serveCommonPath(const std::string &Path) const {
@@ -166,7 +166,15 @@
   prometheus::Counter &MalformedPackets;
 
 private:
+  bool mayLog(common::LogRateLimit &Limiter, common::TimePoint Now) {
+    if (Limiter.allow(Now))
+      return true;
+    SuppressedLines.Increment();
+    return false;
+  }
+
   common::LogRateLimit FlowLogLimiter{FlowLogLimit};
+  common::LogRateLimit ResetLogLimiter{ResetLogLimit};
   prometheus::Counter &SuppressedLines;
   std::unique_ptr<common::UdpSocket> PeerSocket;
   std::vector<std::unique_ptr<common::HttpServer>> Servers;
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -97,6 +97,7 @@
   using Base::Io;
   using Base::MalformedPackets;
   using Base::mayLogFlow;
+  using Base::mayLogReset;
   using Base::Options;
   using Base::PacketSocket;
   using Base::Peers;
@@ -170,12 +171,14 @@
   void logEvent(const relay::FlowAction &Action, common::TimePoint Now) {
     using Event = relay::FlowEvent;
     if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller ||
-        Action.Event == Event::RoomAgain || !mayLogFlow(Now))
+        Action.Event == Event::RoomAgain)
+      return;
+    if (!(Action.Event == Event::LostByUpstream ? mayLogReset(Now) : mayLogFlow(Now)))
       return;
     common::log(
         common::LogLevel::Info, "flow_event",
         {{"flow", packet::toString(Action.Key)},
-         {"event", name(Action.Event)},
+         {"decision", name(Action.Event)},
          {"reason", Action.Operation == relay::FlowAction::Kind::Return ? name(Action.Reason) : ""},
          {"state", name(Flows.state(Now))},
          {"unanswered", Flows.load().Unanswered},
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -108,6 +108,7 @@
   using Base::Io;
   using Base::MalformedPackets;
   using Base::mayLogFlow;
+  using Base::mayLogReset;
   using Base::Options;
   using Base::PacketSocket;
   using Base::Peers;
@@ -186,11 +187,19 @@
   }
 
   void logDecision(const relay::SteeringAction &Action, common::TimePoint Now) {
-    if (!mayLogFlow(Now))
+    const bool ResetsOpenFlow = Action.Reason == relay::SteeringReason::HeldNowhere ||
+                                Action.Reason == relay::SteeringReason::AgentLost;
+    if (!(ResetsOpenFlow ? mayLogReset(Now) : mayLogFlow(Now)))
       return;
     nlohmann::json Fields{{"flow", packet::toString(Action.Key)},
                           {"decision", name(Action.Reason)},
                           {"revision", Steering.routes().revision()}};
+    if (Action.Reason == relay::SteeringReason::HeldNowhere) {
+      Fields["denials"] = Action.SearchProgress.Denials;
+      Fields["searched_ms"] = common::wholeMilliseconds(Now - Action.SearchProgress.StartedAt);
+      Fields["agents_known"] = Directory.size();
+      Fields["uptime_ms"] = common::wholeMilliseconds(Now - StartedAt);
+    }
     if (const relay::AgentView *View = Directory.find(Action.Agent)) {
       Fields["agent"] = View->Report.Id;
       Fields["attempt"] = Action.Attempt;
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -65,6 +65,14 @@
     std::vector<packet::FlowKey> DeniedByAll; ///< Denied by all agents.
   };
 
+  /// Progress of the search for one flow.
+  struct Progress {
+    std::size_t Denials = 0;       ///< Agents that have denied the flow.
+    common::TimePoint StartedAt{}; ///< Arrival of the flow's first packet.
+
+    friend bool operator==(const Progress &, const Progress &) = default;
+  };
+
   /// Sets whether small fleets are queried more often than at BroadcastInterval.
   void setPacedByFleetSize(bool Enabled) noexcept { PacedByFleetSize = Enabled; }
   /// Sets whether a flow that no candidate holds is searched at all agents. To be false until all
@@ -90,6 +98,8 @@
   bool onAbsence(const packet::FlowKey &Key, NodeAddress From);
   /// The oldest waiting packet of the flow, for an agent that is unsure; null if there is none.
   [[nodiscard]] std::shared_ptr<const Bytes> oldestPacket(const packet::FlowKey &Key) const;
+  /// The progress of a flow's search, which must not have ended.
+  [[nodiscard]] Progress progress(const packet::FlowKey &Key) const;
   /// Ends a search and returns its waiting packets.
   [[nodiscard]] Packets finish(const packet::FlowKey &Key);
   /// Advances searches whose agents don't answer, and gives up those without packets from callers.
@@ -112,6 +122,7 @@
     std::uint32_t Rounds = 0;
     std::vector<NodeAddress> AwaitingAnswer;
     std::vector<NodeAddress> DeniedBy;
+    common::TimePoint StartedAt{};
     common::TimePoint QueriedAt{};
     common::TimePoint LastPacketAt{};
   };
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -100,6 +100,8 @@
   Transit TransitFields;      ///< For Forward.
   std::uint32_t Sequence = 0; ///< For Reset: sequence number of the RST.
   std::uint8_t Attempt = 0;   ///< Agents that have been sent the SYN so far.
+  /// For a Reset with HeldNowhere: the search that found no agent.
+  FlowSearch::Progress SearchProgress;
   /// The packet to forward, if it isn't the one just received.
   std::shared_ptr<const Bytes> SavedPacket;
 };
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -12,8 +12,10 @@
   Search &Entry = It->second;
   Entry.LastPacketAt = Now;
   Entry.Acknowledgement = Acknowledgement;
-  if (Added)
+  if (Added) {
+    Entry.StartedAt = Now;
     enqueue(Key, Entry, Stage::Nearest);
+  }
   if (Entry.Waiting.size() >= MaxHeldPerFlow || WaitingPackets >= MaxHeldPackets)
     return false;
   Entry.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
@@ -153,6 +155,11 @@
   return It->second.Waiting.front();
 }
 
+FlowSearch::Progress FlowSearch::progress(const packet::FlowKey &Key) const {
+  const Search &Entry = Searches.at(Key);
+  return {Entry.DeniedBy.size(), Entry.StartedAt};
+}
+
 FlowSearch::Packets FlowSearch::finish(const packet::FlowKey &Key) {
   const auto It = Searches.find(Key);
   if (It == Searches.end())
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -541,7 +541,8 @@
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
                      .Key = Key,
-                     .Sequence = It->second.Acknowledgement});
+                     .Sequence = It->second.Acknowledgement,
+                     .SearchProgress = Search.progress(Key)});
   (void)Search.finish(Key); // The flow of the waiting packets has ended.
   Flows.erase(It);
 }
