--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -65,6 +65,14 @@
     std::vector<packet::FlowKey> DeniedByAll; ///< Denied by all agents.
   };
 
+  /// Progress of the search for one flow.
+  struct Progress {
+    std::size_t Denials = 0;       ///< Agents that have denied the flow.
+    common::TimePoint StartedAt{}; ///< Arrival of the flow's first packet.
+
+    friend bool operator==(const Progress &, const Progress &) = default;
+  };
+
   /// Sets whether small fleets are queried more often than at BroadcastInterval.
   void setPacedByFleetSize(bool Enabled) noexcept { PacedByFleetSize = Enabled; }
   /// Sets whether a flow that no candidate holds is searched at all agents. To be false until all
@@ -90,10 +98,8 @@
   bool onAbsence(const packet::FlowKey &Key, NodeAddress From);
   /// The oldest waiting packet of the flow, for an agent that is unsure; null if there is none.
   [[nodiscard]] std::shared_ptr<const Bytes> oldestPacket(const packet::FlowKey &Key) const;
-  /// Time of the flow's first packet; the flow must be searched.
-  [[nodiscard]] common::TimePoint startedAt(const packet::FlowKey &Key) const {
-    return Searches.at(Key).StartedAt;
-  }
+  /// The progress of a flow's search, which must not have ended.
+  [[nodiscard]] Progress progress(const packet::FlowKey &Key) const;
   /// Start of the latest search that has reached its last stage.
   [[nodiscard]] common::TimePoint latestBroadcastStart() const noexcept {
     return LatestBroadcastStart;
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -163,6 +163,11 @@
   return It->second.Waiting.front();
 }
 
+FlowSearch::Progress FlowSearch::progress(const packet::FlowKey &Key) const {
+  const Search &Entry = Searches.at(Key);
+  return {Entry.DeniedBy.size(), Entry.StartedAt};
+}
+
 FlowSearch::Packets FlowSearch::finish(const packet::FlowKey &Key) {
   const auto It = Searches.find(Key);
   if (It == Searches.end())
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -543,12 +543,13 @@
   if (!isIdempotent(Key) && Directory.hasRecentlyLostAgent(Now))
     return;
   // Other balancers may know agents that this one has missed.
-  if (SurveyPossible && Search.startedAt(Key) > HoldersConfirmedAt)
+  if (SurveyPossible && Search.progress(Key).StartedAt > HoldersConfirmedAt)
     return;
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
                      .Key = Key,
-                     .Sequence = It->second.Acknowledgement});
+                     .Sequence = It->second.Acknowledgement,
+                     .SearchProgress = Search.progress(Key)});
   (void)Search.finish(Key); // The flow of the waiting packets has ended.
   Flows.erase(It);
 }
