Count an upstream's FIN when its agent compares acknowledgements

If an upstream ends a flow on which it has sent no data, a caller would see a reset instead of the upstream's end: its agent returns the caller's packets and answers searches that the upstream doesn't hold the flow.

Cause: UpstreamFlows::matches() accepted acknowledgements up to one above the data sent, for the SYN or the FIN. The caller acknowledges both, so without data its acknowledgement is two above the SYN's sequence number. With data the SYN's number is already part of the sequence number of the data.

The protocol doesn't say that SYN and FIN take a sequence number; if they don't, the larger limit changes nothing, as another upstream's initial sequence number is random. Found by reading, not seen on a deployment.

--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -343,8 +343,8 @@
 }
 
 // True if the packet can belong to this upstream's flow: the caller acknowledges no more than the
-// data sent through this agent, plus one for the SYN or the FIN. Another upstream that accepted the
-// same SYN has a different, random initial sequence number.
+// data sent through this agent, plus one each for the SYN and the FIN. Another upstream that
+// accepted the same SYN has a different, random initial sequence number.
 bool UpstreamFlows::matches(const PacketHeader &Head, const Flow &Entry) noexcept {
   // A caller that continues before this upstream has accepted the flow was accepted by another one.
   // If the packet were delivered here, this upstream would reset the flow.
@@ -353,7 +353,8 @@
   if (!Entry.HasInitialSequence || !Head.Flags.Ack)
     return true;
   const std::uint32_t SentBytes = Entry.UpstreamDataEnd - Entry.InitialSequence;
-  return Head.Acknowledgement - Entry.InitialSequence <= SentBytes + 1;
+  const std::uint32_t SentFlags = Entry.UpstreamFinSeen ? 2 : 1;
+  return Head.Acknowledgement - Entry.InitialSequence <= SentBytes + SentFlags;
 }
 
 // A request starts with new data from the caller after the upstream has answered the previous one.
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(testLoad_flowWithoutRequest_expires);
   CPPUNIT_TEST(testLoad_flowOfGoneCaller_expiresAfterUsualRequestDelay);
   CPPUNIT_TEST(testDeparture_openFlows_areResetAtLastAcknowledgement);
+  CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -401,6 +402,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::ResetCaller));
     CPPUNIT_ASSERT_EQUAL(Sequence + 100, Resets[0].Sequence);
   }
+
+  // The acknowledgement of an upstream's end counts both its SYN and its FIN.
+  void testPacket_acknowledgingEndWithoutData_isDelivered() {
+    for (const std::uint32_t InitialSequence : {5U, 0xfffffffdU, 0xffffffffU}) {
+      auto Flows = readyFlows();
+      (void)fromBalancer(Flows, firstPacket(relayKey(1)));
+      (void)fromUpstream(Flows, upstreamAccept(relayKey(1), InitialSequence));
+      (void)fromBalancer(Flows, callerData(relayKey(1), InitialSequence + 1, 1001, 0));
+      auto End = upstreamData(relayKey(1), InitialSequence + 1, 0);
+      End.Flags.Fin = true;
+      (void)fromUpstream(Flows, End);
+      const relay::FlowQuery Query{1, {{relayKey(1), InitialSequence + 2}}};
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, RelayStart).Held.size());
+      const auto Actions = fromBalancer(Flows, callerData(relayKey(1), InitialSequence + 2, 1001));
+      CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Deliver);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
