Open a new flow in an agent's table when a caller uses a port again

A caller that gave up a flow without closing it and uses the port again within 90 s would see its new flow reset: the agent delivers its SYN and the upstream accepts it, but the agent returns the caller's next packets and denies the flow.

Cause: any SYN of an open flow counted as a copy of its first SYN, so the entry kept the earlier flow's sequence numbers and matches() refused packets of the new flow. Such a SYN was also delivered to a draining or full upstream.

A copy of a SYN has the sequence number of the first one. A SYN with another number now replaces the entry and is accepted or declined as a new flow.

Found by reading, not seen on a deployment.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -169,8 +169,9 @@
     bool CallerFinSeen = false;
     bool UpstreamFinSeen = false;
     std::uint16_t Requests = 0;
-    std::uint32_t InitialSequence = 0; ///< Of the upstream.
-    std::uint32_t CallerDataEnd = 0;   ///< Sequence number after the caller's last data.
+    std::uint32_t InitialSequence = 0;                  ///< Of the upstream.
+    std::optional<std::uint32_t> CallerInitialSequence; ///< Known if this process saw the SYN.
+    std::uint32_t CallerDataEnd = 0; ///< Sequence number after the caller's last data.
     std::uint32_t CallerAcknowledgement = 0;
     std::uint32_t UpstreamDataEnd = 0; ///< Sequence number after the upstream's last data.
     common::TimePoint LastPacketAt{};
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -200,8 +200,10 @@
                           std::span<const std::uint8_t> Raw, NodeAddress Balancer,
                           common::TimePoint Now, FlowActions &Actions) {
   const auto It = Flows.find(Head.Key);
-  const bool Repeated =
-      It != Flows.end() && (It->second.State == Phase::Offered || It->second.State == Phase::Open);
+  // Copies of a SYN have its sequence number. A caller that uses a port again chooses another one.
+  const bool Repeated = It != Flows.end() &&
+                        (It->second.State == Phase::Offered || It->second.State == Phase::Open) &&
+                        It->second.CallerInitialSequence.value_or(Head.Sequence) == Head.Sequence;
   if (!Repeated) {
     if (const auto Reason = declineReason(Fields, Now)) {
       if (*Reason == ReturnReason::Full)
@@ -221,6 +223,7 @@
   Entry.LastPacketAt = Now;
   if (!Repeated) {
     Entry.State = Phase::Offered;
+    Entry.CallerInitialSequence = Head.Sequence;
     Entry.HasCallerDataEnd = true;
     Entry.CallerDataEnd = Head.Sequence;
     Entry.SavedSyn = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testLoad_flowOfGoneCaller_expiresAfterUsualRequestDelay);
   CPPUNIT_TEST(testDeparture_openFlows_areResetAtLastAcknowledgement);
   CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
+  CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -419,6 +420,29 @@
       CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Deliver);
     }
   }
+
+  void testFirstPacket_ofPortUsedAgain_replacesEarlierFlow() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    exchange(Flows, relayKey(1), 0);
+    auto End = upstreamData(relayKey(1), Sequence + 100, 0);
+    End.Flags.Fin = true;
+    (void)fromUpstream(Flows, End);
+    auto Next = firstPacket(relayKey(1));
+    Next.Sequence = 70'000;
+    constexpr std::uint32_t NextSequence = Sequence + 0x01000000;
+    (void)fromBalancer(Flows, Next);
+    (void)fromUpstream(Flows, upstreamAccept(relayKey(1), NextSequence));
+    const auto Data = callerData(relayKey(1), NextSequence + 1, 70'001);
+    const auto Actions = fromBalancer(Flows, Data);
+    CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Deliver);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
+    // The upstream has not ended the new flow, so an end of the caller leaves it open.
+    auto CallerEnd = callerData(relayKey(1), NextSequence + 1, 70'101, 0);
+    CallerEnd.Flags.Fin = true;
+    (void)fromBalancer(Flows, CallerEnd);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
