Don't derive an upstream's age from the number of its heartbeats

After a restart of an agent, callers whose flows the upstream still holds could see them reset: the agent considered its table complete and denied the flows.

Cause: the table counted as complete if the agent had been running for longer than the upstream's heartbeat number times the interval. An upstream that was suspended, or whose calls failed or waited in the agent's backlog while the agent was suspended, is older than that. The flag stays until the next incarnation, so flows are denied long after the suspension.

The table is now complete if the first heartbeat is number 1, or if the upstream replaced one that this process knew, which proves the order of starts. In other cases the upstream is asked about unknown flows, as after any restart.

testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure failed before: 'Expected: 1, Actual: 0' for the unsure flows, relay_upstream_flows_test.cpp:460 with all new tests in place. testQuery_upstreamThatReplacedAnother_isAbsent also failed before, as the time was the only criterion (line 470). Found by reading, not seen on a deployment.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -209,7 +209,6 @@
   common::Duration HeartbeatInterval;
   policy::Mechanisms InUse;
   Registration Upstream;
-  common::TimePoint StartedAt;
   common::TimePoint LastSignAt; ///< Last heartbeat or packet of the upstream.
   common::TimePoint ListeningSince;
   /// True if this process started before the upstream and so has seen all of its flows.
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -29,21 +29,20 @@
 UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
                              common::TimePoint StartedAt, policy::Mechanisms InUse)
     : SettingsService(std::move(SettingsService)), HeartbeatInterval(HeartbeatInterval),
-      InUse(InUse), Upstream(HeartbeatInterval), StartedAt(StartedAt), LastSignAt(StartedAt),
-      ListeningSince(StartedAt) {}
+      InUse(InUse), Upstream(HeartbeatInterval), LastSignAt(StartedAt), ListeningSince(StartedAt) {}
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
+  const bool ReplacesKnown = Upstream.last() && Upstream.last()->Incarnation != 0 &&
+                             Upstream.last()->Incarnation < Received.Incarnation;
   const auto Effect = Upstream.onHeartbeat(Received, Now);
   if (Effect == HeartbeatEffect::Outdated)
     return Effect;
   Unresponsive = false;
   LastSignAt = Now;
-  // Heartbeats are numbered from the upstream's start, so the sequence number tells how long the
-  // upstream has been running.
+  // The time since this process started proves nothing: heartbeats of an upstream that was
+  // suspended or couldn't send them have lower sequence numbers than its age suggests.
   if (Effect == HeartbeatEffect::NewIncarnation)
-    TableComplete =
-        Received.Sequence <= 1 ||
-        Now - StartedAt >= HeartbeatInterval * static_cast<std::int64_t>(Received.Sequence + 1);
+    TableComplete = Received.Sequence <= 1 || ReplacesKnown;
   return Effect;
 }
 
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(testDeparture_openFlows_areResetAtLastAcknowledgement);
   CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
   CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
+  CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
+  CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -443,6 +445,26 @@
     (void)fromBalancer(Flows, CallerEnd);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
   }
+
+  // An upstream that was suspended, or whose heartbeats waited, is older than their number
+  // suggests.
+  void testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    const auto Now = RelayStart + 10s;
+    (void)Flows.onHeartbeat(heartbeat(4), Now);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, Now).Unsure.size());
+    const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence), {}, Now);
+    CPPUNIT_ASSERT(Actions[0].Operation == Kind::Deliver);
+  }
+
+  void testQuery_upstreamThatReplacedAnother_isAbsent() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30, 10), RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(3, 11), RelayStart + 2s);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    CPPUNIT_ASSERT((Flows.onQuery(Query, RelayStart + 2s) == relay::FlowAnswer{1, {}, {}}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
