Let a later heartbeat undo a departure

If the departure of an earlier incarnation arrives after an upstream has started again under the same ID, callers would see their flows reset and new flows declined until the next restart of the upstream.

Cause: a departure names only an ID, so Registration::onDeparture() marked the living incarnation as ended, and later heartbeats of that incarnation didn't change it. They are now taken as proof that it lives.

Found by reading, not seen on a deployment.

--- a/src/relay/registration.cpp
+++ b/src/relay/registration.cpp
@@ -35,6 +35,8 @@
       Last = Received;
       Last->Draining = Last->Draining || WasDraining;
       ReceivedAt = Now;
+      // The departure was that of an earlier incarnation with the same ID.
+      Departed = false;
       return SameStatus ? HeartbeatEffect::Refreshed : HeartbeatEffect::Changed;
     }
   }
--- a/tests/relay_registration_test.cpp
+++ b/tests/relay_registration_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testSilence_beforeAddressReuse_stopsNewFlows);
   CPPUNIT_TEST(testDeparture_ofOtherUpstream_isIgnored);
   CPPUNIT_TEST(testColdFor_afterHeartbeat_decreasesToZero);
+  CPPUNIT_TEST(testHeartbeat_afterDeparture_showsThatUpstreamLives);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +83,19 @@
     CPPUNIT_ASSERT(Upstream.coldFor(RelayStart + 500ms) == 1500ms);
     CPPUNIT_ASSERT(Upstream.coldFor(RelayStart + 5s) == 0s);
   }
+
+  // An upstream may start again under the ID of an earlier one, whose departure may arrive late.
+  void testHeartbeat_afterDeparture_showsThatUpstreamLives() {
+    Registration Upstream(1200ms);
+    auto Restarted = heartbeat(1, 11);
+    Restarted.Id = "up-10";
+    (void)Upstream.onHeartbeat(heartbeat(9, 10), RelayStart);
+    (void)Upstream.onHeartbeat(Restarted, RelayStart + 2s);
+    (void)Upstream.onDeparture("up-10");
+    Restarted.Sequence = 2;
+    (void)Upstream.onHeartbeat(Restarted, RelayStart + 3s);
+    CPPUNIT_ASSERT(!Upstream.leaving());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayRegistrationTest);
