Ask an upstream about its flows again after it was considered ended

After an upstream had been silent for 2.5 heartbeat intervals and resumed, callers whose flows it still holds could see them reset seconds later.

Cause: on such silence the agent resets the open flows and closes their entries, which are erased four seconds after their last packet. If the upstream was only suspended and the reset didn't end the flow at the caller, the next packet finds no entry, and the agent denies the flow because its table counted as complete.

A heartbeat or packet of an upstream that was considered ended now marks the table as incomplete, so unknown packets are delivered to the upstream and flows are adopted from its answers. A packet after a departure doesn't, since it is one of the upstream's last ones.

Found by reading, not seen on a deployment.

--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -34,6 +34,7 @@
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
   const bool ReplacesKnown = Upstream.last() && Upstream.last()->Incarnation != 0 &&
                              Upstream.last()->Incarnation < Received.Incarnation;
+  const bool EndedBefore = upstreamEnded(Now);
   const auto Effect = Upstream.onHeartbeat(Received, Now);
   if (Effect == HeartbeatEffect::Outdated)
     return Effect;
@@ -43,6 +44,8 @@
   // suspended or couldn't send them have lower sequence numbers than its age suggests.
   if (Effect == HeartbeatEffect::NewIncarnation)
     TableComplete = Received.Sequence <= 1 || ReplacesKnown;
+  else if (EndedBefore)
+    TableComplete = false; // The upstream may still hold flows that were closed here.
   return Effect;
 }
 
@@ -244,12 +247,13 @@
   Unresponsive = Unresponsive && Head.Returned;
   // A returned packet isn't a sign of life: it says nothing about the flows that the upstream
   // holds.
-  if (!Head.Returned)
-    LastSignAt = Now;
   if (Head.Returned) {
     onReturnedByUpstream(Head, Fields, Actions);
     return Actions;
   }
+  if (!Upstream.departed() && upstreamEnded(Now))
+    TableComplete = false; // The upstream may still hold flows that were closed here.
+  LastSignAt = Now;
   Flow &Entry = Flows[Head.Key];
   Entry.LastPacketAt = Now;
   if (Entry.State == Phase::Unconfirmed && Entry.Balancer != 0 && Head.Flags.Rst) {
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
   CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
   CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
+  CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -465,6 +466,27 @@
     const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
     CPPUNIT_ASSERT((Flows.onQuery(Query, RelayStart + 2s) == relay::FlowAnswer{1, {}, {}}));
   }
+
+  // An upstream that was suspended resumes with its flows.
+  void testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied() {
+    const auto Resumed = RelayStart + 4s;
+    for (const bool PacketFirst : {false, true}) {
+      auto Flows = readyFlows();
+      open(Flows, relayKey(1));
+      CPPUNIT_ASSERT(Flows.upstreamEnded(Resumed));
+      (void)Flows.resetOpenFlows();
+      if (PacketFirst)
+        (void)fromUpstream(Flows, upstreamData(relayKey(2), Sequence), Resumed);
+      (void)Flows.onHeartbeat(heartbeat(2), Resumed);
+      for (auto Now = Resumed; Now < Resumed + 2s; Now += 20ms)
+        (void)Flows.onTimer(Now);
+      (void)Flows.onHeartbeat(heartbeat(3), Resumed + 2s);
+      const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, Resumed + 2s).Unsure.size());
+      const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence), {}, Resumed + 2s);
+      CPPUNIT_ASSERT(Actions[0].Operation == Kind::Deliver);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
