Withhold every reset that answers a packet of an unconfirmed flow

While an agent that has restarted asks its upstream about an unknown flow, the caller of a flow that is open at another upstream could see a reset that this other upstream didn't send.

Cause: if the upstream answers with a reset, the agent withholds it and erased the flow's entry. When two packets were on their way to the upstream, as two balancers may search at the same time, the second reset found no entry and was sent to the caller.

The new test failed before: 'Expected: 0, Actual: 1' for packets sent to the caller, relay_upstream_flows_test.cpp:501. Found by reading, not seen on a deployment.

--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -258,13 +258,13 @@
   Entry.LastPacketAt = Now;
   if (Entry.State == Phase::Unconfirmed && Entry.Balancer != 0 && Head.Flags.Rst) {
     // The upstream rejected a packet that may belong to another upstream's flow, so the reset must
-    // not reach the caller.
+    // not reach the caller. The entry stays for resets that answer further packets.
     Actions.push_back(
         {.Operation = Entry.Searched ? FlowAction::Kind::Deny : FlowAction::Kind::Drop,
          .Event = FlowEvent::NotHeld,
          .Key = Head.Key,
          .Balancer = Entry.Balancer});
-    eraseFlow(Flows.find(Head.Key));
+    endRequest(Entry);
     return Actions;
   }
   const bool Accepts = Head.Flags.Syn && Head.Flags.Ack;
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
   CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
   CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
+  CPPUNIT_TEST(testReset_repeatedForUnconfirmedFlow_isNotSentToCaller);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -487,6 +488,20 @@
       CPPUNIT_ASSERT(Actions[0].Operation == Kind::Deliver);
     }
   }
+
+  void testReset_repeatedForUnconfirmedFlow_isNotSentToCaller() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    for (const std::uint32_t Offset : {0U, 100U})
+      (void)fromBalancer(Flows, callerData(relayKey(1), 99, 1000 + Offset),
+                         {.Balancer = BalancerOne, .Search = true});
+    auto Reset = upstreamData(relayKey(1), 99, 0);
+    Reset.Flags = {.Rst = true};
+    for (int Packet = 0; Packet < 2; ++Packet)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                           countActions(fromUpstream(Flows, Reset), Kind::SendToCaller));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
