Return a packet that the upstream rejects with a reset to its balancer

A caller whose balancer relied on the wrong upstream could see silence until it gave up, while each of its packets went to that upstream: after two seconds and three packets the flow counts as misdirected, though its own upstream is sound.

Cause: an agent that has restarted delivers a packet of an unknown flow to its upstream. If the upstream returns the packet, the balancer gets it back. If the upstream answers with a reset, the agent withheld the reset and, outside a search, told the balancer nothing, so the next packet came the same way.

The agent now keeps the first packet of an unconfirmed flow that isn't part of a search and returns it when the upstream rejects it with a reset. A balancer that gets a packet back tries the flow's other agent or searches for the flow. The copy is released when the flow is adopted, or with its entry two seconds after the last packet.

The new test failed before: 'Actions.size() == 1 && Actions[0].Operation == Kind::Return', relay_upstream_flows_test.cpp:515. Found by reading, not seen on a deployment.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -176,8 +176,9 @@
     std::uint32_t UpstreamDataEnd = 0; ///< Sequence number after the upstream's last data.
     common::TimePoint LastPacketAt{};
     common::TimePoint RequestStartedAt{};
-    common::TimePoint AcceptedAt{};        ///< Time of the upstream's SYN-ACK.
-    std::shared_ptr<const Bytes> SavedSyn; ///< Kept while the flow is Offered.
+    common::TimePoint AcceptedAt{}; ///< Time of the upstream's SYN-ACK.
+    /// The SYN while the flow is Offered; the first packet outside a search while Unconfirmed.
+    std::shared_ptr<const Bytes> SavedPacket;
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
 
@@ -191,6 +192,7 @@
   void addWaitingBalancer(NodeAddress Balancer);
   void notifyWaitingBalancer(FlowActions &Actions);
   void onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields, FlowActions &Actions);
+  static void saveUnlessSearched(Flow &Entry, std::span<const std::uint8_t> Raw);
   void noteCallerData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
   void noteUpstreamData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
   [[nodiscard]] static bool matches(const PacketHeader &Head, const Flow &Entry) noexcept;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -91,6 +91,7 @@
     NewEntry.Balancer = Balancer;
     NewEntry.Searched = Fields.Search;
     NewEntry.LastPacketAt = Now;
+    saveUnlessSearched(NewEntry, Raw);
     noteCallerData(Head, NewEntry, Now);
     Actions.push_back(
         {.Operation = FlowAction::Kind::Deliver, .Event = FlowEvent::Doubted, .Key = Head.Key});
@@ -106,6 +107,8 @@
                        .Balancer = Balancer});
   Entry.Balancer = Balancer;
   Entry.Searched = Fields.Search;
+  if (Entry.State == Phase::Unconfirmed)
+    saveUnlessSearched(Entry, Raw);
   noteCallerData(Head, Entry, Now);
   if (Head.Flags.Rst) {
     close(Entry);
@@ -120,6 +123,12 @@
   return Actions;
 }
 
+// A balancer that searches for a flow has kept its packet.
+void UpstreamFlows::saveUnlessSearched(Flow &Entry, std::span<const std::uint8_t> Raw) {
+  if (!Entry.Searched && !Entry.SavedPacket)
+    Entry.SavedPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+}
+
 FlowAnswer UpstreamFlows::onQuery(const FlowQuery &Query, common::TimePoint Now) const {
   FlowAnswer Answer{Query.Id, {}, {}};
   // An upstream that has ended holds no flows.
@@ -228,7 +237,7 @@
     Entry.CallerInitialSequence = Head.Sequence;
     Entry.HasCallerDataEnd = true;
     Entry.CallerDataEnd = Head.Sequence;
-    Entry.SavedSyn = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+    Entry.SavedPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
     // Callers open a flow to send a request, which follows within their round trip time.
     expectRequest(Entry);
     if (Fields.Long)
@@ -259,11 +268,14 @@
   if (Entry.State == Phase::Unconfirmed && Entry.Balancer != 0 && Head.Flags.Rst) {
     // The upstream rejected a packet that may belong to another upstream's flow, so the reset must
     // not reach the caller. The entry stays for resets that answer further packets.
-    Actions.push_back(
-        {.Operation = Entry.Searched ? FlowAction::Kind::Deny : FlowAction::Kind::Drop,
-         .Event = FlowEvent::NotHeld,
-         .Key = Head.Key,
-         .Balancer = Entry.Balancer});
+    // A balancer that relies on this upstream gets its packet back and searches for the flow.
+    const auto Unsearched = Entry.SavedPacket ? FlowAction::Kind::Return : FlowAction::Kind::Drop;
+    Actions.push_back({.Operation = Entry.Searched ? FlowAction::Kind::Deny : Unsearched,
+                       .Event = FlowEvent::NotHeld,
+                       .Key = Head.Key,
+                       .Balancer = Entry.Balancer,
+                       .Reason = ReturnReason::NotHeld,
+                       .SavedPacket = std::move(Entry.SavedPacket)});
     endRequest(Entry);
     return Actions;
   }
@@ -274,15 +286,17 @@
     Entry.InitialSequence = Head.Sequence;
     Entry.HasUpstreamDataEnd = true;
     Entry.UpstreamDataEnd = Head.Sequence;
-    Entry.SavedSyn.reset();
+    Entry.SavedPacket.reset();
     Entry.AcceptedAt = Now;
     FlowsAwaitingRequest.emplace_back(Now, Head.Key);
   }
   if (!Head.Flags.Syn)
     Entry.Established = true;
   const bool Adopted = Entry.State == Phase::Unconfirmed;
-  if (Adopted)
+  if (Adopted) {
     Entry.State = Phase::Open;
+    Entry.SavedPacket.reset();
+  }
   if ((Accepts || Adopted) && Entry.Balancer != 0 && !Entry.BalancerNotified) {
     Entry.BalancerNotified = true;
     Actions.push_back({.Operation = FlowAction::Kind::Notify,
@@ -439,7 +453,7 @@
   endRequest(Entry);
   unmarkLong(Entry);
   Entry.State = Phase::Closed;
-  Entry.SavedSyn.reset();
+  Entry.SavedPacket.reset();
 }
 
 void UpstreamFlows::eraseFlow(FlowMap::iterator Position) {
@@ -461,7 +475,7 @@
                        .Key = Key,
                        .Balancer = It->second.Balancer,
                        .Reason = ReturnReason::Unanswered,
-                       .SavedPacket = It->second.SavedSyn});
+                       .SavedPacket = It->second.SavedPacket});
   }
   releaseAbandoned(Now, Actions);
   eraseExpired(Now);
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
   CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
   CPPUNIT_TEST(testReset_repeatedForUnconfirmedFlow_isNotSentToCaller);
+  CPPUNIT_TEST(testReset_ofUnconfirmedFlowWithoutSearch_returnsPacketToBalancer);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -502,6 +503,20 @@
                            countActions(fromUpstream(Flows, Reset), Kind::SendToCaller));
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
   }
+
+  // A balancer that isn't told would go on sending the flow's packets to the wrong upstream.
+  void testReset_ofUnconfirmedFlowWithoutSearch_returnsPacketToBalancer() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    (void)fromBalancer(Flows, callerData(relayKey(1), 99));
+    auto Reset = upstreamData(relayKey(1), 99, 0);
+    Reset.Flags = {.Rst = true};
+    const auto Actions = fromUpstream(Flows, Reset);
+    CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Return);
+    CPPUNIT_ASSERT(Actions[0].Reason == ReturnReason::NotHeld && Actions[0].SavedPacket);
+    CPPUNIT_ASSERT_EQUAL(BalancerOne, Actions[0].Balancer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Actions[0].SavedPacket->size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
