Don't count the time of an agent's suspension as silence of its upstream

When an agent resumed after more than 2.5 heartbeat intervals, it could deny flows that its upstream holds, or report the upstream as ended. Balancers then stop asking it about the flow, and callers see a reset once all other agents have denied the flow, or at once for flows that may be repeated.

Cause: only the first timer call after the suspension calls onResume(). Queries that waited in the socket's buffer may be handled before it and were answered as if the upstream had been silent all the time.

Silence now counts only until SuspensionThreshold after the last timer call.

The new test failed before: '(Flows.onQuery(Query, Resumed) == relay::FlowAnswer{1, {0}, {}})', relay_upstream_flows_test.cpp:530. Found by reading, not seen on a deployment.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -30,6 +30,8 @@
 inline constexpr common::Duration SlowAnswerThreshold = std::chrono::milliseconds(300);
 /// Time that a stopping agent leaves for its last messages to be sent.
 inline constexpr common::Duration StopFlushTime = std::chrono::milliseconds(20);
+/// RelayAgent calls onResume() for the pauses that UpstreamFlows doesn't count as silence.
+static_assert(relay::SuspensionThreshold == impl::ProcessPauseThreshold);
 
 /// An agent of relayed flows: connects the flow logic to sockets, timers and the store.
 template <RelayPlatform Platform> class RelayAgent : impl::RelayNode<Platform> {
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -47,6 +47,8 @@
 inline constexpr std::size_t MaxWaitingBalancers = 100;
 /// How long a flow that the upstream has not confirmed or accepted stays in the table.
 inline constexpr common::Duration UnconfirmedRetention = std::chrono::seconds(2);
+/// A longer time between two timer calls means that the process was suspended in between.
+inline constexpr common::Duration SuspensionThreshold = std::chrono::milliseconds(500);
 
 /// Reason of an action, which the metrics count and the log names.
 enum class FlowEvent : std::uint8_t {
@@ -213,6 +215,7 @@
   Registration Upstream;
   common::TimePoint LastSignAt; ///< Last heartbeat or packet of the upstream.
   common::TimePoint ListeningSince;
+  std::optional<common::TimePoint> LastTimerAt;
   /// True if this process started before the upstream and so has seen all of its flows.
   bool TableComplete = false;
   bool Stopping = false;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -159,7 +159,9 @@
 bool UpstreamFlows::upstreamEnded(common::TimePoint Now) const {
   const double Intervals = Upstream.known() ? GoneIntervals : UnheardIntervals;
   const auto Silence = std::chrono::duration_cast<common::Duration>(HeartbeatInterval * Intervals);
-  return Upstream.departed() || Now - std::max(LastSignAt, ListeningSince) > Silence;
+  // While this process was suspended, signs of the upstream may have waited.
+  const auto ListenedUntil = LastTimerAt ? std::min(Now, *LastTimerAt + SuspensionThreshold) : Now;
+  return Upstream.departed() || ListenedUntil - std::max(LastSignAt, ListeningSince) > Silence;
 }
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
@@ -463,6 +465,7 @@
 
 FlowActions UpstreamFlows::onTimer(common::TimePoint Now) {
   FlowActions Actions;
+  LastTimerAt = Now;
   while (!AnswerDeadlines.empty() && AnswerDeadlines.front().first <= Now) {
     const packet::FlowKey Key = AnswerDeadlines.front().second;
     AnswerDeadlines.pop_front();
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
   CPPUNIT_TEST(testReset_repeatedForUnconfirmedFlow_isNotSentToCaller);
   CPPUNIT_TEST(testReset_ofUnconfirmedFlowWithoutSearch_returnsPacketToBalancer);
+  CPPUNIT_TEST(testQuery_afterSuspensionBeforeTimer_isHeld);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -517,6 +518,22 @@
     CPPUNIT_ASSERT_EQUAL(BalancerOne, Actions[0].Balancer);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Actions[0].SavedPacket->size());
   }
+
+  // Messages that waited while this process was suspended may be handled before its first timer
+  // call.
+  void testQuery_afterSuspensionBeforeTimer_isHeld() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    (void)Flows.onTimer(RelayStart + 1s);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    const auto Resumed = RelayStart + 6s;
+    CPPUNIT_ASSERT((Flows.onQuery(Query, Resumed) == relay::FlowAnswer{1, {0}, {}}));
+    CPPUNIT_ASSERT(Flows.state(Resumed) != UpstreamState::Ended);
+    // Silence while the process runs still ends the upstream.
+    for (auto Now = RelayStart + 1s; Now <= Resumed; Now += 20ms)
+      (void)Flows.onTimer(Now);
+    CPPUNIT_ASSERT(Flows.onQuery(Query, Resumed).Held.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
