--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -47,6 +47,8 @@
 inline constexpr std::size_t MaxWaitingBalancers = 100;
 /// How long a flow that the upstream has not confirmed or accepted stays in the table.
 inline constexpr common::Duration UnconfirmedRetention = std::chrono::seconds(2);
+/// A longer time between two timer calls means that the process was suspended in between.
+inline constexpr common::Duration SuspensionThreshold = std::chrono::milliseconds(500);
 
 /// Reason of an action, which the metrics count and the log names.
 enum class FlowEvent : std::uint8_t {
@@ -169,14 +171,16 @@
     bool CallerFinSeen = false;
     bool UpstreamFinSeen = false;
     std::uint16_t Requests = 0;
-    std::uint32_t InitialSequence = 0; ///< Of the upstream.
-    std::uint32_t CallerDataEnd = 0;   ///< Sequence number after the caller's last data.
+    std::uint32_t InitialSequence = 0;                  ///< Of the upstream.
+    std::optional<std::uint32_t> CallerInitialSequence; ///< Known if this process saw the SYN.
+    std::uint32_t CallerDataEnd = 0; ///< Sequence number after the caller's last data.
     std::uint32_t CallerAcknowledgement = 0;
     std::uint32_t UpstreamDataEnd = 0; ///< Sequence number after the upstream's last data.
     common::TimePoint LastPacketAt{};
     common::TimePoint RequestStartedAt{};
-    common::TimePoint AcceptedAt{};        ///< Time of the upstream's SYN-ACK.
-    std::shared_ptr<const Bytes> SavedSyn; ///< Kept while the flow is Offered.
+    common::TimePoint AcceptedAt{}; ///< Time of the upstream's SYN-ACK.
+    /// The SYN while the flow is Offered; the first packet outside a search while Unconfirmed.
+    std::shared_ptr<const Bytes> SavedPacket;
   };
   using FlowMap = std::unordered_map<packet::FlowKey, Flow, packet::FlowKeyHash>;
 
@@ -190,6 +194,7 @@
   void addWaitingBalancer(NodeAddress Balancer);
   void notifyWaitingBalancer(FlowActions &Actions);
   void onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields, FlowActions &Actions);
+  static void saveUnlessSearched(Flow &Entry, std::span<const std::uint8_t> Raw);
   void noteCallerData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
   void noteUpstreamData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
   [[nodiscard]] static bool matches(const PacketHeader &Head, const Flow &Entry) noexcept;
@@ -208,9 +213,9 @@
   common::Duration HeartbeatInterval;
   policy::Mechanisms InUse;
   Registration Upstream;
-  common::TimePoint StartedAt;
   common::TimePoint LastSignAt; ///< Last heartbeat or packet of the upstream.
   common::TimePoint ListeningSince;
+  std::optional<common::TimePoint> LastTimerAt;
   /// True if this process started before the upstream and so has seen all of its flows.
   bool TableComplete = false;
   bool Stopping = false;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -29,21 +29,23 @@
 UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
                              common::TimePoint StartedAt, policy::Mechanisms InUse)
     : SettingsService(std::move(SettingsService)), HeartbeatInterval(HeartbeatInterval),
-      InUse(InUse), Upstream(HeartbeatInterval), StartedAt(StartedAt), LastSignAt(StartedAt),
-      ListeningSince(StartedAt) {}
+      InUse(InUse), Upstream(HeartbeatInterval), LastSignAt(StartedAt), ListeningSince(StartedAt) {}
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
+  const bool ReplacesKnown = Upstream.last() && Upstream.last()->Incarnation != 0 &&
+                             Upstream.last()->Incarnation < Received.Incarnation;
+  const bool EndedBefore = upstreamEnded(Now);
   const auto Effect = Upstream.onHeartbeat(Received, Now);
   if (Effect == HeartbeatEffect::Outdated)
     return Effect;
   Unresponsive = false;
   LastSignAt = Now;
-  // Heartbeats are numbered from the upstream's start, so the sequence number tells how long the
-  // upstream has been running.
+  // The time since this process started proves nothing: heartbeats of an upstream that was
+  // suspended or couldn't send them have lower sequence numbers than its age suggests.
   if (Effect == HeartbeatEffect::NewIncarnation)
-    TableComplete =
-        Received.Sequence <= 1 ||
-        Now - StartedAt >= HeartbeatInterval * static_cast<std::int64_t>(Received.Sequence + 1);
+    TableComplete = Received.Sequence <= 1 || ReplacesKnown;
+  else if (EndedBefore)
+    TableComplete = false; // The upstream may still hold flows that were closed here.
   return Effect;
 }
 
@@ -89,6 +91,7 @@
     NewEntry.Balancer = Balancer;
     NewEntry.Searched = Fields.Search;
     NewEntry.LastPacketAt = Now;
+    saveUnlessSearched(NewEntry, Raw);
     noteCallerData(Head, NewEntry, Now);
     Actions.push_back(
         {.Operation = FlowAction::Kind::Deliver, .Event = FlowEvent::Doubted, .Key = Head.Key});
@@ -104,6 +107,8 @@
                        .Balancer = Balancer});
   Entry.Balancer = Balancer;
   Entry.Searched = Fields.Search;
+  if (Entry.State == Phase::Unconfirmed)
+    saveUnlessSearched(Entry, Raw);
   noteCallerData(Head, Entry, Now);
   if (Head.Flags.Rst) {
     close(Entry);
@@ -118,6 +123,12 @@
   return Actions;
 }
 
+// A balancer that searches for a flow has kept its packet.
+void UpstreamFlows::saveUnlessSearched(Flow &Entry, std::span<const std::uint8_t> Raw) {
+  if (!Entry.Searched && !Entry.SavedPacket)
+    Entry.SavedPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+}
+
 FlowAnswer UpstreamFlows::onQuery(const FlowQuery &Query, common::TimePoint Now) const {
   FlowAnswer Answer{Query.Id, {}, {}};
   // An upstream that has ended holds no flows.
@@ -148,7 +159,9 @@
 bool UpstreamFlows::upstreamEnded(common::TimePoint Now) const {
   const double Intervals = Upstream.known() ? GoneIntervals : UnheardIntervals;
   const auto Silence = std::chrono::duration_cast<common::Duration>(HeartbeatInterval * Intervals);
-  return Upstream.departed() || Now - std::max(LastSignAt, ListeningSince) > Silence;
+  // While this process was suspended, signs of the upstream may have waited.
+  const auto ListenedUntil = LastTimerAt ? std::min(Now, *LastTimerAt + SuspensionThreshold) : Now;
+  return Upstream.departed() || ListenedUntil - std::max(LastSignAt, ListeningSince) > Silence;
 }
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
@@ -200,8 +213,10 @@
                           std::span<const std::uint8_t> Raw, NodeAddress Balancer,
                           common::TimePoint Now, FlowActions &Actions) {
   const auto It = Flows.find(Head.Key);
-  const bool Repeated =
-      It != Flows.end() && (It->second.State == Phase::Offered || It->second.State == Phase::Open);
+  // Copies of a SYN have its sequence number. A caller that uses a port again chooses another one.
+  const bool Repeated = It != Flows.end() &&
+                        (It->second.State == Phase::Offered || It->second.State == Phase::Open) &&
+                        It->second.CallerInitialSequence.value_or(Head.Sequence) == Head.Sequence;
   if (!Repeated) {
     if (const auto Reason = declineReason(Fields, Now)) {
       if (*Reason == ReturnReason::Full)
@@ -221,9 +236,10 @@
   Entry.LastPacketAt = Now;
   if (!Repeated) {
     Entry.State = Phase::Offered;
+    Entry.CallerInitialSequence = Head.Sequence;
     Entry.HasCallerDataEnd = true;
     Entry.CallerDataEnd = Head.Sequence;
-    Entry.SavedSyn = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
+    Entry.SavedPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
     // Callers open a flow to send a request, which follows within their round trip time.
     expectRequest(Entry);
     if (Fields.Long)
@@ -242,23 +258,27 @@
   Unresponsive = Unresponsive && Head.Returned;
   // A returned packet isn't a sign of life: it says nothing about the flows that the upstream
   // holds.
-  if (!Head.Returned)
-    LastSignAt = Now;
   if (Head.Returned) {
     onReturnedByUpstream(Head, Fields, Actions);
     return Actions;
   }
+  if (!Upstream.departed() && upstreamEnded(Now))
+    TableComplete = false; // The upstream may still hold flows that were closed here.
+  LastSignAt = Now;
   Flow &Entry = Flows[Head.Key];
   Entry.LastPacketAt = Now;
   if (Entry.State == Phase::Unconfirmed && Entry.Balancer != 0 && Head.Flags.Rst) {
     // The upstream rejected a packet that may belong to another upstream's flow, so the reset must
-    // not reach the caller.
-    Actions.push_back(
-        {.Operation = Entry.Searched ? FlowAction::Kind::Deny : FlowAction::Kind::Drop,
-         .Event = FlowEvent::NotHeld,
-         .Key = Head.Key,
-         .Balancer = Entry.Balancer});
-    eraseFlow(Flows.find(Head.Key));
+    // not reach the caller. The entry stays for resets that answer further packets.
+    // A balancer that relies on this upstream gets its packet back and searches for the flow.
+    const auto Unsearched = Entry.SavedPacket ? FlowAction::Kind::Return : FlowAction::Kind::Drop;
+    Actions.push_back({.Operation = Entry.Searched ? FlowAction::Kind::Deny : Unsearched,
+                       .Event = FlowEvent::NotHeld,
+                       .Key = Head.Key,
+                       .Balancer = Entry.Balancer,
+                       .Reason = ReturnReason::NotHeld,
+                       .SavedPacket = std::move(Entry.SavedPacket)});
+    endRequest(Entry);
     return Actions;
   }
   const bool Accepts = Head.Flags.Syn && Head.Flags.Ack;
@@ -268,15 +288,17 @@
     Entry.InitialSequence = Head.Sequence;
     Entry.HasUpstreamDataEnd = true;
     Entry.UpstreamDataEnd = Head.Sequence;
-    Entry.SavedSyn.reset();
+    Entry.SavedPacket.reset();
     Entry.AcceptedAt = Now;
     FlowsAwaitingRequest.emplace_back(Now, Head.Key);
   }
   if (!Head.Flags.Syn)
     Entry.Established = true;
   const bool Adopted = Entry.State == Phase::Unconfirmed;
-  if (Adopted)
+  if (Adopted) {
     Entry.State = Phase::Open;
+    Entry.SavedPacket.reset();
+  }
   if ((Accepts || Adopted) && Entry.Balancer != 0 && !Entry.BalancerNotified) {
     Entry.BalancerNotified = true;
     Actions.push_back({.Operation = FlowAction::Kind::Notify,
@@ -343,8 +365,8 @@
 }
 
 // True if the packet can belong to this upstream's flow: the caller acknowledges no more than the
-// data sent through this agent, plus one for the SYN or the FIN. Another upstream that accepted the
-// same SYN has a different, random initial sequence number.
+// data sent through this agent, plus one each for the SYN and the FIN. Another upstream that
+// accepted the same SYN has a different, random initial sequence number.
 bool UpstreamFlows::matches(const PacketHeader &Head, const Flow &Entry) noexcept {
   // A caller that continues before this upstream has accepted the flow was accepted by another one.
   // If the packet were delivered here, this upstream would reset the flow.
@@ -353,7 +375,8 @@
   if (!Entry.HasInitialSequence || !Head.Flags.Ack)
     return true;
   const std::uint32_t SentBytes = Entry.UpstreamDataEnd - Entry.InitialSequence;
-  return Head.Acknowledgement - Entry.InitialSequence <= SentBytes + 1;
+  const std::uint32_t SentFlags = Entry.UpstreamFinSeen ? 2 : 1;
+  return Head.Acknowledgement - Entry.InitialSequence <= SentBytes + SentFlags;
 }
 
 // A request starts with new data from the caller after the upstream has answered the previous one.
@@ -432,7 +455,7 @@
   endRequest(Entry);
   unmarkLong(Entry);
   Entry.State = Phase::Closed;
-  Entry.SavedSyn.reset();
+  Entry.SavedPacket.reset();
 }
 
 void UpstreamFlows::eraseFlow(FlowMap::iterator Position) {
@@ -442,6 +465,7 @@
 
 FlowActions UpstreamFlows::onTimer(common::TimePoint Now) {
   FlowActions Actions;
+  LastTimerAt = Now;
   while (!AnswerDeadlines.empty() && AnswerDeadlines.front().first <= Now) {
     const packet::FlowKey Key = AnswerDeadlines.front().second;
     AnswerDeadlines.pop_front();
@@ -454,7 +478,7 @@
                        .Key = Key,
                        .Balancer = It->second.Balancer,
                        .Reason = ReturnReason::Unanswered,
-                       .SavedPacket = It->second.SavedSyn});
+                       .SavedPacket = It->second.SavedPacket});
   }
   releaseAbandoned(Now, Actions);
   eraseExpired(Now);
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -36,6 +36,14 @@
   CPPUNIT_TEST(testLoad_flowWithoutRequest_expires);
   CPPUNIT_TEST(testLoad_flowOfGoneCaller_expiresAfterUsualRequestDelay);
   CPPUNIT_TEST(testDeparture_openFlows_areResetAtLastAcknowledgement);
+  CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
+  CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
+  CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
+  CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
+  CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
+  CPPUNIT_TEST(testReset_repeatedForUnconfirmedFlow_isNotSentToCaller);
+  CPPUNIT_TEST(testReset_ofUnconfirmedFlowWithoutSearch_returnsPacketToBalancer);
+  CPPUNIT_TEST(testQuery_afterSuspensionBeforeTimer_isHeld);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -401,6 +409,131 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::ResetCaller));
     CPPUNIT_ASSERT_EQUAL(Sequence + 100, Resets[0].Sequence);
   }
+
+  // The acknowledgement of an upstream's end counts both its SYN and its FIN.
+  void testPacket_acknowledgingEndWithoutData_isDelivered() {
+    for (const std::uint32_t InitialSequence : {5U, 0xfffffffdU, 0xffffffffU}) {
+      auto Flows = readyFlows();
+      (void)fromBalancer(Flows, firstPacket(relayKey(1)));
+      (void)fromUpstream(Flows, upstreamAccept(relayKey(1), InitialSequence));
+      (void)fromBalancer(Flows, callerData(relayKey(1), InitialSequence + 1, 1001, 0));
+      auto End = upstreamData(relayKey(1), InitialSequence + 1, 0);
+      End.Flags.Fin = true;
+      (void)fromUpstream(Flows, End);
+      const relay::FlowQuery Query{1, {{relayKey(1), InitialSequence + 2}}};
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, RelayStart).Held.size());
+      const auto Actions = fromBalancer(Flows, callerData(relayKey(1), InitialSequence + 2, 1001));
+      CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Deliver);
+    }
+  }
+
+  void testFirstPacket_ofPortUsedAgain_replacesEarlierFlow() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    exchange(Flows, relayKey(1), 0);
+    auto End = upstreamData(relayKey(1), Sequence + 100, 0);
+    End.Flags.Fin = true;
+    (void)fromUpstream(Flows, End);
+    auto Next = firstPacket(relayKey(1));
+    Next.Sequence = 70'000;
+    constexpr std::uint32_t NextSequence = Sequence + 0x01000000;
+    (void)fromBalancer(Flows, Next);
+    (void)fromUpstream(Flows, upstreamAccept(relayKey(1), NextSequence));
+    const auto Data = callerData(relayKey(1), NextSequence + 1, 70'001);
+    const auto Actions = fromBalancer(Flows, Data);
+    CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Deliver);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
+    // The upstream has not ended the new flow, so an end of the caller leaves it open.
+    auto CallerEnd = callerData(relayKey(1), NextSequence + 1, 70'101, 0);
+    CallerEnd.Flags.Fin = true;
+    (void)fromBalancer(Flows, CallerEnd);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, Flows.load().Unanswered);
+  }
+
+  // An upstream that was suspended, or whose heartbeats waited, is older than their number
+  // suggests.
+  void testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    const auto Now = RelayStart + 10s;
+    (void)Flows.onHeartbeat(heartbeat(4), Now);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, Now).Unsure.size());
+    const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence), {}, Now);
+    CPPUNIT_ASSERT(Actions[0].Operation == Kind::Deliver);
+  }
+
+  void testQuery_upstreamThatReplacedAnother_isAbsent() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30, 10), RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(3, 11), RelayStart + 2s);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    CPPUNIT_ASSERT((Flows.onQuery(Query, RelayStart + 2s) == relay::FlowAnswer{1, {}, {}}));
+  }
+
+  // An upstream that was suspended resumes with its flows.
+  void testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied() {
+    const auto Resumed = RelayStart + 4s;
+    for (const bool PacketFirst : {false, true}) {
+      auto Flows = readyFlows();
+      open(Flows, relayKey(1));
+      CPPUNIT_ASSERT(Flows.upstreamEnded(Resumed));
+      (void)Flows.resetOpenFlows();
+      if (PacketFirst)
+        (void)fromUpstream(Flows, upstreamData(relayKey(2), Sequence), Resumed);
+      (void)Flows.onHeartbeat(heartbeat(2), Resumed);
+      for (auto Now = Resumed; Now < Resumed + 2s; Now += 20ms)
+        (void)Flows.onTimer(Now);
+      (void)Flows.onHeartbeat(heartbeat(3), Resumed + 2s);
+      const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, Resumed + 2s).Unsure.size());
+      const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence), {}, Resumed + 2s);
+      CPPUNIT_ASSERT(Actions[0].Operation == Kind::Deliver);
+    }
+  }
+
+  void testReset_repeatedForUnconfirmedFlow_isNotSentToCaller() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    for (const std::uint32_t Offset : {0U, 100U})
+      (void)fromBalancer(Flows, callerData(relayKey(1), 99, 1000 + Offset),
+                         {.Balancer = BalancerOne, .Search = true});
+    auto Reset = upstreamData(relayKey(1), 99, 0);
+    Reset.Flags = {.Rst = true};
+    for (int Packet = 0; Packet < 2; ++Packet)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                           countActions(fromUpstream(Flows, Reset), Kind::SendToCaller));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Flows.load().Unanswered);
+  }
+
+  // A balancer that isn't told would go on sending the flow's packets to the wrong upstream.
+  void testReset_ofUnconfirmedFlowWithoutSearch_returnsPacketToBalancer() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    (void)fromBalancer(Flows, callerData(relayKey(1), 99));
+    auto Reset = upstreamData(relayKey(1), 99, 0);
+    Reset.Flags = {.Rst = true};
+    const auto Actions = fromUpstream(Flows, Reset);
+    CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Return);
+    CPPUNIT_ASSERT(Actions[0].Reason == ReturnReason::NotHeld && Actions[0].SavedPacket);
+    CPPUNIT_ASSERT_EQUAL(BalancerOne, Actions[0].Balancer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Actions[0].SavedPacket->size());
+  }
+
+  // Messages that waited while this process was suspended may be handled before its first timer
+  // call.
+  void testQuery_afterSuspensionBeforeTimer_isHeld() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    (void)Flows.onTimer(RelayStart + 1s);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    const auto Resumed = RelayStart + 6s;
+    CPPUNIT_ASSERT((Flows.onQuery(Query, Resumed) == relay::FlowAnswer{1, {0}, {}}));
+    CPPUNIT_ASSERT(Flows.state(Resumed) != UpstreamState::Ended);
+    // Silence while the process runs still ends the upstream.
+    for (auto Now = RelayStart + 1s; Now <= Resumed; Now += 20ms)
+      (void)Flows.onTimer(Now);
+    CPPUNIT_ASSERT(Flows.onQuery(Query, Resumed).Held.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
