Don't reset flows at their upstream's end that their caller never continued there

If two upstreams accept a caller's SYN, the caller answers one of them. The agent of the other one kept the accepted flow as open for up to 90 s, and when its upstream left, it sent the caller a reset of the flow, which may be open at the first upstream. Its sequence number was 0, so that it only struck callers whose acknowledgement happened to be near; after a restart of the agent it could be the flow's real one.

The agent resets only flows of which it has delivered a packet of the caller that acknowledges its upstream's numbers, and uses that number.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -141,7 +141,8 @@
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
   /// Returns the answer times since the last call.
   [[nodiscard]] std::vector<AnswerTime> takeAnswerTimes() { return std::exchange(AnswerTimes, {}); }
-  /// Resets and closes the open flows of an upstream that has ended.
+  /// Resets and closes the open flows of an upstream that has ended. An accepted flow that its
+  /// caller never continued here may be open at another upstream, and isn't reset.
   [[nodiscard]] FlowActions resetOpenFlows();
 
   [[nodiscard]] const Registration &registration() const noexcept { return Upstream; }
@@ -174,7 +175,8 @@
     std::uint32_t InitialSequence = 0;                  ///< Of the upstream.
     std::optional<std::uint32_t> CallerInitialSequence; ///< Known if this process saw the SYN.
     std::uint32_t CallerDataEnd = 0; ///< Sequence number after the caller's last data.
-    std::uint32_t CallerAcknowledgement = 0;
+    /// The latest one; unknown until the caller has acknowledged a number of this upstream.
+    std::optional<std::uint32_t> CallerAcknowledgement;
     std::uint32_t UpstreamDataEnd = 0; ///< Sequence number after the upstream's last data.
     common::TimePoint LastPacketAt{};
     common::TimePoint RequestStartedAt{};
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -284,6 +284,7 @@
   const bool Accepts = Head.Flags.Syn && Head.Flags.Ack;
   if (Accepts && Entry.State != Phase::Open) {
     Entry.State = Phase::Open;
+    Entry.CallerAcknowledgement.reset();
     Entry.HasInitialSequence = true;
     Entry.InitialSequence = Head.Sequence;
     Entry.HasUpstreamDataEnd = true;
@@ -509,10 +510,11 @@
   for (auto &[Key, Entry] : Flows) {
     if (Entry.State != Phase::Open)
       continue;
-    Actions.push_back({.Operation = FlowAction::Kind::ResetCaller,
-                       .Event = FlowEvent::LostByUpstream,
-                       .Key = Key,
-                       .Sequence = Entry.CallerAcknowledgement});
+    if (Entry.CallerAcknowledgement)
+      Actions.push_back({.Operation = FlowAction::Kind::ResetCaller,
+                         .Event = FlowEvent::LostByUpstream,
+                         .Key = Key,
+                         .Sequence = *Entry.CallerAcknowledgement});
     close(Entry);
   }
   return Actions;
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(testLoad_flowWithoutRequest_expires);
   CPPUNIT_TEST(testLoad_flowOfGoneCaller_expiresAfterUsualRequestDelay);
   CPPUNIT_TEST(testDeparture_openFlows_areResetAtLastAcknowledgement);
+  CPPUNIT_TEST(testDeparture_flowContinuedElsewhere_isNotReset);
   CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
   CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
   CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
@@ -410,6 +411,15 @@
     CPPUNIT_ASSERT_EQUAL(Sequence + 100, Resets[0].Sequence);
   }
 
+  // Guards against the reset of a flow whose SYN two upstreams accepted, by the one that ends.
+  void testDeparture_flowContinuedElsewhere_isNotReset() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    (void)fromBalancer(Flows, callerData(relayKey(1), Sequence + 7'000'000));
+    (void)Flows.onDeparture("up-10");
+    CPPUNIT_ASSERT(Flows.resetOpenFlows().empty());
+  }
+
   // The acknowledgement of an upstream's end counts both its SYN and its FIN.
   void testPacket_acknowledgingEndWithoutData_isDelivered() {
     for (const std::uint32_t InitialSequence : {5U, 0xfffffffdU, 0xffffffffU}) {
