Don't refuse a waiting SYN whose caller reaches another balancer

After a change of the rotation the copies of a SYN reach other balancers. One of them opens the flow, while the first still holds its copy, refuses it at last and so sends a reset to the caller of an open flow. Its sequence number is 0 and strikes an open flow by chance only (76,800 of 2^32 on each side), but it is a reset of a flow whose upstream is sound.

A caller sends its SYN at 0, 200 and 600 ms. One whose next copy is overdue here has given up or reaches another node: its SYN is dropped and counted as caller_gone. testHeld_holdTimeoutExpires_isRefused had a caller that sent no copies; it now sends both, as callers do, and is refused as before.

--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -78,9 +78,10 @@
   SearchLimited, ///< Too many packets wait for searches.
   TableFull,     ///< MaxSteeredFlows flows are in the table.
   HeldNowhere,   ///< All agents deny that they hold the flow: its upstream has ended.
-  AgentLost      ///< The flow's agent is unreachable, and its requests may be retried.
+  AgentLost,     ///< The flow's agent is unreachable, and its requests may be retried.
+  CallerGone     ///< A waiting SYN is dropped: its caller has given up or reaches another node.
 };
-inline constexpr std::size_t SteeringReasonCount = 15;
+inline constexpr std::size_t SteeringReasonCount = 16;
 
 [[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
 
@@ -239,6 +240,9 @@
   void placeAfterLoadAnswers(common::TimePoint Now, SteeringActions &Actions);
   void hold(const packet::FlowKey &Key, FlowEntry &Entry, common::TimePoint Now,
             SteeringActions &Actions);
+  /// Removes a flow that can't be placed in time, and refuses it unless its caller is gone.
+  void refuseWaitingFlow(const packet::FlowKey &Key, common::TimePoint Now,
+                         SteeringActions &Actions);
   void enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry, SteeringActions &Actions);
   void releaseHeld(common::TimePoint Now, SteeringActions &Actions);
   template <policy::ReleaseOrder Order>
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -17,9 +17,9 @@
 
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasonCount> Names{
-      "placed",    "placed_again",   "insisted",   "known",        "searched",
-      "no_route",  "no_upstream",    "held",       "asked",        "overloaded",
-      "not_ready", "search_limited", "table_full", "held_nowhere", "agent_lost"};
+      "placed",      "placed_again", "insisted",   "known",      "searched",  "no_route",
+      "no_upstream", "held",         "asked",      "overloaded", "not_ready", "search_limited",
+      "table_full",  "held_nowhere", "agent_lost", "caller_gone"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -279,8 +279,7 @@
                         SteeringActions &Actions) {
   if (HeldFlows.size() >= MaxHeldFlows || policy::expired(Entry.Pending->ReleaseInput, Now) ||
       !InUse.uses(policy::Mechanism::Holding)) {
-    refuse(Key, SteeringReason::Overloaded, Actions);
-    Flows.erase(Key);
+    refuseWaitingFlow(Key, Now, Actions);
     return;
   }
   Entry.Agent = 0;
@@ -332,8 +331,7 @@
     if (policy::expired(Entry->Pending->ReleaseInput, Now) ||
         policy::wouldExpire(Entry->Pending->ReleaseInput, StillWaiting[Service], ReleasesPerSecond,
                             Now)) {
-      refuse(Key, SteeringReason::Overloaded, Actions);
-      Flows.erase(Key);
+      refuseWaitingFlow(Key, Now, Actions);
       continue;
     }
     if (FullServices.contains(Service)) {
@@ -352,6 +350,18 @@
   }
 }
 
+// A caller that doesn't retransmit its SYN here any more may have opened the flow through another
+// balancer: a reset would then strike an open flow.
+void FlowSteering::refuseWaitingFlow(const packet::FlowKey &Key, common::TimePoint Now,
+                                     SteeringActions &Actions) {
+  const auto It = Flows.find(Key);
+  if (It->second.Pending->ReleaseInput.callerProbablyGone(Now))
+    Actions.push_back({.Reason = SteeringReason::CallerGone, .Key = Key});
+  else
+    refuse(Key, SteeringReason::Overloaded, Actions);
+  Flows.erase(It);
+}
+
 void FlowSteering::enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry,
                                SteeringActions &Actions) {
   Entry.Pending->Held = true;
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(testHeld_urgentFlows_goBeforeOthersInTime);
   CPPUNIT_TEST(testSyn_whileUrgentFlowsWait_doesNotOvertakeThem);
   CPPUNIT_TEST(testHeld_holdTimeoutExpires_isRefused);
+  CPPUNIT_TEST(testHeld_callerWithoutRetransmissions_isNotReset);
   CPPUNIT_TEST(testHeld_synRetransmission_isRankedByAgeOfFirstSyn);
   CPPUNIT_TEST(testHeld_callerWithoutRetransmissions_goesLast);
   CPPUNIT_TEST(testHeld_tooManyAhead_isRefusedBeforeItExpires);
@@ -311,6 +312,8 @@
     common::TimePoint Now = RelayStart;
     SteeringActions Last;
     for (; Last.empty() && Now < RelayStart + 2s; Now += 20ms) {
+      if (Now == RelayStart + 200ms || Now == RelayStart + 600ms)
+        (void)Balancer.send(firstPacket(relayKey(1), Now < RelayStart + 400ms ? 1 : 2), Now);
       fill(Balancer, Now);
       Balancer.report(AgentOne, 2 + static_cast<std::uint64_t>((Now - RelayStart).count()), Now);
       fill(Balancer, Now);
@@ -321,6 +324,21 @@
     CPPUNIT_ASSERT(Now < RelayStart + relay::CallerConnectTimeout);
   }
 
+  // Guards against the reset of a flow that its caller has opened through another balancer.
+  void testHeld_callerWithoutRetransmissions_isNotReset() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1)));
+    SteeringActions Last;
+    for (auto Now = RelayStart; Last.empty() && Now < RelayStart + 2s; Now += 20ms) {
+      fill(Balancer, Now);
+      Last = Balancer.Steering.onTimer(Now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countActions(Last, Kind::Reset));
+    CPPUNIT_ASSERT(Last.size() == 1 && Last[0].Reason == SteeringReason::CallerGone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Balancer.Steering.flows());
+  }
+
   // Guards against a shutdown that leaves callers of held flows waiting. Callers retransmit their
   // SYN after 200 and 600 ms, so that a balancer from which routers had moved traffic away received
   // nothing for 400 ms and ended while it still held flows.
