Report to balancers that announced a stop, since they start again

After a planned restart of a balancer, callers of a sound upstream saw their open flows reset by it. An agent that had heard the balancer announce its stop left it out of all reports until the balancer contacted the agent. A balancer that starts contacts the agents of the store's list and those that others name; an agent whose upstream was just being replaced is in neither, as it has no record then, and so neither of the two ever heard of the other. After 1.5 s the balancer took its list for complete, and reset every flow of that upstream that moved to it.

A leaving balancer stays among the recipients of reports. A few datagrams to a stopped process are the price, until its entry expires.

--- a/include/galenarelay/relay/balancer_peers.h
+++ b/include/galenarelay/relay/balancer_peers.h
@@ -53,7 +53,7 @@
 
   [[nodiscard]] std::vector<NodeAddress> live(common::TimePoint Now) const;
   /// All balancers that may be running, heard or not, in ascending order: for changes that all of
-  /// them have to learn.
+  /// them have to learn. Includes leaving ones, which may have started again meanwhile.
   [[nodiscard]] std::vector<NodeAddress> all() const;
   /// Addresses of possible balancers that aren't live, or are leaving.
   [[nodiscard]] std::vector<NodeAddress> contacts(common::TimePoint Now) const;
--- a/src/relay/balancer_peers.cpp
+++ b/src/relay/balancer_peers.cpp
@@ -53,12 +53,8 @@
   std::set<NodeAddress> Balancers = Seeds;
   for (const auto &[Address, NamedAt] : Contacts)
     Balancers.insert(Address);
-  for (const auto &[Address, Balancer] : Peers) {
-    if (Balancer.Leaving)
-      Balancers.erase(Address);
-    else
-      Balancers.insert(Address);
-  }
+  for (const auto &[Address, Balancer] : Peers)
+    Balancers.insert(Address);
   return {Balancers.begin(), Balancers.end()};
 }
 
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(testRotation_changingSet_visitsEachInTurn);
   CPPUNIT_TEST(testRoute_weightedServices_dependOnFlowOnly);
   CPPUNIT_TEST(testPeers_beacons_updateLiveAndContacts);
+  CPPUNIT_TEST(testPeers_balancerThatAnnouncedItsStop_isStillReportedTo);
   CPPUNIT_TEST(testMessage_allTypes_readBack);
   CPPUNIT_TEST(testMessage_damaged_isRejected);
   CPPUNIT_TEST(testMessage_longerThanItsBound_isRejected);
@@ -551,6 +552,14 @@
     CPPUNIT_ASSERT(relay::RouteTable::serviceFor({"r", DeskAddress, {}}, relayKey(1)).empty());
   }
 
+  // Guards against a restarted balancer that agents it doesn't know never report to.
+  void testPeers_balancerThatAnnouncedItsStop_isStillReportedTo() {
+    relay::BalancerPeers Peers(AgentOne);
+    (void)Peers.onBeacon(BalancerTwo, {"two", "a", 5, 7, true, {}, {}}, RelayStart);
+    CPPUNIT_ASSERT(Peers.live(RelayStart).empty());
+    CPPUNIT_ASSERT(Peers.all() == std::vector{BalancerTwo});
+  }
+
   void testPeers_beacons_updateLiveAndContacts() {
     relay::BalancerPeers Peers(BalancerOne);
     Peers.addSeed(BalancerOne);
