Keep asking for an agent as long as other balancers name it

A balancer that starts while an agent is restarting lists the agent, finds it silent for 1.2 s and stops to expect it. Other balancers still name the agent, but an entry that existed was not renewed, and one confirmation served a search for as long as it lasted: the agent's flows were reset.

An agent that others name is expected anew, and a denial needs the answers of other balancers from within the last second.

testHolders_namedByPeer_areExpectedUnlessOwnReportIsNewer has the case; it fails without the renewal (the list of agents named is empty).

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -154,7 +154,7 @@
 
   /// Asks other balancers for agents that may hold searched flows and aren't known here.
   void surveyHolders(common::TimePoint Now) {
-    if (!Steering.needsHolderSurvey())
+    if (!Steering.needsHolderSurvey() || !Survey.due(Now))
       return;
     if (const auto Round = Survey.begin(Peers.live(Now), Directory.holderDigest(Now), Random, Now))
       sendToAll(Round->Recipients, Round->Query);
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -50,6 +50,9 @@
 inline constexpr common::Duration EndedRetention = std::chrono::seconds(4);
 /// A flow without packets is removed from the table after this time; a search finds it again.
 inline constexpr common::Duration IdleRetention = std::chrono::seconds(60);
+/// The agents that other balancers named are asked again if a flow is denied later than this after
+/// it: they may have stopped to expect an agent that was named then.
+inline constexpr common::Duration ConfirmationValidity = std::chrono::milliseconds(1000);
 /// Maximum number of opening times kept between two calls of takeOpeningTimes; further ones are
 /// missing from the metrics.
 inline constexpr std::size_t MaxOpeningTimes = 1000;
@@ -130,7 +133,8 @@
   void setSurveyPossible(bool Possible) noexcept { SurveyPossible = Possible; }
   /// Whether other balancers are to be asked for the agents that may hold flows.
   [[nodiscard]] bool needsHolderSurvey() const noexcept {
-    return SurveyPossible && Search.latestBroadcastStart() > HoldersConfirmedAt;
+    return SurveyPossible &&
+           (DenialUnconfirmed || Search.latestBroadcastStart() > HoldersConfirmedAt);
   }
   /// Called once the agents that other balancers knew at a time, or later, are in the directory.
   void onHoldersConfirmed(common::TimePoint At);
@@ -299,6 +303,7 @@
   FlowSearch Search;
   bool SurveyPossible = false;
   common::TimePoint HoldersConfirmedAt{};
+  bool DenialUnconfirmed = false; ///< All agents known here deny a flow; others may know more.
   std::vector<packet::FlowKey> HeldFlows;
   std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
   std::vector<packet::FlowKey> LoadQueryFlows;
--- a/include/galenarelay/relay/holder_survey.h
+++ b/include/galenarelay/relay/holder_survey.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/random.h"
 #include "galenarelay/common/time.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/upstream_directory.h"
 
 #include <cstdint>
 #include <map>
@@ -21,9 +22,8 @@
 /// it.
 inline constexpr common::Duration SurveyInterval = std::chrono::milliseconds(50);
 /// A round without enough answers is given up after this time, and another one asks other
-/// balancers: several times the round trip between zones and the time that a balancer takes to
-/// answer.
-inline constexpr common::Duration SurveyTimeout = std::chrono::milliseconds(100);
+/// balancers. It is as long as the longest wait for an answer of an agent.
+inline constexpr common::Duration SurveyTimeout = MaxAnswerTimeout;
 
 /// Asks other balancers which agents may hold flows. A balancer may have missed the reports of an
 /// agent; only agents that none of several balancers knows are taken not to exist.
@@ -35,8 +35,11 @@
     std::vector<NodeAddress> Recipients;
   };
 
-  /// Starts a round if none is in progress and SurveyInterval has passed. Digest is that of the
-  /// holders known here.
+  /// Whether a round may start: none is in progress, and SurveyInterval has passed.
+  [[nodiscard]] bool due(common::TimePoint Now) const noexcept {
+    return Now - StartedAt >= (InProgress ? SurveyTimeout : SurveyInterval);
+  }
+  /// Starts a round if it is due. Digest is that of the holders known here.
   [[nodiscard]] std::optional<Round> begin(std::vector<NodeAddress> Balancers, std::uint64_t Digest,
                                            common::Engine &Random, common::TimePoint Now);
   /// Returns the start time of the round if this answer completes it.
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -190,7 +190,7 @@
   [[nodiscard]] std::uint64_t holderDigest(common::TimePoint Now) const;
   /// Notes the holders that a peer has named. Those that are unknown here, or that have sent the
   /// peer a newer report than the one here that says their upstream has ended, are expected to
-  /// report. Returns them.
+  /// report from now on. Returns those that weren't expected already.
   std::vector<NodeAddress> noteHolders(std::span<const KnownAgent> Named, common::TimePoint Now);
   /// Whether an agent has become lost within LostHolderRetention, so that it can't be asked whether
   /// its upstream holds a flow.
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -553,7 +553,9 @@
   if (!isIdempotent(Key) && Directory.hasRecentlyLostAgent(Now))
     return;
   // Other balancers may know agents that this one has missed.
-  if (SurveyPossible && Search.progress(Key).StartedAt > HoldersConfirmedAt)
+  const auto ConfirmedSince = std::max(Search.progress(Key).StartedAt, Now - ConfirmationValidity);
+  if (SurveyPossible && HoldersConfirmedAt < ConfirmedSince) {
+    DenialUnconfirmed = true;
     return;
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
@@ -567,6 +569,7 @@
 void FlowSteering::onHoldersConfirmed(common::TimePoint At) {
   HoldersConfirmedAt = At;
   Search.repeatDeniedBroadcasts();
+  DenialUnconfirmed = false;
 }
 
 bool FlowSteering::isIdempotent(const packet::FlowKey &Key) const noexcept {
--- a/src/relay/holder_survey.cpp
+++ b/src/relay/holder_survey.cpp
@@ -8,7 +8,7 @@
 std::optional<HolderSurvey::Round> HolderSurvey::begin(std::vector<NodeAddress> Balancers,
                                                        std::uint64_t Digest, common::Engine &Random,
                                                        common::TimePoint Now) {
-  if (Balancers.empty() || Now - StartedAt < (InProgress ? SurveyTimeout : SurveyInterval))
+  if (Balancers.empty() || !due(Now))
     return std::nullopt;
   const std::size_t Count = std::min(SurveyedBalancers, Balancers.size());
   for (std::size_t I = 0; I < Count; ++I)
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -453,8 +453,12 @@
                                                       std::tie(Report.Incarnation, Report.Sequence))
         continue;
     }
-    if (Expected.try_emplace(Holder.Address, ExpectedAgent{.Since = Now}).second)
-      Unreported.push_back(Holder.Address);
+    const auto [Entry, Added] = Expected.try_emplace(Holder.Address, ExpectedAgent{.Since = Now});
+    if (!Added && mayStillReport(Entry->second, Now))
+      continue;
+    // Other balancers still hear an agent that has not answered this one.
+    Entry->second = {.Since = Now};
+    Unreported.push_back(Holder.Address);
   }
   return Unreported;
 }
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -302,6 +302,14 @@
     CPPUNIT_ASSERT(Name({AgentThree, 1, 1}) == std::vector{AgentThree});
     CPPUNIT_ASSERT(Name({AgentThree, 1, 2}).empty());
     CPPUNIT_ASSERT((Directory.expectedHolders(RelayStart) == std::vector{AgentTwo, AgentThree}));
+    // An agent that stays silent towards this balancer is expected again while others hear it.
+    for (auto Now = RelayStart; Now <= RelayStart + relay::LostTime; Now += 20ms)
+      (void)Directory.takeExpectedQueries(Now);
+    const auto Later = RelayStart + relay::LostTime + 1ms;
+    CPPUNIT_ASSERT(Directory.expectedHolders(Later).empty());
+    CPPUNIT_ASSERT(Directory.noteHolders(std::vector<relay::KnownAgent>{{AgentThree, 1, 3}},
+                                         Later) == std::vector{AgentThree});
+    CPPUNIT_ASSERT(Directory.expectedHolders(Later) == std::vector{AgentThree});
     (void)Directory.onReport(AgentTwo, agentReport(7), RelayStart);
     CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart) == std::vector{AgentThree});
     CPPUNIT_ASSERT((Directory.reportingHolders(RelayStart) == std::vector{AgentOne, AgentTwo}));
