Search the flows of a lost agent instead of resetting them at once

A balancer that had placed a late copy of a SYN took that placement for the flow's home, though the caller had opened the flow through another balancer at another upstream. When the agent of the placement was lost, the caller got a reset of its open flow.

The reason agent_lost is gone from flow_steered lines and metrics.

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -197,8 +197,7 @@
   }
 
   void logDecision(const relay::SteeringAction &Action, common::TimePoint Now) {
-    const bool ResetsOpenFlow = Action.Reason == relay::SteeringReason::HeldNowhere ||
-                                Action.Reason == relay::SteeringReason::AgentLost;
+    const bool ResetsOpenFlow = Action.Reason == relay::SteeringReason::HeldNowhere;
     if (!(ResetsOpenFlow ? mayLogReset(Now) : mayLogFlow(Now)))
       return;
     nlohmann::json Fields{{"flow", packet::toString(Action.Key)},
@@ -437,7 +436,7 @@
       common::log(common::LogLevel::Warning, "agent_lost",
                   {{"agent", common::addressToString(Agent)},
                    {"silent_ms", common::wholeMilliseconds(Now - Directory.find(Agent)->HeardAt)}});
-      perform(Steering.onAgentLost(Agent), {}, Now);
+      Steering.onAgentLost(Agent, Now);
     }
     sendBeacons(Now);
     for (const auto Time : Steering.takeOpeningTimes())
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -78,6 +78,8 @@
   /// Sets whether a flow that no candidate holds is searched at all agents. To be false until all
   /// agents are known.
   void setMayBroadcast(bool Allowed) noexcept { MayBroadcast = Allowed; }
+  /// Starts or continues a search without a packet. Returns false if there are too many searches.
+  bool begin(const packet::FlowKey &Key, std::uint32_t Acknowledgement, common::TimePoint Now);
   /// Starts or continues the search for the flow of a packet. Returns false if the packet is
   /// dropped.
   bool add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -81,10 +81,9 @@
   SearchLimited, ///< Too many packets wait for searches.
   TableFull,     ///< MaxSteeredFlows flows are in the table.
   HeldNowhere,   ///< All agents deny that they hold the flow: its upstream has ended.
-  AgentLost,     ///< The flow's agent is unreachable, and its requests may be retried.
   CallerGone     ///< A waiting SYN is dropped: its caller has given up or reaches another node.
 };
-inline constexpr std::size_t SteeringReasonCount = 16;
+inline constexpr std::size_t SteeringReasonCount = 15;
 
 [[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
 
@@ -163,9 +162,10 @@
   /// Handles an agent's message that its upstream doesn't hold a flow.
   [[nodiscard]] SteeringActions onAbsence(const FlowAbsence &Absence, NodeAddress From,
                                           common::TimePoint Now);
-  /// Resets the flows of an agent that can't be reached, if their requests are idempotent. Other
-  /// flows stay: an upstream that still runs may have a response ready.
-  [[nodiscard]] SteeringActions onAgentLost(NodeAddress Agent);
+  /// Searches the flows of an agent that can't be reached, if their requests are idempotent; those
+  /// that no other agent holds are reset. Other flows stay: an upstream that still runs may have a
+  /// response ready.
+  void onAgentLost(NodeAddress Agent, common::TimePoint Now);
   [[nodiscard]] SteeringActions onFlowNotice(const FlowNotice &Notice, NodeAddress From,
                                              common::TimePoint Now);
   /// Called after an agent has reported its load: places flows that wait for that or for capacity.
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -4,8 +4,8 @@
 
 namespace galenarelay::relay {
 
-bool FlowSearch::add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
-                     std::span<const std::uint8_t> Packet, common::TimePoint Now) {
+bool FlowSearch::begin(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+                       common::TimePoint Now) {
   if (Searches.size() >= MaxSearches && !Searches.contains(Key))
     return false;
   auto [It, Added] = Searches.try_emplace(Key);
@@ -16,6 +16,14 @@
     Entry.StartedAt = Now;
     enqueue(Key, Entry, Stage::Nearest);
   }
+  return true;
+}
+
+bool FlowSearch::add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+                     std::span<const std::uint8_t> Packet, common::TimePoint Now) {
+  if (!begin(Key, Acknowledgement, Now))
+    return false;
+  Search &Entry = Searches.at(Key);
   if (Entry.Waiting.size() >= MaxHeldPerFlow || WaitingPackets >= MaxHeldPackets)
     return false;
   Entry.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -17,9 +17,9 @@
 
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasonCount> Names{
-      "placed",      "placed_again", "insisted",   "known",      "searched",  "no_route",
-      "no_upstream", "held",         "asked",      "overloaded", "not_ready", "search_limited",
-      "table_full",  "held_nowhere", "agent_lost", "caller_gone"};
+      "placed",    "placed_again",   "insisted",   "known",        "searched",
+      "no_route",  "no_upstream",    "held",       "asked",        "overloaded",
+      "not_ready", "search_limited", "table_full", "held_nowhere", "caller_gone"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -557,6 +557,7 @@
   if (SurveyPossible && HoldersConfirmedAt < ConfirmedSince) {
     DenialUnconfirmed = true;
     return;
+  }
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
                      .Key = Key,
@@ -568,8 +569,8 @@
 
 void FlowSteering::onHoldersConfirmed(common::TimePoint At) {
   HoldersConfirmedAt = At;
-  Search.repeatDeniedBroadcasts();
   DenialUnconfirmed = false;
+  Search.repeatDeniedBroadcasts();
 }
 
 bool FlowSteering::isIdempotent(const packet::FlowKey &Key) const noexcept {
@@ -577,24 +578,18 @@
   return MatchedRoute != nullptr && MatchedRoute->Idempotent;
 }
 
-SteeringActions FlowSteering::onAgentLost(NodeAddress Agent) {
-  SteeringActions Actions;
+// The flow may be open at another upstream that accepted an earlier SYN of its caller.
+void FlowSteering::onAgentLost(NodeAddress Agent, common::TimePoint Now) {
   if (!InUse.uses(policy::Mechanism::LossReset))
-    return Actions;
-  for (auto It = Flows.begin(); It != Flows.end();) {
-    const FlowEntry &Entry = It->second;
+    return;
+  for (auto &[Key, Entry] : Flows) {
     if (Entry.Agent != Agent || Entry.State != Phase::Open || !Entry.HasAcknowledgement ||
-        !isIdempotent(It->first)) {
-      ++It;
+        !isIdempotent(Key))
       continue;
-    }
-    Actions.push_back({.Operation = SteeringAction::Kind::Reset,
-                       .Reason = SteeringReason::AgentLost,
-                       .Key = It->first,
-                       .Sequence = Entry.Acknowledgement});
-    It = Flows.erase(It);
+    Entry.Agent = 0;
+    setState(Entry, Phase::Searching, Now);
+    Search.begin(Key, Entry.Acknowledgement, Now);
   }
-  return Actions;
 }
 
 SteeringActions FlowSteering::onReturned(const PacketHeader &Head, const ReturnedPacket &Returned,
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(testSearch_othersNameNoFurtherAgent_resetsOnceConfirmed);
   CPPUNIT_TEST(testReturn_flowNotHeld_goesToSecondAcceptingAgent);
   CPPUNIT_TEST(testAgentLost_idempotentFlows_areReset);
+  CPPUNIT_TEST(testAgentLost_flowOpenElsewhere_isFoundThere);
   CPPUNIT_TEST(testAgentSilent_lessThanLostTime_keepsOpenFlows);
   CPPUNIT_TEST(testSearch_withoutConfiguration_findsOpenFlows);
   CPPUNIT_TEST(testShutdown_synsHeld_areRefused);
@@ -841,10 +842,38 @@
     // agents reported on their own initiative.
     CPPUNIT_ASSERT(Waited >= relay::LostTime && Waited <= relay::LostTime + 300ms);
     CPPUNIT_ASSERT(Balancer.Directory.takeLost(0, RelayStart + Waited).empty());
-    const auto Resets = Balancer.Steering.onAgentLost(Agent);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::Reset));
+    const auto Lost = RelayStart + Waited;
+    Balancer.Steering.onAgentLost(Agent, Lost);
     // Requests of this flow aren't idempotent, and a response may be ready.
-    CPPUNIT_ASSERT(Balancer.Steering.onAgentLost(Order).empty());
+    Balancer.Steering.onAgentLost(Order, Lost);
+    const auto Resets = Balancer.answerQueriesUntil(
+        Lost + 300ms,
+        [&](const auto &Query, common::TimePoint Now) {
+          return Query.Agent == Agent ? SteeringActions{} : Balancer.answer(Query, Now);
+        },
+        Lost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::Reset));
+    CPPUNIT_ASSERT(Resets[0].Key == relayKey(1));
+  }
+
+  // Guards against the reset of a flow that this balancer placed again but is open elsewhere.
+  void testAgentLost_flowOpenElsewhere_isFoundThere() {
+    Node Balancer;
+    const auto Agent = Balancer.open(relayKey(1));
+    const auto Other = Agent == AgentOne ? AgentTwo : AgentOne;
+    const auto Lost = RelayStart + repeatUntilLost(Balancer, relayKey(1), Agent);
+    Balancer.Steering.onAgentLost(Agent, Lost);
+    const auto Actions = Balancer.answerQueriesUntil(
+        Lost + 200ms,
+        [&](const auto &Query, common::TimePoint Now) {
+          if (Query.Agent == Agent)
+            return SteeringActions{};
+          return Query.Agent == Other ? Balancer.answer(Query, Now, {0})
+                                      : Balancer.answer(Query, Now);
+        },
+        Lost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countActions(Actions, Kind::Reset));
+    CPPUNIT_ASSERT_EQUAL(Other, Balancer.Steering.agentOf(relayKey(1)));
   }
 
   // Flows of an agent that is silent for less than LostTime are not reset.
