Adopt flows that were offered again to an upstream that had accepted them

An agent restarted while its upstream ran. If a late copy of the SYN of a flow that was open at the upstream reached it, it took the flow for a new one that the upstream hadn't accepted. For up to 2 s it returned the caller's packets or denied the flow, although the upstream sent data on it, so that the balancer could search in vain and reset the caller. After 80 ms it also returned the SYN to the balancer as unanswered and declined new flows until the upstream's next sign of life.

Cause: only unconfirmed entries were adopted on data of the upstream, not offered ones.

Before the change, testFlow_openBeforeRestartAndOfferedAgain_isAdopted failed with "relay_upstream_flows_test.cpp:557 assertion failed, Expression: Actions.size() == 1 && Actions[0].Operation == Kind::Deliver".

An upstream sends its SYN-ACK before anything else. So if a table that may be incomplete lacks it, a packet of the upstream without SYN shows that the flow was open before, and the entry is adopted. A reset shows nothing. With a complete table nothing changes (testFlow_offeredWithCompleteTable_isNotAdopted). Until the upstream sends something, the caller's packets are still returned.

--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -295,7 +295,11 @@
   }
   if (!Head.Flags.Syn)
     Entry.Established = true;
-  const bool Adopted = Entry.State == Phase::Unconfirmed;
+  // An upstream sends a SYN-ACK first. If an incomplete table lacks it, the upstream accepted the
+  // flow before this process saw the SYN.
+  const bool OpenBefore =
+      Entry.State == Phase::Offered && !TableComplete && !Head.Flags.Syn && !Head.Flags.Rst;
+  const bool Adopted = Entry.State == Phase::Unconfirmed || OpenBefore;
   if (Adopted) {
     Entry.State = Phase::Open;
     Entry.SavedPacket.reset();
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(testReset_repeatedForUnconfirmedFlow_isNotSentToCaller);
   CPPUNIT_TEST(testReset_ofUnconfirmedFlowWithoutSearch_returnsPacketToBalancer);
   CPPUNIT_TEST(testQuery_afterSuspensionBeforeTimer_isHeld);
+  CPPUNIT_TEST(testFlow_openBeforeRestartAndOfferedAgain_isAdopted);
+  CPPUNIT_TEST(testFlow_offeredWithCompleteTable_isNotAdopted);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -544,6 +546,26 @@
       (void)Flows.onTimer(Now);
     CPPUNIT_ASSERT(Flows.onQuery(Query, Resumed).Held.empty());
   }
+
+  // A copy of the SYN can reach an agent that has restarted since the upstream accepted the flow.
+  void testFlow_openBeforeRestartAndOfferedAgain_isAdopted() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    (void)fromBalancer(Flows, firstPacket(relayKey(1), 1));
+    const auto Adopted = fromUpstream(Flows, upstreamData(relayKey(1), Sequence + 1));
+    const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence + 101));
+    CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Deliver);
+    CPPUNIT_ASSERT(Flows.onTimer(RelayStart + relay::FirstAnswerTimeout).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Adopted, Kind::Notify));
+  }
+
+  void testFlow_offeredWithCompleteTable_isNotAdopted() {
+    auto Flows = readyFlows();
+    (void)fromBalancer(Flows, firstPacket(relayKey(1), 1));
+    (void)fromUpstream(Flows, upstreamData(relayKey(1), Sequence + 1));
+    const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence + 101));
+    CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Return);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
