Take SIGTERM and SIGHUP from the start of relay programs

A signal that arrived between the start of the process and the end of the node's set-up ended it with the signal's status: a planned restart right after a start, or a reload, looked like a crash. The signal sets are now made before the node starts.

--- a/include/galenarelay/node/relay_program.h
+++ b/include/galenarelay/node/relay_program.h
@@ -33,16 +33,17 @@
 int runRelayProgram(const RelayProgram<Options> &Program, int ArgumentCount, char **Arguments) {
   const auto Run = [&](const common::Settings &Values) -> common::Result<int> {
     boost::asio::io_context Io(1);
+    // Before the node starts, so that a signal that arrives meanwhile doesn't end the process.
+    boost::asio::signal_set StopSignals(Io, SIGINT, SIGTERM);
+    boost::asio::signal_set ReloadSignal(Io, SIGHUP);
     common::Metrics Metrics;
     Node RunningNode(Io, Program.Read(Values), Metrics);
     RunningNode.start();
-    boost::asio::signal_set StopSignals(Io, SIGINT, SIGTERM);
     StopSignals.async_wait([&](boost::system::error_code Failure, int) {
       if (!Failure)
         boost::asio::co_spawn(Io, RunningNode.drain(),
                               [&](const std::exception_ptr &) { Io.stop(); });
     });
-    boost::asio::signal_set ReloadSignal(Io, SIGHUP);
     std::function<void()> AwaitReload = [&] {
       ReloadSignal.async_wait([&](boost::system::error_code Failure, int) {
         if (Failure)
