Soak: a stall of the soak excuses open flows, a fault of the store doesn't

Upstreams live in the soak's process. Stalls over 400 ms are now logged and count as a fault of all machines; all other faults are judged as before.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -61,7 +61,18 @@
   return Clock::now() - Since > StableWindow;
 }
 
+void Ledger::onTick() {
+  const auto Now = Clock::now();
+  if (Now - LastTick > StallBound) {
+    common::log(common::LogLevel::Warning, "soak_stalled",
+                {{"stall_ms", (Now - LastTick) / std::chrono::milliseconds(1)}});
+    onUnplannedFault();
+  }
+  LastTick = Now;
+}
+
 void Ledger::onFlowDisturbed(const std::string &Detail, const std::set<std::uint32_t> &Machines) {
+  onTick();
   if (std::all_of(Machines.begin(), Machines.end(), [this](auto Each) { return inTouch(Each); }))
     return violation("open flows", Detail);
   ++Counts.ExcusedFlows;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -26,6 +26,9 @@
 inline constexpr auto DrainBound = std::chrono::milliseconds(3000);
 inline constexpr auto MisrouteBound = std::chrono::milliseconds(2000);
 inline constexpr std::size_t MisroutedPackets = 3;
+/// A soak that itself stood still for this long excuses what follows, since its upstreams did so
+/// too: half of their heartbeat interval, after which an agent may take them for silent.
+inline constexpr auto StallBound = std::chrono::milliseconds(400);
 
 /// What callers and upstreams have seen, and whether it keeps the promises.
 class Ledger {
@@ -46,17 +49,23 @@
 
   /// A configuration that the store has acknowledged: the service of each route.
   void onConfiguration(std::map<common::Endpoint, std::set<std::string>> Services);
-  /// A fault that concerns all machines, as of the store or of the links that the soak carries.
+  /// A fault that concerns all machines, as of the links that the soak carries.
   void onUnplannedFault() {
     LastUnplanned = Clock::now();
     LastCommonFault = LastUnplanned;
   }
+  /// A fault of the store or of the way to it. Excuses no open flow, which is more than the rule
+  /// asks: nodes find open flows without the store.
+  void onStoreFault() { LastUnplanned = Clock::now(); }
   /// A fault of one machine, named by the address of its node.
   void onUnplannedFault(std::uint32_t Machine) {
     LastUnplanned = MachineFaults[Machine] = Clock::now();
   }
   void onDrainAcknowledged(const std::string &Host) { Drained.try_emplace(Host, Clock::now()); }
 
+  /// Called at short intervals, and before a flow is judged.
+  void onTick();
+
   /// A caller opens a flow.
   void onFirstPacket(const packet::FlowKey &Flow) { Opened[Flow] = Clock::now(); }
   /// An upstream has taken the first packet of a flow.
@@ -81,7 +90,7 @@
 
   [[nodiscard]] bool checksTimes() const noexcept { return CheckTimes; }
   [[nodiscard]] bool calm() const { return Clock::now() - LastUnplanned > StableWindow; }
-  /// True if neither the store and the common links nor this machine had a fault lately.
+  /// True if neither the common links nor this machine had a fault lately.
   [[nodiscard]] bool inTouch(std::uint32_t Machine) const;
   [[nodiscard]] std::size_t violations() const noexcept { return Violations; }
 
@@ -116,6 +125,7 @@
   std::map<packet::FlowKey, OpenFlow> OpenFlows;
   std::map<std::uint32_t, Clock::time_point> MachineFaults;
   Clock::time_point LastCommonFault{};
+  Clock::time_point LastTick = Clock::now();
   Clock::time_point LastUnplanned{};
   std::size_t Violations = 0;
 };
