--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -30,6 +30,8 @@
 inline constexpr common::Duration SlowAnswerThreshold = std::chrono::milliseconds(300);
 /// Time that a stopping agent leaves for its last messages to be sent.
 inline constexpr common::Duration StopFlushTime = std::chrono::milliseconds(20);
+/// RelayAgent calls onResume() for the pauses that UpstreamFlows doesn't count as silence.
+static_assert(relay::SuspensionThreshold == impl::ProcessPauseThreshold);
 
 /// An agent of relayed flows: connects the flow logic to sockets, timers and the store.
 template <RelayPlatform Platform> class RelayAgent : impl::RelayNode<Platform> {
@@ -97,6 +99,7 @@
   using Base::Io;
   using Base::MalformedPackets;
   using Base::mayLogFlow;
+  using Base::mayLogReset;
   using Base::Options;
   using Base::PacketSocket;
   using Base::Peers;
@@ -170,12 +173,14 @@
   void logEvent(const relay::FlowAction &Action, common::TimePoint Now) {
     using Event = relay::FlowEvent;
     if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller ||
-        Action.Event == Event::RoomAgain || !mayLogFlow(Now))
+        Action.Event == Event::RoomAgain)
+      return;
+    if (!(Action.Event == Event::LostByUpstream ? mayLogReset(Now) : mayLogFlow(Now)))
       return;
     common::log(
         common::LogLevel::Info, "flow_event",
         {{"flow", packet::toString(Action.Key)},
-         {"event", name(Action.Event)},
+         {"decision", name(Action.Event)},
          {"reason", Action.Operation == relay::FlowAction::Kind::Return ? name(Action.Reason) : ""},
          {"state", name(Flows.state(Now))},
          {"unanswered", Flows.load().Unanswered},
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/flow_steering.h"
+#include "galenarelay/relay/holder_survey.h"
 
 #include <algorithm>
 #include <array>
@@ -108,6 +109,7 @@
   using Base::Io;
   using Base::MalformedPackets;
   using Base::mayLogFlow;
+  using Base::mayLogReset;
   using Base::Options;
   using Base::PacketSocket;
   using Base::Peers;
@@ -147,6 +149,15 @@
                    {"searches", Steering.searches()},
                    {"agents_known", Directory.size()}});
     perform(Actions, {}, Now);
+    surveyHolders(Now);
+  }
+
+  /// Asks other balancers for agents that may hold searched flows and aren't known here.
+  void surveyHolders(common::TimePoint Now) {
+    if (!Steering.needsHolderSurvey() || !Survey.due(Now))
+      return;
+    if (const auto Round = Survey.begin(Peers.live(Now), Directory.holderDigest(Now), Random, Now))
+      sendToAll(Round->Recipients, Round->Query);
   }
 
   void perform(const relay::SteeringActions &Actions, std::span<std::uint8_t> Raw,
@@ -186,11 +197,18 @@
   }
 
   void logDecision(const relay::SteeringAction &Action, common::TimePoint Now) {
-    if (!mayLogFlow(Now))
+    const bool ResetsOpenFlow = Action.Reason == relay::SteeringReason::HeldNowhere;
+    if (!(ResetsOpenFlow ? mayLogReset(Now) : mayLogFlow(Now)))
       return;
     nlohmann::json Fields{{"flow", packet::toString(Action.Key)},
                           {"decision", name(Action.Reason)},
                           {"revision", Steering.routes().revision()}};
+    if (Action.Reason == relay::SteeringReason::HeldNowhere) {
+      Fields["denials"] = Action.SearchProgress.Denials;
+      Fields["searched_ms"] = common::wholeMilliseconds(Now - Action.SearchProgress.StartedAt);
+      Fields["agents_known"] = Directory.size();
+      Fields["uptime_ms"] = common::wholeMilliseconds(Now - StartedAt);
+    }
     if (const relay::AgentView *View = Directory.find(Action.Agent)) {
       Fields["agent"] = View->Report.Id;
       Fields["attempt"] = Action.Attempt;
@@ -285,6 +303,33 @@
     Directory.onLossAnswer(Answer, From);
   }
 
+  void handle(const relay::HolderQuery &Query, relay::NodeAddress From, common::TimePoint Now) {
+    const bool Settled = Steering.agentsKnown(Now);
+    const auto Holders = Query.Digest == Directory.holderDigest(Now)
+                             ? std::vector<relay::KnownAgent>{}
+                             : Directory.knownHolders(Now);
+    const auto Parts = std::max<std::size_t>(1, (Holders.size() + relay::MaxNamedHolders - 1) /
+                                                    relay::MaxNamedHolders);
+    for (std::size_t Part = 0; Part < Parts; ++Part)
+      sendTo(From, relay::HolderAnswer{Query.Id, Settled, static_cast<std::uint16_t>(Part),
+                                       static_cast<std::uint16_t>(Parts),
+                                       slice(Holders, Part, relay::MaxNamedHolders)});
+  }
+
+  void handle(const relay::HolderAnswer &Answer, relay::NodeAddress From, common::TimePoint Now) {
+    if (const auto Missed = Directory.noteHolders(Answer.Agents, Now); !Missed.empty()) {
+      common::log(common::LogLevel::Info, "agents_named_by_peer",
+                  {{"peer", common::addressToString(From)},
+                   {"agents", Missed.size()},
+                   {"agents_known", Directory.size()}});
+      sendToAll(Missed, makeBeacon(Now));
+    }
+    if (const auto Confirmed = Survey.onAnswer(Answer, From)) {
+      Steering.onHoldersConfirmed(*Confirmed);
+      sendFlowQueries(Now);
+    }
+  }
+
   void handle(const relay::ReturnedPacket &Returned, relay::NodeAddress From,
               common::TimePoint Now) {
     const auto Head = Platform::Packets::decode(Returned.Packet, relay::Side::Caller);
@@ -318,18 +363,21 @@
   void sendNodeLists(relay::NodeAddress To, common::TimePoint Now) {
     const auto Live = Peers.live(Now);
     const auto Agents = Directory.reportingHolders(Now);
-    for (std::size_t Begin = 0; Begin == 0 || Begin < std::max(Live.size(), Agents.size());
-         Begin += relay::MaxBeaconAddresses) {
+    for (std::size_t Part = 0;
+         Part == 0 || Part * relay::MaxBeaconAddresses < std::max(Live.size(), Agents.size());
+         ++Part) {
       auto Beacon = makeBeacon(Now);
-      Beacon.Balancers = slice(Live, Begin);
-      Beacon.Agents = slice(Agents, Begin);
+      Beacon.Balancers = slice(Live, Part, relay::MaxBeaconAddresses);
+      Beacon.Agents = slice(Agents, Part, relay::MaxBeaconAddresses);
       sendTo(To, std::move(Beacon));
     }
   }
-  static std::vector<relay::NodeAddress> slice(const std::vector<relay::NodeAddress> &All,
-                                               std::size_t Begin) {
-    const auto From = std::min(Begin, All.size());
-    const auto To = std::min(Begin + relay::MaxBeaconAddresses, All.size());
+
+  /// The part of a list with this number, if each part has Size entries.
+  template <typename T>
+  static std::vector<T> slice(const std::vector<T> &All, std::size_t Part, std::size_t Size) {
+    const auto From = std::min(Part * Size, All.size());
+    const auto To = std::min(From + Size, All.size());
     return {All.begin() + static_cast<std::ptrdiff_t>(From),
             All.begin() + static_cast<std::ptrdiff_t>(To)};
   }
@@ -375,6 +423,7 @@
       Directory.onResume(Now);
     }
     Steering.setRoutesCurrent(routesCurrent(Now));
+    Steering.setSurveyPossible(!Peers.live(Now).empty());
     perform(Steering.onTimer(Now), {}, Now);
     sendFlowQueries(Now);
     const auto RepeatedQuery = relay::UpstreamDirectory::repeatedQuery(Now);
@@ -387,7 +436,7 @@
       common::log(common::LogLevel::Warning, "agent_lost",
                   {{"agent", common::addressToString(Agent)},
                    {"silent_ms", common::wholeMilliseconds(Now - Directory.find(Agent)->HeardAt)}});
-      perform(Steering.onAgentLost(Agent), {}, Now);
+      Steering.onAgentLost(Agent, Now);
     }
     sendBeacons(Now);
     for (const auto Time : Steering.takeOpeningTimes())
@@ -587,6 +636,7 @@
 
   relay::UpstreamDirectory Directory;
   relay::FlowSteering Steering;
+  relay::HolderSurvey Survey;
   common::TimePoint LastPacketAt{};
   common::TimePoint NextBeaconAt{};
   common::TimePoint NextContactAt{};
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -65,11 +65,21 @@
     std::vector<packet::FlowKey> DeniedByAll; ///< Denied by all agents.
   };
 
+  /// Progress of the search for one flow.
+  struct Progress {
+    std::size_t Denials = 0;       ///< Agents that have denied the flow.
+    common::TimePoint StartedAt{}; ///< Arrival of the flow's first packet.
+
+    friend bool operator==(const Progress &, const Progress &) = default;
+  };
+
   /// Sets whether small fleets are queried more often than at BroadcastInterval.
   void setPacedByFleetSize(bool Enabled) noexcept { PacedByFleetSize = Enabled; }
   /// Sets whether a flow that no candidate holds is searched at all agents. To be false until all
   /// agents are known.
   void setMayBroadcast(bool Allowed) noexcept { MayBroadcast = Allowed; }
+  /// Starts or continues a search without a packet. Returns false if there are too many searches.
+  bool begin(const packet::FlowKey &Key, std::uint32_t Acknowledgement, common::TimePoint Now);
   /// Starts or continues the search for the flow of a packet. Returns false if the packet is
   /// dropped.
   bool add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
@@ -90,6 +100,14 @@
   bool onAbsence(const packet::FlowKey &Key, NodeAddress From);
   /// The oldest waiting packet of the flow, for an agent that is unsure; null if there is none.
   [[nodiscard]] std::shared_ptr<const Bytes> oldestPacket(const packet::FlowKey &Key) const;
+  /// The progress of a flow's search, which must not have ended.
+  [[nodiscard]] Progress progress(const packet::FlowKey &Key) const;
+  /// Start of the latest search that has reached its last stage.
+  [[nodiscard]] common::TimePoint latestBroadcastStart() const noexcept {
+    return LatestBroadcastStart;
+  }
+  /// For flows that all queried agents have denied: queries those that have become known since.
+  void repeatDeniedBroadcasts();
   /// Ends a search and returns its waiting packets.
   [[nodiscard]] Packets finish(const packet::FlowKey &Key);
   /// Advances searches whose agents don't answer, and gives up those without packets from callers.
@@ -112,6 +130,7 @@
     std::uint32_t Rounds = 0;
     std::vector<NodeAddress> AwaitingAnswer;
     std::vector<NodeAddress> DeniedBy;
+    common::TimePoint StartedAt{};
     common::TimePoint QueriedAt{};
     common::TimePoint LastPacketAt{};
   };
@@ -144,6 +163,7 @@
   bool PacedByFleetSize = true;
   common::TimePoint LastCandidateQueryAt{};
   common::TimePoint LastBroadcastAt{};
+  common::TimePoint LatestBroadcastStart{};
   common::Duration BroadcastPause = CandidateQueryInterval; ///< After the last broadcast.
 };
 
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -50,6 +50,9 @@
 inline constexpr common::Duration EndedRetention = std::chrono::seconds(4);
 /// A flow without packets is removed from the table after this time; a search finds it again.
 inline constexpr common::Duration IdleRetention = std::chrono::seconds(60);
+/// The agents that other balancers named are asked again if a flow is denied later than this after
+/// it: they may have stopped to expect an agent that was named then.
+inline constexpr common::Duration ConfirmationValidity = std::chrono::milliseconds(1000);
 /// Maximum number of opening times kept between two calls of takeOpeningTimes; further ones are
 /// missing from the metrics.
 inline constexpr std::size_t MaxOpeningTimes = 1000;
@@ -78,7 +81,7 @@
   SearchLimited, ///< Too many packets wait for searches.
   TableFull,     ///< MaxSteeredFlows flows are in the table.
   HeldNowhere,   ///< All agents deny that they hold the flow: its upstream has ended.
-  AgentLost      ///< The flow's agent is unreachable, and its requests may be retried.
+  CallerGone     ///< A waiting SYN is dropped: its caller has given up or reaches another node.
 };
 inline constexpr std::size_t SteeringReasonCount = 15;
 
@@ -100,6 +103,8 @@
   Transit TransitFields;      ///< For Forward.
   std::uint32_t Sequence = 0; ///< For Reset: sequence number of the RST.
   std::uint8_t Attempt = 0;   ///< Agents that have been sent the SYN so far.
+  /// For a Reset with HeldNowhere: the search that found no agent.
+  FlowSearch::Progress SearchProgress;
   /// The packet to forward, if it isn't the one just received.
   std::shared_ptr<const Bytes> SavedPacket;
 };
@@ -122,6 +127,18 @@
   /// Called once the store's list of agents is read: AgentListSettleTime later a flow that all
   /// agents deny is reset, even before ViewSettleTime is over.
   void noteAgentsListed(common::TimePoint Now) noexcept { AgentsListedAt = Now; }
+  /// Sets whether other balancers can be asked for agents that this one doesn't know. If so, a flow
+  /// that all agents known here deny is reset only after onHoldersConfirmed.
+  void setSurveyPossible(bool Possible) noexcept { SurveyPossible = Possible; }
+  /// Whether other balancers are to be asked for the agents that may hold flows.
+  [[nodiscard]] bool needsHolderSurvey() const noexcept {
+    return SurveyPossible &&
+           (DenialUnconfirmed || Search.latestBroadcastStart() > HoldersConfirmedAt);
+  }
+  /// Called once the agents that other balancers knew at a time, or later, are in the directory.
+  void onHoldersConfirmed(common::TimePoint At);
+  /// Whether this balancer has had the time to hear of all agents.
+  [[nodiscard]] bool agentsKnown(common::TimePoint Now) const;
   /// Sets whether the routes are known to be current. If so, an unknown endpoint is refused at
   /// once.
   void setRoutesCurrent(bool Current) noexcept { RoutesCurrent = Current; }
@@ -145,9 +162,10 @@
   /// Handles an agent's message that its upstream doesn't hold a flow.
   [[nodiscard]] SteeringActions onAbsence(const FlowAbsence &Absence, NodeAddress From,
                                           common::TimePoint Now);
-  /// Resets the flows of an agent that can't be reached, if their requests are idempotent. Other
-  /// flows stay: an upstream that still runs may have a response ready.
-  [[nodiscard]] SteeringActions onAgentLost(NodeAddress Agent);
+  /// Searches the flows of an agent that can't be reached, if their requests are idempotent; those
+  /// that no other agent holds are reset. Other flows stay: an upstream that still runs may have a
+  /// response ready.
+  void onAgentLost(NodeAddress Agent, common::TimePoint Now);
   [[nodiscard]] SteeringActions onFlowNotice(const FlowNotice &Notice, NodeAddress From,
                                              common::TimePoint Now);
   /// Called after an agent has reported its load: places flows that wait for that or for capacity.
@@ -178,6 +196,7 @@
     std::size_t ConsideredCount = NearCandidates; ///< Of Candidates, so far.
     std::vector<NodeAddress> TriedAgents;         ///< In order; the last one has the SYN.
     std::vector<NodeAddress> BusyAgents;          ///< Those of TriedAgents that declined as busy.
+    std::uint32_t Placements = 0;                 ///< Times that the SYN was sent to an agent.
     bool AwaitingAnswer = false; ///< The last one of TriedAgents has not answered yet.
     bool AwaitingLoad = false;   ///< Waits for load answers; its key is in LoadQueryFlows.
     bool Held = false;           ///< Waits for capacity; its key is in HeldFlows.
@@ -225,6 +244,9 @@
   void placeAfterLoadAnswers(common::TimePoint Now, SteeringActions &Actions);
   void hold(const packet::FlowKey &Key, FlowEntry &Entry, common::TimePoint Now,
             SteeringActions &Actions);
+  /// Removes a flow that can't be placed in time, and refuses it unless its caller is gone.
+  void refuseWaitingFlow(const packet::FlowKey &Key, common::TimePoint Now,
+                         SteeringActions &Actions);
   void enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry, SteeringActions &Actions);
   void releaseHeld(common::TimePoint Now, SteeringActions &Actions);
   template <policy::ReleaseOrder Order>
@@ -254,7 +276,6 @@
   void queryLoad(NodeAddress Agent, const packet::FlowKey &Key, common::TimePoint Now,
                  SteeringActions &Actions);
   [[nodiscard]] std::vector<NodeAddress> candidatesOf(const packet::FlowKey &Key) const;
-  [[nodiscard]] bool agentsKnown(common::TimePoint Now) const;
   /// Whether callers may retry the requests of a flow.
   [[nodiscard]] bool isIdempotent(const packet::FlowKey &Key) const noexcept;
   [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
@@ -272,8 +293,17 @@
   bool RoutesCurrent = false;
   std::optional<common::TimePoint> AgentsListedAt;
   FlowMap Flows;
-  std::deque<std::pair<common::TimePoint, packet::FlowKey>> PlacementChecks;
+  /// A time at which a flow is placed again if its agent has not answered.
+  struct PlacementCheck {
+    common::TimePoint At{};
+    packet::FlowKey Key;
+    std::uint32_t Placement = 0; ///< PendingFlow::Placements when the SYN was sent.
+  };
+  std::deque<PlacementCheck> PlacementChecks;
   FlowSearch Search;
+  bool SurveyPossible = false;
+  common::TimePoint HoldersConfirmedAt{};
+  bool DenialUnconfirmed = false; ///< All agents known here deny a flow; others may know more.
   std::vector<packet::FlowKey> HeldFlows;
   std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
   std::vector<packet::FlowKey> LoadQueryFlows;
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -4,16 +4,26 @@
 
 namespace galenarelay::relay {
 
-bool FlowSearch::add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
-                     std::span<const std::uint8_t> Packet, common::TimePoint Now) {
+bool FlowSearch::begin(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+                       common::TimePoint Now) {
   if (Searches.size() >= MaxSearches && !Searches.contains(Key))
     return false;
   auto [It, Added] = Searches.try_emplace(Key);
   Search &Entry = It->second;
   Entry.LastPacketAt = Now;
   Entry.Acknowledgement = Acknowledgement;
-  if (Added)
+  if (Added) {
+    Entry.StartedAt = Now;
     enqueue(Key, Entry, Stage::Nearest);
+  }
+  return true;
+}
+
+bool FlowSearch::add(const packet::FlowKey &Key, std::uint32_t Acknowledgement,
+                     std::span<const std::uint8_t> Packet, common::TimePoint Now) {
+  if (!begin(Key, Acknowledgement, Now))
+    return false;
+  Search &Entry = Searches.at(Key);
   if (Entry.Waiting.size() >= MaxHeldPerFlow || WaitingPackets >= MaxHeldPackets)
     return false;
   Entry.Waiting.push_back(std::make_shared<const Bytes>(Packet.begin(), Packet.end()));
@@ -35,9 +45,17 @@
   Entry.Queried = false;
   Entry.Queued = true;
   Entry.AwaitingAnswer.clear();
+  if (Next == Stage::AllAgents)
+    LatestBroadcastStart = std::max(LatestBroadcastStart, Entry.StartedAt);
   (Next == Stage::AllAgents ? BroadcastQueue : CandidateQueue).push_back(Key);
 }
 
+void FlowSearch::repeatDeniedBroadcasts() {
+  for (auto &[Key, Entry] : Searches)
+    if (Entry.CurrentStage == Stage::AllAgents && Entry.Queried && Entry.AwaitingAnswer.empty())
+      enqueue(Key, Entry, Stage::AllAgents);
+}
+
 FlowSearch::Search *FlowSearch::takeQueued(const packet::FlowKey &Key, bool IsBroadcast) {
   const auto It = Searches.find(Key);
   if (It == Searches.end() || !It->second.Queued ||
@@ -153,6 +171,11 @@
   return It->second.Waiting.front();
 }
 
+FlowSearch::Progress FlowSearch::progress(const packet::FlowKey &Key) const {
+  const Search &Entry = Searches.at(Key);
+  return {Entry.DeniedBy.size(), Entry.StartedAt};
+}
+
 FlowSearch::Packets FlowSearch::finish(const packet::FlowKey &Key) {
   const auto It = Searches.find(Key);
   if (It == Searches.end())
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -19,7 +19,7 @@
   constexpr std::array<std::string_view, SteeringReasonCount> Names{
       "placed",    "placed_again",   "insisted",   "known",        "searched",
       "no_route",  "no_upstream",    "held",       "asked",        "overloaded",
-      "not_ready", "search_limited", "table_full", "held_nowhere", "agent_lost"};
+      "not_ready", "search_limited", "table_full", "held_nowhere", "caller_gone"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -245,7 +245,8 @@
   Pending.AwaitingAnswer = true;
   Entry.Agent = Agent;
   Directory.notePlacement(Agent, Pending.Kind, Now);
-  PlacementChecks.emplace_back(Now + Directory.answerTimeout(PlacementTimeout), Key);
+  PlacementChecks.push_back(
+      {Now + Directory.answerTimeout(PlacementTimeout), Key, ++Pending.Placements});
   Transit Fields = transitTo(Pending.Service, false, Insist);
   Fields.Long = Pending.Kind == FlowKind::Long;
   Fields.OthersWait = Pending.OthersWait && InUse.uses(policy::Mechanism::SlotNotices);
@@ -278,8 +279,7 @@
                         SteeringActions &Actions) {
   if (HeldFlows.size() >= MaxHeldFlows || policy::expired(Entry.Pending->ReleaseInput, Now) ||
       !InUse.uses(policy::Mechanism::Holding)) {
-    refuse(Key, SteeringReason::Overloaded, Actions);
-    Flows.erase(Key);
+    refuseWaitingFlow(Key, Now, Actions);
     return;
   }
   Entry.Agent = 0;
@@ -331,8 +331,7 @@
     if (policy::expired(Entry->Pending->ReleaseInput, Now) ||
         policy::wouldExpire(Entry->Pending->ReleaseInput, StillWaiting[Service], ReleasesPerSecond,
                             Now)) {
-      refuse(Key, SteeringReason::Overloaded, Actions);
-      Flows.erase(Key);
+      refuseWaitingFlow(Key, Now, Actions);
       continue;
     }
     if (FullServices.contains(Service)) {
@@ -351,6 +350,18 @@
   }
 }
 
+// A caller that doesn't retransmit its SYN here any more may have opened the flow through another
+// balancer: a reset would then strike an open flow.
+void FlowSteering::refuseWaitingFlow(const packet::FlowKey &Key, common::TimePoint Now,
+                                     SteeringActions &Actions) {
+  const auto It = Flows.find(Key);
+  if (It->second.Pending->ReleaseInput.callerProbablyGone(Now))
+    Actions.push_back({.Reason = SteeringReason::CallerGone, .Key = Key});
+  else
+    refuse(Key, SteeringReason::Overloaded, Actions);
+  Flows.erase(It);
+}
+
 void FlowSteering::enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry,
                                SteeringActions &Actions) {
   Entry.Pending->Held = true;
@@ -538,37 +549,47 @@
   if (It == Flows.end() || It->second.State != Phase::Searching || !It->second.HasAcknowledgement ||
       !agentsKnown(Now))
     return;
+  // As in onAgentLost, an upstream that still runs may have the response of an order ready.
+  if (!isIdempotent(Key) && Directory.hasRecentlyLostAgent(Now))
+    return;
+  // Other balancers may know agents that this one has missed.
+  const auto ConfirmedSince = std::max(Search.progress(Key).StartedAt, Now - ConfirmationValidity);
+  if (SurveyPossible && HoldersConfirmedAt < ConfirmedSince) {
+    DenialUnconfirmed = true;
+    return;
+  }
   Actions.push_back({.Operation = SteeringAction::Kind::Reset,
                      .Reason = SteeringReason::HeldNowhere,
                      .Key = Key,
-                     .Sequence = It->second.Acknowledgement});
+                     .Sequence = It->second.Acknowledgement,
+                     .SearchProgress = Search.progress(Key)});
   (void)Search.finish(Key); // The flow of the waiting packets has ended.
   Flows.erase(It);
 }
 
+void FlowSteering::onHoldersConfirmed(common::TimePoint At) {
+  HoldersConfirmedAt = At;
+  DenialUnconfirmed = false;
+  Search.repeatDeniedBroadcasts();
+}
+
 bool FlowSteering::isIdempotent(const packet::FlowKey &Key) const noexcept {
   const Route *MatchedRoute = Routes->find(Key.Service);
   return MatchedRoute != nullptr && MatchedRoute->Idempotent;
 }
 
-SteeringActions FlowSteering::onAgentLost(NodeAddress Agent) {
-  SteeringActions Actions;
+// The flow may be open at another upstream that accepted an earlier SYN of its caller.
+void FlowSteering::onAgentLost(NodeAddress Agent, common::TimePoint Now) {
   if (!InUse.uses(policy::Mechanism::LossReset))
-    return Actions;
-  for (auto It = Flows.begin(); It != Flows.end();) {
-    const FlowEntry &Entry = It->second;
+    return;
+  for (auto &[Key, Entry] : Flows) {
     if (Entry.Agent != Agent || Entry.State != Phase::Open || !Entry.HasAcknowledgement ||
-        !isIdempotent(It->first)) {
-      ++It;
+        !isIdempotent(Key))
       continue;
-    }
-    Actions.push_back({.Operation = SteeringAction::Kind::Reset,
-                       .Reason = SteeringReason::AgentLost,
-                       .Key = It->first,
-                       .Sequence = Entry.Acknowledgement});
-    It = Flows.erase(It);
+    Entry.Agent = 0;
+    setState(Entry, Phase::Searching, Now);
+    Search.begin(Key, Entry.Acknowledgement, Now);
   }
-  return Actions;
 }
 
 SteeringActions FlowSteering::onReturned(const PacketHeader &Head, const ReturnedPacket &Returned,
@@ -661,11 +682,12 @@
 
 SteeringActions FlowSteering::onTimer(common::TimePoint Now) {
   SteeringActions Actions;
-  while (!PlacementChecks.empty() && PlacementChecks.front().first <= Now) {
-    const packet::FlowKey Key = PlacementChecks.front().second;
+  while (!PlacementChecks.empty() && PlacementChecks.front().At <= Now) {
+    const auto [At, Key, Placement] = PlacementChecks.front();
     PlacementChecks.pop_front();
     const auto It = Flows.find(Key);
-    if (It == Flows.end() || It->second.Pending == nullptr)
+    if (It == Flows.end() || It->second.Pending == nullptr ||
+        It->second.Pending->Placements != Placement)
       continue;
     FlowEntry &Entry = It->second;
     const bool Unanswered = Entry.State == Phase::Opening && Entry.Pending->AwaitingAnswer &&
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/relay/upstream_directory.h"
 
+#include "galenarelay/common/hash_mix.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -406,14 +408,69 @@
          (Announced ? StoppingLostTime : LostTime) + 2 * AnswerTimes.slowest(Now);
 }
 
+// An agent that is silent towards this balancer only may hold flows: it counts as lost once other
+// balancers find it silent too.
+bool UpstreamDirectory::isAgreedLost(const AgentEntry &Agent, common::TimePoint Now) const {
+  return Agent.ReportedLost && isLost(Agent, Now);
+}
+
+bool UpstreamDirectory::mayHoldFlows(const AgentEntry &Agent, common::TimePoint Now) const {
+  return !isAgreedLost(Agent, Now) && Agent.View.Report.State != UpstreamState::Ended;
+}
+
 std::vector<NodeAddress> UpstreamDirectory::reportingHolders(common::TimePoint Now) const {
   std::vector<NodeAddress> Holders;
   for (const auto &[Address, Agent] : Agents)
-    if (!isLost(Agent, Now) && Agent.View.Report.State != UpstreamState::Ended)
+    if (mayHoldFlows(Agent, Now))
       Holders.push_back(Address);
   return Holders;
 }
 
+std::vector<KnownAgent> UpstreamDirectory::knownHolders(common::TimePoint Now) const {
+  std::vector<KnownAgent> Holders;
+  for (const auto &[Address, Agent] : Agents)
+    if (mayHoldFlows(Agent, Now))
+      Holders.push_back({Address, Agent.View.Report.Incarnation, Agent.View.Report.Sequence});
+  return Holders;
+}
+
+std::uint64_t UpstreamDirectory::holderDigest(common::TimePoint Now) const {
+  std::uint64_t Digest = 0;
+  for (const auto &[Address, Agent] : Agents)
+    if (mayHoldFlows(Agent, Now))
+      Digest ^= common::mixHash(1, Address);
+  return Digest;
+}
+
+std::vector<NodeAddress> UpstreamDirectory::noteHolders(std::span<const KnownAgent> Named,
+                                                        common::TimePoint Now) {
+  std::vector<NodeAddress> Unreported;
+  for (const KnownAgent &Holder : Named) {
+    const auto It = Agents.find(Holder.Address);
+    if (It != Agents.end()) {
+      const AgentReport &Report = It->second.View.Report;
+      if (Report.State != UpstreamState::Ended || std::tie(Holder.Incarnation, Holder.Sequence) <=
+                                                      std::tie(Report.Incarnation, Report.Sequence))
+        continue;
+    }
+    const auto [Entry, Added] = Expected.try_emplace(Holder.Address, ExpectedAgent{.Since = Now});
+    if (!Added && mayStillReport(Entry->second, Now))
+      continue;
+    // Other balancers still hear an agent that has not answered this one.
+    Entry->second = {.Since = Now};
+    Unreported.push_back(Holder.Address);
+  }
+  return Unreported;
+}
+
+bool UpstreamDirectory::hasRecentlyLostAgent(common::TimePoint Now) const {
+  return std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
+    const AgentView &View = Entry.second.View;
+    return isAgreedLost(Entry.second, Now) && View.Report.State != UpstreamState::Ended &&
+           Now - View.HeardAt <= LostHolderRetention;
+  });
+}
+
 // A store record doesn't show whether its agent is running. An agent that has not been queried
 // often enough may only have missed a lost datagram.
 bool UpstreamDirectory::mayStillReport(const ExpectedAgent &Entry, common::TimePoint Now) {
