Search a flow that none of the agents of its SYN claims

After the copies of a SYN had reached two balancers, the second of them sent each further packet of the caller to the agents that it had tried itself. If the flow was open at an agent that the first balancer had chosen, no search began, and each packet renewed the state: the flow's packets never reached its own upstream, and went to others whose agents had restarted and couldn't tell.

Only the first packet goes to all tried agents. Those that follow wait in a search, which ends as soon as an agent claims the flow.

--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -201,8 +201,9 @@
     bool AwaitingLoad = false;   ///< Waits for load answers; its key is in LoadQueryFlows.
     bool Held = false;           ///< Waits for capacity; its key is in HeldFlows.
     bool WasHeld = false;
-    bool OthersWait = false;   ///< Further flows are held for the same service.
-    bool MetFullAgent = false; ///< An agent declined as busy or full.
+    bool OthersWait = false;        ///< Further flows are held for the same service.
+    bool MetFullAgent = false;      ///< An agent declined as busy or full.
+    bool SentToTriedAgents = false; ///< A packet after the SYN was sent to all TriedAgents.
   };
   enum class Phase : std::uint8_t { Opening, Open, Searching, Ended };
   struct FlowEntry {
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -435,7 +435,10 @@
                                       SteeringActions &Actions) {
   if (Entry.State == Phase::Opening && Entry.Pending != nullptr &&
       Entry.Pending->TriedAgents.size() > 1) {
-    // Several upstreams may have accepted the flow; the caller's packet answers one of them.
+    // Several upstreams may have accepted the flow; the caller's packet answers one of them, or one
+    // that another balancer chose. Further packets wait in a search until an agent claims the flow.
+    if (std::exchange(Entry.Pending->SentToTriedAgents, true))
+      return addToSearch(Head.Key, Entry, Raw, Now, Actions);
     for (const NodeAddress Agent : Entry.Pending->TriedAgents)
       forwardSearch(Head.Key, Agent, Actions);
     return;
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(testSearch_agentLost_resetsIdempotentFlowsOnly);
   CPPUNIT_TEST(testSearch_agentKnownToOthersOnly_isAskedBeforeReset);
   CPPUNIT_TEST(testSearch_othersNameNoFurtherAgent_resetsOnceConfirmed);
+  CPPUNIT_TEST(testPacket_noTriedAgentClaimsTheFlow_isSearched);
   CPPUNIT_TEST(testReturn_flowNotHeld_goesToSecondAcceptingAgent);
   CPPUNIT_TEST(testAgentLost_idempotentFlows_areReset);
   CPPUNIT_TEST(testAgentLost_flowOpenElsewhere_isFoundThere);
@@ -798,6 +799,32 @@
                    Position < Candidates.end());
   }
 
+  // Guards against packets that go to the agents of a late copy of the SYN only.
+  void testPacket_noTriedAgentClaimsTheFlow_isSearched() {
+    Fleet Balancer(40);
+    const auto Key = relayKey(1);
+    const auto First = Balancer.send(firstPacket(Key))[0].Agent;
+    const auto Second = Balancer.send(firstPacket(Key, 1))[0].Agent;
+    const auto Candidates = Balancer.Directory.candidates("desk", Key);
+    const auto Holder = *std::find_if(Candidates.begin(), Candidates.end(), [&](auto Agent) {
+      return Agent != First && Agent != Second;
+    });
+    const auto Data = callerData(Key, 77);
+    CPPUNIT_ASSERT((targets(Balancer.send(Data)) == std::set{First, Second}));
+    (void)Balancer.deny(Key, First);
+    (void)Balancer.deny(Key, Second);
+    (void)Balancer.send(Data, RelayStart + 200ms);
+    const auto Found = Balancer.answerQueriesUntil(
+        RelayStart + 400ms,
+        [&](const auto &Query, common::TimePoint Now) {
+          return Query.Agent == Holder ? Balancer.answer(Query, Now, {0})
+                                       : Balancer.answer(Query, Now);
+        },
+        RelayStart + 200ms);
+    CPPUNIT_ASSERT((targets(Found) == std::set{Holder}));
+    CPPUNIT_ASSERT_EQUAL(Holder, Balancer.Steering.agentOf(Key));
+  }
+
   void testReturn_flowNotHeld_goesToSecondAcceptingAgent() {
     Node Balancer;
     const auto Head = firstPacket(relayKey(1));
