Compare acknowledgements with the upstream's data in adopted flows

An agent that adopted a flow after its restart answered for up to 90 s that its upstream held any flow of the caller's port. If the caller used the port for a flow at another upstream, a balancer that searched for it would be sent to the wrong agent, and the caller would see its packets go to an upstream that returns or resets them.

Cause: the initial sequence number of an adopted flow is unknown, and any acknowledgement matched without it.

Before the change, testQuery_otherFlowOfAdoptedFlowsPort_isNotHeld failed with "relay_upstream_flows_test.cpp:580 assertion failed, Expression: (Flows.onQuery(Other, RelayStart) == relay::FlowAnswer{2, {}, {}})".

Once the upstream has sent data, the caller's acknowledgement must be within 76,800 of its end. PROTOCOL.md allows 16 packets of 1,200 bytes in flight, a quarter of it, so a retransmission as the first data seen is covered; of another upstream's random numbers about 1 in 28,000 is in the window. A SYN-ACK may open another flow of the same port at this upstream, so it makes the entry forget the end until the next data; without this, testFlow_acceptedOnAdoptedFlowsPort_isHeld fails at line 598.

--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -16,6 +16,9 @@
 /// Heartbeat intervals after its start for which an agent without a heartbeat relies on its
 /// settings. A live upstream sends one within the first interval; after this time it has ended.
 constexpr double UnheardIntervals = 1.4;
+/// Maximum distance of a caller's acknowledgement from the end of the upstream's data in a flow
+/// whose opening this process has not seen. An upstream has at most a quarter of it in flight.
+constexpr std::uint32_t AdoptedWindow = 76'800;
 
 } // namespace
 
@@ -292,6 +295,9 @@
     Entry.SavedPacket.reset();
     Entry.AcceptedAt = Now;
     FlowsAwaitingRequest.emplace_back(Now, Head.Key);
+  } else if (Accepts && !Entry.HasInitialSequence) {
+    // It may open another flow with other sequence numbers, or be repeated for the adopted one.
+    Entry.HasUpstreamDataEnd = false;
   }
   if (!Head.Flags.Syn)
     Entry.Established = true;
@@ -377,8 +383,11 @@
   // If the packet were delivered here, this upstream would reset the flow.
   if (Entry.State == Phase::Offered)
     return false;
-  if (!Entry.HasInitialSequence || !Head.Flags.Ack)
+  if (!Head.Flags.Ack)
     return true;
+  if (!Entry.HasInitialSequence)
+    return !Entry.HasUpstreamDataEnd ||
+           Head.Acknowledgement - Entry.UpstreamDataEnd + AdoptedWindow <= 2 * AdoptedWindow;
   const std::uint32_t SentBytes = Entry.UpstreamDataEnd - Entry.InitialSequence;
   const std::uint32_t SentFlags = Entry.UpstreamFinSeen ? 2 : 1;
   return Head.Acknowledgement - Entry.InitialSequence <= SentBytes + SentFlags;
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(testQuery_afterSuspensionBeforeTimer_isHeld);
   CPPUNIT_TEST(testFlow_openBeforeRestartAndOfferedAgain_isAdopted);
   CPPUNIT_TEST(testFlow_offeredWithCompleteTable_isNotAdopted);
+  CPPUNIT_TEST(testQuery_otherFlowOfAdoptedFlowsPort_isNotHeld);
+  CPPUNIT_TEST(testFlow_acceptedOnAdoptedFlowsPort_isHeld);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
@@ -566,6 +568,40 @@
     const auto Actions = fromBalancer(Flows, callerData(relayKey(1), Sequence + 101));
     CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Kind::Return);
   }
+
+  // A flow that outlived its agent's restart must not be taken for a later one of the same port.
+  void testQuery_otherFlowOfAdoptedFlowsPort_isNotHeld() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+    (void)fromUpstream(Flows, upstreamData(relayKey(1), Sequence));
+    const relay::FlowQuery Held{1, {{relayKey(1), Sequence + 100}}};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Held, RelayStart).Held.size());
+    const relay::FlowQuery Other{2, {{relayKey(1), Sequence + 0x01000000}}};
+    CPPUNIT_ASSERT((Flows.onQuery(Other, RelayStart) == relay::FlowAnswer{2, {}, {}}));
+    const auto Next = callerData(relayKey(1), Sequence + 0x01000000);
+    CPPUNIT_ASSERT(fromBalancer(Flows, Next)[0].Operation == Kind::Return);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         countActions(fromUpstream(Flows, returned(Next)), Kind::ResetCaller));
+  }
+
+  void testFlow_acceptedOnAdoptedFlowsPort_isHeld() {
+    for (const std::uint32_t NextSequence : {Sequence + 0x01000000, Sequence - 0x01000000}) {
+      UpstreamFlows Flows("desk", 1200ms, RelayStart);
+      (void)Flows.onHeartbeat(heartbeat(30), RelayStart);
+      (void)fromUpstream(Flows, upstreamData(relayKey(1), Sequence));
+      auto Next = firstPacket(relayKey(1));
+      Next.Sequence = 70'000;
+      (void)fromBalancer(Flows, Next);
+      (void)fromUpstream(Flows, upstreamAccept(relayKey(1), NextSequence));
+      for (const std::uint32_t Sent : {0U, 100U}) {
+        const relay::FlowQuery Query{1, {{relayKey(1), NextSequence + 1 + Sent}}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, RelayStart).Held.size());
+        const auto Data = callerData(relayKey(1), NextSequence + 1 + Sent, 70'001 + Sent);
+        CPPUNIT_ASSERT(fromBalancer(Flows, Data)[0].Operation == Kind::Deliver);
+        (void)fromUpstream(Flows, upstreamData(relayKey(1), NextSequence + 1 + Sent));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayUpstreamFlowsTest);
