Keep the flows of a departing upstream until it has exited

An upstream announces its departure and exits once that is acknowledged. The agent took it for ended at once: its next timer call, up to 20 ms later and possibly in the same millisecond, reset the open flows, and queries were denied, while the upstream still lived and held them.

Each planned removal of an upstream passes through this.

The flows count as ended 100 ms after the departure.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -359,7 +359,7 @@
   }
 
   common::HttpResponse handleDeparture(const std::string &Id, common::TimePoint Now) {
-    const bool Known = Flows.onDeparture(Id);
+    const bool Known = Flows.onDeparture(Id, Now);
     common::log(common::LogLevel::Info, "upstream_departed", {{"upstream", Id}, {"known", Known}});
     checkState(Now);
     return Platform::Calls::acknowledge();
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -47,6 +47,9 @@
 inline constexpr std::size_t MaxWaitingBalancers = 100;
 /// How long a flow that the upstream has not confirmed or accepted stays in the table.
 inline constexpr common::Duration UnconfirmedRetention = std::chrono::seconds(2);
+/// An upstream exits once its departure is acknowledged. Its flows count as ended after this time,
+/// in which an acknowledgement that waits behind other work is sent.
+inline constexpr common::Duration DepartureGrace = std::chrono::milliseconds(100);
 /// A longer time between two timer calls means that the process was suspended in between.
 inline constexpr common::Duration SuspensionThreshold = std::chrono::milliseconds(500);
 
@@ -113,7 +116,11 @@
                 common::TimePoint StartedAt, policy::Mechanisms InUse = {});
 
   [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Received, common::TimePoint Now);
-  bool onDeparture(const std::string &Id) { return Upstream.onDeparture(Id); }
+  /// Notes that the upstream is about to exit. Returns false if the ID is that of another upstream.
+  bool onDeparture(const std::string &Id, common::TimePoint Now) {
+    DepartedAt = Now;
+    return Upstream.onDeparture(Id);
+  }
   /// Declines new flows from now on, as this process is about to stop.
   void stop() noexcept { Stopping = true; }
 
@@ -128,8 +135,8 @@
   /// room again.
   [[nodiscard]] LoadAnswer onLoadQuery(const LoadQuery &Query, NodeAddress Balancer,
                                        common::TimePoint Now);
-  /// True if the upstream said that it ends, or has been silent for so long that it must have
-  /// ended.
+  /// True if the upstream said DepartureGrace ago that it ends, or has been silent for so long that
+  /// it must have ended.
   [[nodiscard]] bool upstreamEnded(common::TimePoint Now) const;
   /// To be called after this process was suspended. The upstream's silence counts from now on, and
   /// the settings are no longer relied on: they may name the service of an earlier upstream.
@@ -218,6 +225,7 @@
   common::TimePoint LastSignAt; ///< Last heartbeat or packet of the upstream.
   common::TimePoint ListeningSince;
   std::optional<common::TimePoint> LastTimerAt;
+  common::TimePoint DepartedAt{};
   /// True if this process started before the upstream and so has seen all of its flows.
   bool TableComplete = false;
   bool Stopping = false;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -164,7 +164,8 @@
   const auto Silence = std::chrono::duration_cast<common::Duration>(HeartbeatInterval * Intervals);
   // While this process was suspended, signs of the upstream may have waited.
   const auto ListenedUntil = LastTimerAt ? std::min(Now, *LastTimerAt + SuspensionThreshold) : Now;
-  return Upstream.departed() || ListenedUntil - std::max(LastSignAt, ListeningSince) > Silence;
+  const bool Departed = Upstream.departed() && Now - DepartedAt >= DepartureGrace;
+  return Departed || ListenedUntil - std::max(LastSignAt, ListeningSince) > Silence;
 }
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testLoad_flowOfGoneCaller_expiresAfterUsualRequestDelay);
   CPPUNIT_TEST(testDeparture_openFlows_areResetAtLastAcknowledgement);
   CPPUNIT_TEST(testDeparture_flowContinuedElsewhere_isNotReset);
+  CPPUNIT_TEST(testDeparture_beforeUpstreamExits_keepsItsFlows);
   CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
   CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
   CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
@@ -109,7 +110,7 @@
          0s,
          ReturnReason::Leaving},
         {"departed",
-         [](UpstreamFlows &F) { (void)F.onDeparture("up-10"); },
+         [](UpstreamFlows &F) { (void)F.onDeparture("up-10", RelayStart); },
          {},
          0s,
          ReturnReason::Leaving},
@@ -409,18 +410,33 @@
     open(Flows, relayKey(1));
     exchange(Flows, relayKey(1), 0);
     (void)fromBalancer(Flows, callerData(relayKey(1), Sequence + 100, 1100, 0));
-    (void)Flows.onDeparture("up-10");
+    (void)Flows.onDeparture("up-10", RelayStart);
     const auto Resets = Flows.resetOpenFlows();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::ResetCaller));
     CPPUNIT_ASSERT_EQUAL(Sequence + 100, Resets[0].Sequence);
   }
 
+  // Guards against resets and denials while the upstream awaits the answer to its departure.
+  void testDeparture_beforeUpstreamExits_keepsItsFlows() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    exchange(Flows, relayKey(1), 0);
+    (void)Flows.onDeparture("up-10", RelayStart);
+    const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
+    const auto Exit = RelayStart + relay::DepartureGrace;
+    CPPUNIT_ASSERT(!Flows.upstreamEnded(Exit - 1ms));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, Exit - 1ms).Held.size());
+    CPPUNIT_ASSERT(Flows.state(Exit - 1ms) == relay::UpstreamState::Draining);
+    CPPUNIT_ASSERT(Flows.upstreamEnded(Exit));
+    CPPUNIT_ASSERT(Flows.onQuery(Query, Exit).Held.empty());
+  }
+
   // Guards against the reset of a flow whose SYN two upstreams accepted, by the one that ends.
   void testDeparture_flowContinuedElsewhere_isNotReset() {
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
     (void)fromBalancer(Flows, callerData(relayKey(1), Sequence + 7'000'000));
-    (void)Flows.onDeparture("up-10");
+    (void)Flows.onDeparture("up-10", RelayStart);
     CPPUNIT_ASSERT(Flows.resetOpenFlows().empty());
   }
 
