--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -195,8 +195,8 @@
   /// Whether an agent has become lost within LostHolderRetention, so that it can't be asked whether
   /// its upstream holds a flow.
   [[nodiscard]] bool hasRecentlyLostAgent(common::TimePoint Now) const;
-  /// Agents that may hold flows but have not reported: those that are expected and may still
-  /// report.
+  /// Agents that may hold flows but have not reported, or not since another balancer named them:
+  /// those that are expected and may still report.
   [[nodiscard]] std::vector<NodeAddress> expectedHolders(common::TimePoint Now) const;
   /// Whether all upstreams have just started, as after a loss of everything, so that none of them
   /// holds an earlier flow. False while most expected agents have not reported.
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -226,7 +226,8 @@
   common::TimePoint ListeningSince;
   std::optional<common::TimePoint> LastTimerAt;
   common::TimePoint DepartedAt{};
-  /// True if this process started before the upstream and so has seen all of its flows.
+  /// True if the table has all flows of the upstream: this process has seen the upstream start, and
+  /// has not taken it for ended since.
   bool TableComplete = false;
   bool Stopping = false;
   /// Until the first heartbeat the settings name the upstream's service; false after a suspension.
