Show that a host with an earlier birth is ignored

Lifetimes of a host are ordered by the time of day of their start alone. A host that starts while its machine's time is ahead and crashes after the time is set right is ignored for good after its restart, and its open flows are reset while it lives.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-RECORD="$here/record.txt" timeout --kill-after=5 110 review/.build/foreign_check_in
+RECORD="$here/record.txt" timeout --kill-after=5 110 review/.build/earlier_birth
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
