Place a SYN of a port that is used again by its route

Cause: FlowSteering took each SYN of a known flow for a copy, whatever its sequence number was. It went on to the agent of the earlier flow without a look at the route and with service digest 0, which agents took for any service.

Change: - A balancer keeps the sequence number of a flow's SYN. A SYN with another one begins a new flow: the entry of the earlier flow is dropped with its waiting packets, and the route is looked up. - A copy of an accepted SYN carries the digest of the service that the flow was placed at. - A flow that isn't accepted yet follows its route when the configuration changes: to the new service, or to a refusal if the route was dropped. - Agents deliver no SYN without the digest of their upstream's service. An adopted flow, whose SYN the agent hasn't seen, is no exception any more. - Placements are numbered over all flows, so that the check of an earlier flow's placement doesn't concern a later flow of the same port; a returned SYN of the earlier flow is ignored.

Related paths: FlowRouter of the product's own interface compares sequence numbers and service (MatchesStream, routeServed) and needed no change.

The tests of UpstreamFlows now state the digest in their SYNs, as balancers do.

--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -196,7 +196,7 @@
     std::size_t ConsideredCount = NearCandidates; ///< Of Candidates, so far.
     std::vector<NodeAddress> TriedAgents;         ///< In order; the last one has the SYN.
     std::vector<NodeAddress> BusyAgents;          ///< Those of TriedAgents that declined as busy.
-    std::uint32_t Placements = 0;                 ///< Times that the SYN was sent to an agent.
+    std::uint32_t Placement = 0;                  ///< LastPlacement when the SYN was last sent.
     bool AwaitingAnswer = false; ///< The last one of TriedAgents has not answered yet.
     bool AwaitingLoad = false;   ///< Waits for load answers; its key is in LoadQueryFlows.
     bool Held = false;           ///< Waits for capacity; its key is in HeldFlows.
@@ -214,6 +214,9 @@
     common::TimePoint LastUsedAt{};
     bool HasAcknowledgement = false;
     bool HasData = false;
+    std::uint16_t ServiceDigest = 0; ///< Of the service that the SYN was sent to.
+    /// Of the caller's SYN; empty if this process has not seen it.
+    std::optional<std::uint32_t> InitialSequence;
     std::uint32_t Acknowledgement = 0; ///< The caller's latest, which a reset must be close to.
     std::uint32_t DataEnd = 0;         ///< Sequence number after the caller's latest data.
     std::unique_ptr<PendingFlow> Pending;
@@ -233,6 +236,8 @@
              common::TimePoint Now, SteeringActions &Actions);
   void sendTo(NodeAddress Agent, bool Insist, const packet::FlowKey &Key, FlowEntry &Entry,
               common::TimePoint Now, SteeringActions &Actions);
+  /// Updates the service of a pending flow if its route has changed. False without a route.
+  [[nodiscard]] bool followRoute(const packet::FlowKey &Key, PendingFlow &Pending) const;
   /// The best agent that has not been tried and isn't full. Empty if there is none, if enough were
   /// tried, or while load queries are unanswered (PendingFlow::AwaitingLoad).
   [[nodiscard]] std::optional<NodeAddress> chooseNext(const packet::FlowKey &Key,
@@ -280,6 +285,8 @@
   /// Whether callers may retry the requests of a flow.
   [[nodiscard]] bool isIdempotent(const packet::FlowKey &Key) const noexcept;
   [[nodiscard]] Transit transitTo(std::string_view Service, bool Search, bool Insist) const;
+  /// Removes a flow whose caller uses its port for another one.
+  void eraseFlow(FlowMap::iterator Position);
   void expireFlows(common::TimePoint Now);
   void setState(FlowEntry &Entry, Phase State, common::TimePoint Now) {
     Entry.State = State;
@@ -298,9 +305,10 @@
   struct PlacementCheck {
     common::TimePoint At{};
     packet::FlowKey Key;
-    std::uint32_t Placement = 0; ///< PendingFlow::Placements when the SYN was sent.
+    std::uint32_t Placement = 0; ///< PendingFlow::Placement of the transmission.
   };
   std::deque<PlacementCheck> PlacementChecks;
+  std::uint32_t LastPlacement = 0; ///< Number of SYNs sent to agents.
   FlowSearch Search;
   bool SurveyPossible = false;
   common::TimePoint HoldersConfirmedAt{};
--- a/include/galenarelay/relay/packet_head.h
+++ b/include/galenarelay/relay/packet_head.h
@@ -40,7 +40,7 @@
 /// Data that a balancer writes into unused header fields of a packet for the receiving agent.
 struct Transit {
   std::uint32_t Balancer = 0;      ///< IPv4 address; kept in a packet that the upstream returns.
-  std::uint16_t ServiceDigest = 0; ///< serviceDigest() of the target service.
+  std::uint16_t ServiceDigest = 0; ///< In a SYN: serviceDigest() of the target service.
   bool Search = false;     ///< Sent to several agents; those without the flow answer FlowAbsence.
   bool Insist = false;     ///< Open the flow even if all slots of the upstream are in use.
   bool Long = false;       ///< The flow is expected to carry many requests.
@@ -49,8 +49,8 @@
   friend bool operator==(const Transit &, const Transit &) = default;
 };
 
-/// 16-bit hash of a service name for Transit; never 0 for a name. 0 stands for any service, and is
-/// returned for an empty name.
+/// 16-bit hash of a service name for Transit; never 0 for a name, and 0 for an empty one. Packets
+/// that open no flow have 0.
 [[nodiscard]] std::uint16_t serviceDigest(std::string_view Service) noexcept;
 
 /// Side from which a socket receives packets.
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -43,10 +43,14 @@
   SteeringActions Actions;
   const auto It = Flows.find(Head.Key);
   if (Head.opensFlow()) {
-    if (It == Flows.end())
-      onNewSyn(Head, Raw, Now, Actions);
-    else
+    // Retransmissions have the sequence number of the first SYN. A caller that uses its port for
+    // another flow chooses a new one; the entry is then that of the earlier flow.
+    if (It != Flows.end() && It->second.InitialSequence == Head.Sequence) {
       onRetransmittedSyn(Head, It->second, Now, Actions);
+    } else {
+      eraseFlow(It);
+      onNewSyn(Head, Raw, Now, Actions);
+    }
     return Actions;
   }
   if (It == Flows.end()) {
@@ -95,6 +99,7 @@
   FlowEntry &Entry = Flows[Head.Key];
   setState(Entry, Phase::Opening, Now);
   Entry.LastUsedAt = Now;
+  Entry.InitialSequence = Head.Sequence;
   Entry.Pending = std::make_unique<PendingFlow>();
   Entry.Pending->Service = RouteTable::serviceFor(*MatchedRoute, Head.Key);
   // Callers reuse a flow for idempotent requests, and open a flow for each other request.
@@ -126,7 +131,7 @@
                          .Reason = SteeringReason::Known,
                          .Key = Head.Key,
                          .Agent = Entry.Agent,
-                         .TransitFields = transitTo("", false, true)});
+                         .TransitFields = {Self, Entry.ServiceDigest, false, true}});
     return;
   }
   Entry.Pending->ReleaseInput.Retransmissions =
@@ -144,6 +149,11 @@
 void FlowSteering::place(const packet::FlowKey &Key, FlowEntry &Entry, Scope PlacementScope,
                          common::TimePoint Now, SteeringActions &Actions) {
   PendingFlow &Pending = *Entry.Pending;
+  if (!followRoute(Key, Pending)) {
+    refuse(Key, SteeringReason::NoRoute, Actions);
+    Flows.erase(Key);
+    return;
+  }
   std::optional<NodeAddress> Chosen = chooseNext(Key, Pending, PlacementScope, Now, Actions);
   if (Pending.AwaitingLoad)
     return;
@@ -170,6 +180,24 @@
   sendTo(*Chosen, Insist, Key, Entry, Now, Actions);
 }
 
+// The configuration may change while a flow waits or between the transmissions of its SYN.
+bool FlowSteering::followRoute(const packet::FlowKey &Key, PendingFlow &Pending) const {
+  const Route *MatchedRoute = Routes->find(Key.Service);
+  if (MatchedRoute == nullptr)
+    return false;
+  const std::string &Service = RouteTable::serviceFor(*MatchedRoute, Key);
+  if (Pending.Service == Service)
+    return true;
+  Pending.Service = Service;
+  Pending.Candidates.clear();
+  Pending.ConsideredCount = NearCandidates;
+  Pending.TriedAgents.clear();
+  Pending.BusyAgents.clear();
+  Pending.AwaitingAnswer = false;
+  Pending.MetFullAgent = false;
+  return true;
+}
+
 // Compares the flow's first candidates by their current load. Further candidates are considered
 // only if all the earlier ones are busy, so that a search that queries the first candidates finds
 // most flows.
@@ -245,9 +273,11 @@
   Pending.AwaitingAnswer = true;
   Entry.Agent = Agent;
   Directory.notePlacement(Agent, Pending.Kind, Now);
+  Pending.Placement = ++LastPlacement;
   PlacementChecks.push_back(
-      {Now + Directory.answerTimeout(PlacementTimeout), Key, ++Pending.Placements});
+      {Now + Directory.answerTimeout(PlacementTimeout), Key, Pending.Placement});
   Transit Fields = transitTo(Pending.Service, false, Insist);
+  Entry.ServiceDigest = Fields.ServiceDigest;
   Fields.Long = Pending.Kind == FlowKind::Long;
   Fields.OthersWait = Pending.OthersWait && InUse.uses(policy::Mechanism::SlotNotices);
   Actions.push_back({.Operation = SteeringAction::Kind::Forward,
@@ -601,8 +631,10 @@
   Directory.onLoad(From, Returned.Load, Now);
   const auto It = Flows.find(Head.Key);
   if (Head.opensFlow()) {
-    if (It == Flows.end() || It->second.State != Phase::Opening || It->second.Pending == nullptr)
-      return Actions; // Another upstream has accepted the flow, or its entry has expired.
+    // Another upstream has accepted the flow, its entry has expired, or its port is used again.
+    if (It == Flows.end() || It->second.State != Phase::Opening || It->second.Pending == nullptr ||
+        It->second.InitialSequence != Head.Sequence)
+      return Actions;
     PendingFlow &Pending = *It->second.Pending;
     Directory.undoPlacement(From, Pending.Kind);
     if (Returned.Reason == ReturnReason::Unanswered)
@@ -690,7 +722,7 @@
     PlacementChecks.pop_front();
     const auto It = Flows.find(Key);
     if (It == Flows.end() || It->second.Pending == nullptr ||
-        It->second.Pending->Placements != Placement)
+        It->second.Pending->Placement != Placement)
       continue;
     FlowEntry &Entry = It->second;
     const bool Unanswered = Entry.State == Phase::Opening && Entry.Pending->AwaitingAnswer &&
@@ -710,6 +742,19 @@
   return Actions;
 }
 
+void FlowSteering::eraseFlow(FlowMap::iterator Position) {
+  if (Position == Flows.end())
+    return;
+  const packet::FlowKey Key = Position->first;
+  if (Position->second.State == Phase::Searching)
+    (void)Search.finish(Key); // Its packets are late ones of the ended flow.
+  if (Position->second.Pending != nullptr) {
+    std::erase(HeldFlows, Key);
+    std::erase(LoadQueryFlows, Key);
+  }
+  Flows.erase(Position);
+}
+
 void FlowSteering::expireFlows(common::TimePoint Now) {
   const auto Old = Sweep.next(Flows, SweepBuckets, [Now](const FlowMap::value_type &KeyAndEntry) {
     const FlowEntry &Entry = KeyAndEntry.second;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -170,7 +170,7 @@
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
                                                          common::TimePoint Now) const {
-  if (Fields.ServiceDigest != 0 && Fields.ServiceDigest != serviceDigest(service()))
+  if (Fields.ServiceDigest != serviceDigest(service()))
     return ReturnReason::WrongService;
   const UpstreamState State = state(Now);
   if (State == UpstreamState::Silent)
@@ -217,12 +217,18 @@
                           std::span<const std::uint8_t> Raw, NodeAddress Balancer,
                           common::TimePoint Now, FlowActions &Actions) {
   const auto It = Flows.find(Head.Key);
+  const bool Known =
+      It != Flows.end() && (It->second.State == Phase::Offered || It->second.State == Phase::Open);
   // Copies of a SYN have its sequence number. A caller that uses a port again chooses another one.
-  const bool Repeated = It != Flows.end() &&
-                        (It->second.State == Phase::Offered || It->second.State == Phase::Open) &&
-                        It->second.CallerInitialSequence.value_or(Head.Sequence) == Head.Sequence;
+  const bool Repeated = Known && It->second.CallerInitialSequence == Head.Sequence;
+  // Only the upstream can tell whether the SYN is that of an adopted flow. Capacity is no reason to
+  // decline it, as the flow may be counted already.
+  const bool MayBeRepeated = Known && !It->second.CallerInitialSequence;
   if (!Repeated) {
-    if (const auto Reason = declineReason(Fields, Now)) {
+    const auto Reason = declineReason(Fields, Now);
+    const bool LacksCapacity = Reason == ReturnReason::Full || Reason == ReturnReason::Busy ||
+                               Reason == ReturnReason::Refused;
+    if (Reason && !(MayBeRepeated && LacksCapacity)) {
       if (*Reason == ReturnReason::Full)
         addWaitingBalancer(Balancer);
       Actions.push_back({.Operation = FlowAction::Kind::Return,
@@ -232,13 +238,13 @@
                          .Reason = *Reason});
       return;
     }
-    if (It != Flows.end())
+    if (It != Flows.end() && !MayBeRepeated)
       eraseFlow(It);
   }
   Flow &Entry = Flows[Head.Key];
   Entry.Balancer = Balancer;
   Entry.LastPacketAt = Now;
-  if (!Repeated) {
+  if (!Repeated && !MayBeRepeated) {
     Entry.State = Phase::Offered;
     Entry.CallerInitialSequence = Head.Sequence;
     Entry.HasCallerDataEnd = true;
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -24,6 +24,11 @@
   CPPUNIT_TEST(testSyn_justAfterStart_isNotRefused);
   CPPUNIT_TEST(testSynRetransmission_notYetAccepted_goesToAnotherAgent);
   CPPUNIT_TEST(testSynRetransmission_ofAcceptedFlow_goesToTheSameAgent);
+  CPPUNIT_TEST(testSyn_ofPortUsedAgain_isPlacedByItsRoute);
+  CPPUNIT_TEST(testSyn_ofPortUsedAgain_replacesWaitingFlow);
+  CPPUNIT_TEST(testSyn_ofPortUsedAgain_ignoresMessagesAboutEarlierFlow);
+  CPPUNIT_TEST(testSynRetransmission_routeChanged_followsTheRoute);
+  CPPUNIT_TEST(testHeld_routeChanged_followsTheRoute);
   CPPUNIT_TEST(testPlacement_unanswered_isRepeatedBeforeTheRetransmission);
   CPPUNIT_TEST(testPlacement_checkOfEarlierAgent_doesNotConcernTheNext);
   CPPUNIT_TEST(testReturn_allAgentsRefuse_resets);
@@ -389,6 +394,128 @@
     const auto Agent = Balancer.open(relayKey(1));
     const auto Retransmitted = Balancer.send(firstPacket(relayKey(1), 1), RelayStart + 200ms);
     CPPUNIT_ASSERT_EQUAL(Agent, Retransmitted[0].Agent);
+    CPPUNIT_ASSERT_EQUAL(relay::serviceDigest("desk"),
+                         Retransmitted[0].TransitFields.ServiceDigest);
+  }
+
+  /// Routes that send the flows of DeskAddress to "intake", or without DeskAddress.
+  static std::shared_ptr<const relay::RouteTable> changedRoutes(bool Dropped) {
+    relay::Configuration Config;
+    Config.Number = 2;
+    if (!Dropped)
+      Config.Routes.push_back({"desk", DeskAddress, {{"intake", 1}}, true, 3s, 200ms, 1});
+    return std::make_shared<const relay::RouteTable>(std::move(Config));
+  }
+
+  static relay::PacketHeader laterSyn(const packet::FlowKey &Key) {
+    auto Head = firstPacket(Key);
+    Head.Sequence = 70'000;
+    return Head;
+  }
+
+  // Guards against a SYN being taken for a copy because its port had another flow before: it went
+  // to the agent of that flow, whatever the agent's service and the route were (review/1).
+  void testSyn_ofPortUsedAgain_isPlacedByItsRoute() {
+    const auto Search = [](Node &Balancer) { (void)Balancer.send(callerData(relayKey(1), 77)); };
+    const auto Open = [](Node &Balancer) { (void)Balancer.open(relayKey(1)); };
+    const auto Notice = [](Node &Balancer) {
+      (void)Balancer.Steering.onFlowNotice({relayKey(1), {}}, AgentOne, RelayStart);
+    };
+    const auto End = [](Node &Balancer) {
+      (void)Balancer.open(relayKey(1));
+      auto Fin = callerData(relayKey(1), 77, 1100, 0);
+      Fin.Flags.Fin = true;
+      (void)Balancer.send(Fin);
+    };
+    const auto Offer = [](Node &Balancer) { (void)Balancer.send(firstPacket(relayKey(1))); };
+    const std::vector<std::pair<const char *, std::function<void(Node &)>>> Earlier{
+        {"open", Open},
+        {"opening", Offer},
+        {"ended", End},
+        {"named", Notice},
+        {"searched", Search}};
+    for (const auto &[Name, Prepare] : Earlier) {
+      Node Balancer;
+      Prepare(Balancer);
+      const auto Placed = Balancer.send(laterSyn(relayKey(1)));
+      CPPUNIT_ASSERT_MESSAGE(Name, Placed[0].Operation == Kind::Forward);
+      CPPUNIT_ASSERT_MESSAGE(Name, Placed[0].Reason == SteeringReason::Placed);
+      CPPUNIT_ASSERT_MESSAGE(Name,
+                             Placed[0].TransitFields.ServiceDigest == relay::serviceDigest("desk"));
+      for (const bool Dropped : {false, true}) {
+        Node Changed;
+        Prepare(Changed);
+        Changed.Steering.setRoutes(changedRoutes(Dropped));
+        const auto Steered = Changed.send(laterSyn(relayKey(1)));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, std::size_t{1}, Steered.size());
+        if (Dropped)
+          CPPUNIT_ASSERT_MESSAGE(Name, Steered[0].Reason == SteeringReason::NoRoute);
+        else
+          CPPUNIT_ASSERT_MESSAGE(Name, Steered[0].Agent == AgentThree);
+      }
+    }
+  }
+
+  void testSyn_ofPortUsedAgain_replacesWaitingFlow() {
+    Node Balancer;
+    fill(Balancer, RelayStart);
+    (void)Balancer.send(firstPacket(relayKey(1)));
+    (void)Balancer.send(laterSyn(relayKey(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Balancer.Steering.flows());
+    Balancer.Directory.onLoad(AgentTwo, {0, 0}, RelayStart + 30ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         countActions(Balancer.Steering.onTimer(RelayStart + 40ms), Kind::Forward));
+    // Packets of a flow that was searched are dropped with it.
+    Node Searching;
+    (void)Searching.send(callerData(relayKey(1), 77));
+    (void)Searching.send(laterSyn(relayKey(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Searching.Steering.searches());
+  }
+
+  void testSyn_ofPortUsedAgain_ignoresMessagesAboutEarlierFlow() {
+    Node Balancer;
+    const auto First = Balancer.send(firstPacket(relayKey(1))).at(0).Agent;
+    (void)Balancer.send(laterSyn(relayKey(1)), RelayStart + 10ms);
+    const auto Due = RelayStart + relay::PlacementTimeout;
+    CPPUNIT_ASSERT(
+        Balancer.returnPacket(firstPacket(relayKey(1)), ReturnReason::Refused, First, 0, Due - 1ms)
+            .empty());
+    // The time to place the earlier flow again isn't that of the later one.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         countActions(Balancer.Steering.onTimer(Due), Kind::Forward));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         countActions(Balancer.Steering.onTimer(Due + 10ms), Kind::Forward));
+  }
+
+  // Guards against a flow that opens at the service that its route had when the first SYN arrived.
+  void testSynRetransmission_routeChanged_followsTheRoute() {
+    for (const bool Dropped : {false, true}) {
+      Node Balancer;
+      (void)Balancer.send(firstPacket(relayKey(1)));
+      Balancer.Steering.setRoutes(changedRoutes(Dropped));
+      const auto Steered = Balancer.send(firstPacket(relayKey(1), 1), RelayStart + 50ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Steered.size());
+      if (Dropped) {
+        CPPUNIT_ASSERT(Steered[0].Operation == Kind::Reset);
+        CPPUNIT_ASSERT(Steered[0].Reason == SteeringReason::NoRoute);
+        continue;
+      }
+      CPPUNIT_ASSERT_EQUAL(AgentThree, Steered[0].Agent);
+      CPPUNIT_ASSERT_EQUAL(relay::serviceDigest("intake"), Steered[0].TransitFields.ServiceDigest);
+    }
+  }
+
+  void testHeld_routeChanged_followsTheRoute() {
+    for (const bool Dropped : {false, true}) {
+      Node Balancer;
+      fill(Balancer, RelayStart);
+      (void)Balancer.send(firstPacket(relayKey(1)));
+      Balancer.Steering.setRoutes(changedRoutes(Dropped));
+      const auto Steered = Balancer.Steering.onTimer(RelayStart + 20ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Steered.size());
+      CPPUNIT_ASSERT(Dropped ? Steered[0].Reason == SteeringReason::NoRoute
+                             : Steered[0].Agent == AgentThree);
+    }
   }
 
   void testPlacement_unanswered_isRepeatedBeforeTheRetransmission() {
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <tuple>
+
 namespace galenarelay::tests {
 
 using relay::FlowAction;
@@ -40,6 +42,7 @@
   CPPUNIT_TEST(testDeparture_beforeUpstreamExits_keepsItsFlows);
   CPPUNIT_TEST(testPacket_acknowledgingEndWithoutData_isDelivered);
   CPPUNIT_TEST(testFirstPacket_ofPortUsedAgain_replacesEarlierFlow);
+  CPPUNIT_TEST(testFirstPacket_onAdoptedFlowsPort_isDeliveredToItsServiceOnly);
   CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
   CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
   CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
@@ -53,6 +56,8 @@
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Sequence = 5000;
+  inline static const std::uint16_t DeskDigest = relay::serviceDigest("desk");
+  inline static const Transit ToDesk{BalancerOne, DeskDigest};
 
   static UpstreamFlows readyFlows() {
     UpstreamFlows Flows("desk", 1200ms, RelayStart - 60s);
@@ -61,7 +66,7 @@
   }
 
   static FlowActions fromBalancer(UpstreamFlows &Flows, const relay::PacketHeader &Head,
-                                  Transit Fields = {BalancerOne, 0},
+                                  Transit Fields = {BalancerOne, DeskDigest},
                                   common::TimePoint Now = RelayStart) {
     const relay::Bytes Raw{1, 2, 3};
     return Flows.onBalancerPacket(Head, Fields, Raw, BalancerOne, Now);
@@ -72,7 +77,7 @@
     return Flows.onUpstreamPacket(Head, {BalancerOne}, Now);
   }
 
-  static void open(UpstreamFlows &Flows, const packet::FlowKey &Key, Transit Fields = {}) {
+  static void open(UpstreamFlows &Flows, const packet::FlowKey &Key, Transit Fields = ToDesk) {
     (void)fromBalancer(Flows, firstPacket(Key), Fields);
     (void)fromUpstream(Flows, upstreamAccept(Key, Sequence));
   }
@@ -105,31 +110,25 @@
     const auto NoChange = [](UpstreamFlows &) {};
     const std::vector<Case> Cases{
         {"draining",
-         [](UpstreamFlows &F) { (void)F.onHeartbeat(heartbeat(2, 10, true), RelayStart); },
-         {},
-         0s,
-         ReturnReason::Leaving},
-        {"departed",
-         [](UpstreamFlows &F) { (void)F.onDeparture("up-10", RelayStart); },
-         {},
-         0s,
+         [](UpstreamFlows &F) { (void)F.onHeartbeat(heartbeat(2, 10, true), RelayStart); }, ToDesk,
+         0s, ReturnReason::Leaving},
+        {"departed", [](UpstreamFlows &F) { (void)F.onDeparture("up-10", RelayStart); }, ToDesk, 0s,
          ReturnReason::Leaving},
-        {"stopping", [](UpstreamFlows &F) { F.stop(); }, {}, 0s, ReturnReason::Leaving},
-        {"silent", NoChange, {}, 2s, ReturnReason::Unanswered},
+        {"stopping", [](UpstreamFlows &F) { F.stop(); }, ToDesk, 0s, ReturnReason::Leaving},
+        {"silent", NoChange, ToDesk, 2s, ReturnReason::Unanswered},
         {"other service",
          NoChange,
          {BalancerOne, relay::serviceDigest("intake")},
          0s,
          ReturnReason::WrongService},
+        {"no service", NoChange, {BalancerOne, 0}, 0s, ReturnReason::WrongService},
         {"address used again",
          [](UpstreamFlows &F) {
            auto Next = heartbeat(1, 20);
            Next.Service = "intake";
            (void)F.onHeartbeat(Next, RelayStart);
          },
-         {BalancerOne, relay::serviceDigest("desk")},
-         0s,
-         ReturnReason::WrongService}};
+         ToDesk, 0s, ReturnReason::WrongService}};
     for (const Case &Each : Cases) {
       auto Flows = readyFlows();
       Each.Prepare(Flows);
@@ -148,7 +147,8 @@
     const auto Declined = fromBalancer(Flows, firstPacket(relayKey(3)));
     CPPUNIT_ASSERT(Declined[0].Operation == Kind::Return &&
                    Declined[0].Reason == ReturnReason::Busy);
-    const auto Insisted = fromBalancer(Flows, firstPacket(relayKey(3)), {.Insist = true});
+    const auto Insisted = fromBalancer(Flows, firstPacket(relayKey(3)),
+                                       {.ServiceDigest = DeskDigest, .Insist = true});
     CPPUNIT_ASSERT(Insisted[0].Operation == Kind::Deliver);
   }
 
@@ -173,14 +173,15 @@
     auto Flows = readyFlows();
     const auto Capacity = static_cast<std::uint16_t>(relay::requestLimit(2));
     for (std::uint16_t Port = 1; Port <= Capacity; ++Port) {
-      (void)fromBalancer(Flows, firstPacket(relayKey(Port)), {.Insist = true});
+      (void)fromBalancer(Flows, firstPacket(relayKey(Port)),
+                         {.ServiceDigest = DeskDigest, .Insist = true});
       (void)fromUpstream(Flows, upstreamAccept(relayKey(Port), Sequence));
       (void)fromBalancer(Flows, callerData(relayKey(Port), Sequence));
     }
     const relay::Bytes Raw{1, 2, 3};
     for (const auto Balancer : {BalancerOne, BalancerTwo, BalancerOne}) {
       const auto Declined =
-          Flows.onBalancerPacket(firstPacket(relayKey(50)), {}, Raw, Balancer, RelayStart);
+          Flows.onBalancerPacket(firstPacket(relayKey(50)), ToDesk, Raw, Balancer, RelayStart);
       CPPUNIT_ASSERT(Declined[0].Reason == ReturnReason::Full);
     }
     std::vector<relay::NodeAddress> Notified;
@@ -323,7 +324,8 @@
 
   void testLoad_requestsAndFlows_areCounted() {
     auto Flows = readyFlows();
-    (void)fromBalancer(Flows, firstPacket(relayKey(1)), {.Long = true});
+    (void)fromBalancer(Flows, firstPacket(relayKey(1)),
+                       {.ServiceDigest = DeskDigest, .Long = true});
     CPPUNIT_ASSERT((Flows.load() == relay::UpstreamLoad{1, 1}));
     (void)fromUpstream(Flows, upstreamAccept(relayKey(1), Sequence));
     (void)fromBalancer(Flows, callerData(relayKey(1), Sequence));
@@ -357,7 +359,7 @@
   void testLoad_endedOrAbandonedFlow_isNotCounted() {
     auto Flows = readyFlows();
     for (const std::uint16_t Port : {1, 2})
-      open(Flows, relayKey(Port), {.Long = true});
+      open(Flows, relayKey(Port), {.ServiceDigest = DeskDigest, .Long = true});
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, Flows.load().LongFlows);
     auto End = upstreamData(relayKey(1), Sequence, 0);
     End.Flags.Fin = true;
@@ -384,8 +386,8 @@
     auto Flows = readyFlows();
     auto Now = RelayStart;
     const auto OpenFlow = [&](std::uint16_t Port) {
-      (void)fromBalancer(Flows, firstPacket(relayKey(Port)), {.Insist = true, .OthersWait = true},
-                         Now);
+      (void)fromBalancer(Flows, firstPacket(relayKey(Port)),
+                         {.ServiceDigest = DeskDigest, .Insist = true, .OthersWait = true}, Now);
       (void)fromUpstream(Flows, upstreamAccept(relayKey(Port), Sequence), Now);
     };
     for (std::uint16_t Port = 1; Port <= 20; ++Port) {
@@ -482,6 +484,25 @@
 
   // An upstream that was suspended, or whose heartbeats waited, is older than their number
   // suggests.
+  // Guards against a SYN for another service, or for an upstream that leaves, being taken for a
+  // copy of the SYN of a flow that was open before the agent's start.
+  void testFirstPacket_onAdoptedFlowsPort_isDeliveredToItsServiceOnly() {
+    for (const auto &[Digest, Draining, Expected] :
+         std::initializer_list<std::tuple<std::uint16_t, bool, Kind>>{
+             {DeskDigest, false, Kind::Deliver},
+             {relay::serviceDigest("intake"), false, Kind::Return},
+             {0, false, Kind::Return},
+             {DeskDigest, true, Kind::Return}}) {
+      UpstreamFlows Flows("desk", 1200ms, RelayStart);
+      (void)Flows.onHeartbeat(heartbeat(30, 10, Draining), RelayStart);
+      (void)fromUpstream(Flows, upstreamData(relayKey(1), Sequence));
+      const auto Actions = fromBalancer(Flows, firstPacket(relayKey(1)), {BalancerOne, Digest});
+      CPPUNIT_ASSERT(Actions.size() == 1 && Actions[0].Operation == Expected);
+      const relay::FlowQuery Query{1, {{relayKey(1), Sequence + 100}}};
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Flows.onQuery(Query, RelayStart).Held.size());
+    }
+  }
+
   void testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure() {
     UpstreamFlows Flows("desk", 1200ms, RelayStart);
     const auto Now = RelayStart + 10s;
