Let a running upstream take over from one that is silent

The host had crashed and started again after its machine's clock was set right, so that it stated an earlier start than before.

Cause: Registration ordered incarnations by the time of day of their start alone, also those of different IDs, and had no way back. For the same reason one heartbeat of another writer with a later start, also of a service that no configuration names, took the place of the living upstream.

Change: a heartbeat takes effect by itself if it continues the incarnation in effect, or is of one that hasn't been seen, with a later start and the same service. Any other sender takes over once it goes on for half an interval while the incarnation in effect is silent. Late heartbeats of an ended sender arrive together, or while its successor is heard, and prove nothing. A heartbeat without effect still counts as a sign of life, so that no flow of a living upstream is reset. The same proof is asked of a first heartbeat whose service isn't that of the settings, and of a sequence number below the last one, so that one huge number doesn't silence an upstream.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -345,15 +345,17 @@
                     {{"detail", Heartbeat.Failure.Detail}});
       return {400, R"({"error":"unreadable heartbeat"})"};
     }
-    const auto Effect = Flows.onHeartbeat(*Heartbeat, Now);
-    if (Effect != relay::HeartbeatEffect::Refreshed)
-      common::log(common::LogLevel::Info, "heartbeat_taken",
+    using Effect = relay::HeartbeatEffect;
+    const auto Result = Flows.onHeartbeat(*Heartbeat, Now);
+    const bool Ignored = Result == Effect::Outdated || Result == Effect::Unproven;
+    if (Result != Effect::Refreshed && (!Ignored || RejectLogLimiter.allow(Now)))
+      common::log(Ignored ? common::LogLevel::Warning : common::LogLevel::Info, "heartbeat_taken",
                   {{"upstream", Heartbeat->Id},
                    {"service", Heartbeat->Service},
                    {"draining", Heartbeat->Draining},
                    {"incarnation", Heartbeat->Incarnation},
                    {"sequence", Heartbeat->Sequence},
-                   {"effect", name(Effect)}});
+                   {"effect", name(Result)}});
     checkState(Now);
     return Platform::Calls::acknowledge();
   }
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -153,7 +153,7 @@
   [[nodiscard]] FlowActions resetOpenFlows();
 
   [[nodiscard]] const Registration &registration() const noexcept { return Upstream; }
-  [[nodiscard]] std::string service() const;
+  [[nodiscard]] const std::string &service() const noexcept { return Upstream.service(); }
   [[nodiscard]] UpstreamState state(common::TimePoint Now) const;
   [[nodiscard]] UpstreamLoad load() const noexcept { return {Unanswered, LongFlows}; }
   [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
@@ -218,7 +218,6 @@
   void eraseFlow(FlowMap::iterator Position);
   void eraseExpired(common::TimePoint Now);
 
-  std::string SettingsService;
   common::Duration HeartbeatInterval;
   policy::Mechanisms InUse;
   Registration Upstream;
@@ -230,7 +229,8 @@
   /// has not taken it for ended since.
   bool TableComplete = false;
   bool Stopping = false;
-  /// Until the first heartbeat the settings name the upstream's service; false after a suspension.
+  /// Until the first heartbeat the settings name the upstream's service; false after a suspension,
+  /// or after a heartbeat that names another service.
   bool SettingsValid = true;
   /// The upstream left a SYN unanswered, or refused one before its first heartbeat. Its
   /// next heartbeat or packet clears this.
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -31,31 +31,30 @@
 
 UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
                              common::TimePoint StartedAt, policy::Mechanisms InUse)
-    : SettingsService(std::move(SettingsService)), HeartbeatInterval(HeartbeatInterval),
-      InUse(InUse), Upstream(HeartbeatInterval), LastSignAt(StartedAt), ListeningSince(StartedAt) {}
+    : HeartbeatInterval(HeartbeatInterval), InUse(InUse),
+      Upstream(std::move(SettingsService), HeartbeatInterval), LastSignAt(StartedAt),
+      ListeningSince(StartedAt) {}
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
-  const bool ReplacesKnown = Upstream.last() && Upstream.last()->Incarnation != 0 &&
-                             Upstream.last()->Incarnation < Received.Incarnation;
   const bool EndedBefore = upstreamEnded(Now);
   const auto Effect = Upstream.onHeartbeat(Received, Now);
-  if (Effect == HeartbeatEffect::Outdated)
+  // A heartbeat without effect may still be that of the running upstream, whose flows must stay.
+  LastSignAt = Now;
+  if (EndedBefore)
+    TableComplete = false; // The upstream may still hold flows that were closed here.
+  if (Effect == HeartbeatEffect::Outdated || Effect == HeartbeatEffect::Unproven) {
+    // Without an earlier heartbeat, the settings and this one disagree about the service.
+    SettingsValid = SettingsValid && Upstream.known();
     return Effect;
+  }
   Unresponsive = false;
-  LastSignAt = Now;
   // The time since this process started proves nothing: heartbeats of an upstream that was
   // suspended or couldn't send them have lower sequence numbers than its age suggests.
   if (Effect == HeartbeatEffect::NewIncarnation)
-    TableComplete = Received.Sequence <= 1 || ReplacesKnown;
-  else if (EndedBefore)
-    TableComplete = false; // The upstream may still hold flows that were closed here.
+    TableComplete = Upstream.startSeen();
   return Effect;
 }
 
-std::string UpstreamFlows::service() const {
-  return Upstream.last() ? Upstream.last()->Service : SettingsService;
-}
-
 UpstreamState UpstreamFlows::state(common::TimePoint Now) const {
   if (upstreamEnded(Now))
     return UpstreamState::Ended;
@@ -170,7 +169,7 @@
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
                                                          common::TimePoint Now) const {
-  if (Fields.ServiceDigest != serviceDigest(service()))
+  if (Fields.ServiceDigest != serviceDigest(Upstream.service()))
     return ReturnReason::WrongService;
   const UpstreamState State = state(Now);
   if (State == UpstreamState::Silent)
