Ignore the departure of an earlier incarnation

Cause: a departure was matched by its ID; the start time in its body wasn't read. Before the first heartbeat a departure of any ID was taken for that of the upstream.

The tests need the new field and can't be built with the code before, whose onDeparture takes an ID only.

Change: the platform reads the start time. A departure of another start is ignored; that of the incarnation in effect is final. Before the first heartbeat a departure only stops new flows, as it may be that of an earlier upstream. A departure of another host no longer defers the time at which the flows of a departed one count as ended. An unreadable body is refused and logged.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -329,8 +329,8 @@
     const auto Now = common::suspendAwareNow();
     if (auto Id = Platform::Calls::heartbeatId(Request); !Id.empty())
       co_return handleHeartbeat(std::move(Id), Request.Body, Now);
-    if (const auto Id = Platform::Calls::departureId(Request); !Id.empty())
-      co_return handleDeparture(Id, Now);
+    if (auto Id = Platform::Calls::departureId(Request); !Id.empty())
+      co_return handleDeparture(std::move(Id), Request.Body, Now);
     if (Platform::Calls::asksReadiness(Request))
       co_return common::HttpResponse{200, "{}"};
     co_return this->serveCommonPath(Request.Path);
@@ -360,9 +360,18 @@
     return Platform::Calls::acknowledge();
   }
 
-  common::HttpResponse handleDeparture(const std::string &Id, common::TimePoint Now) {
-    const bool Known = Flows.onDeparture(Id, Now);
-    common::log(common::LogLevel::Info, "upstream_departed", {{"upstream", Id}, {"known", Known}});
+  common::HttpResponse handleDeparture(std::string Id, const std::string &Body,
+                                       common::TimePoint Now) {
+    const auto Departure = Platform::Calls::readDeparture(std::move(Id), Body);
+    if (!Departure) {
+      if (RejectLogLimiter.allow(Now))
+        common::log(common::LogLevel::Warning, "departure_unreadable",
+                    {{"detail", Departure.Failure.Detail}});
+      return {400, R"({"error":"unreadable departure"})"};
+    }
+    const bool Known = Flows.onDeparture(*Departure, Now);
+    common::log(common::LogLevel::Info, "upstream_departed",
+                {{"upstream", Departure->Id}, {"known", Known}});
     checkState(Now);
     return Platform::Calls::acknowledge();
   }
--- a/include/galenarelay/node/relay_platform.h
+++ b/include/galenarelay/node/relay_platform.h
@@ -38,6 +38,7 @@
   { T::heartbeatId(Request) } -> std::same_as<std::string>;
   { T::departureId(Request) } -> std::same_as<std::string>;
   { T::readHeartbeat(Id, Body) } -> std::same_as<common::Outcome<relay::Heartbeat>>;
+  { T::readDeparture(Id, Body) } -> std::same_as<common::Outcome<relay::Departure>>;
   { T::acknowledge() } -> std::same_as<common::HttpResponse>;
 };
 
--- a/include/galenarelay/relay/registration.h
+++ b/include/galenarelay/relay/registration.h
@@ -29,6 +29,14 @@
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
 
+/// What an upstream reports when it is about to exit.
+struct Departure {
+  std::string Id;
+  std::optional<std::uint64_t> Incarnation; ///< As in its heartbeats; empty if it isn't stated.
+
+  friend bool operator==(const Departure &, const Departure &) = default;
+};
+
 /// What a heartbeat changed.
 enum class HeartbeatEffect : std::uint8_t {
   Refreshed,      ///< Same incarnation and status.
@@ -63,16 +71,19 @@
       : SettingsService(std::move(SettingsService)), Interval(HeartbeatInterval) {}
 
   [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Received, common::TimePoint Now);
-  /// Marks the upstream as ended. Returns false if the ID is that of another upstream.
-  bool onDeparture(const std::string &Id);
+  /// Marks the upstream as ended. Returns false if it is another upstream or incarnation that ends.
+  /// Before the first heartbeat the upstream only takes no new flows, as the sender is unknown.
+  bool onDeparture(const Departure &Received);
 
   [[nodiscard]] bool known() const noexcept { return Last.has_value(); }
   [[nodiscard]] const std::optional<Heartbeat> &last() const noexcept { return Last; }
   [[nodiscard]] const std::string &service() const noexcept {
     return Last ? Last->Service : SettingsService;
   }
-  /// True if the upstream is draining or has ended.
-  [[nodiscard]] bool leaving() const noexcept { return Departed || (Last && Last->Draining); }
+  /// True if the upstream is draining or has ended, or an unknown one has announced its end.
+  [[nodiscard]] bool leaving() const noexcept {
+    return Departed || UnknownDeparted || (Last && Last->Draining);
+  }
   [[nodiscard]] bool departed() const noexcept { return Departed; }
   /// True if the last heartbeat is at most SilentIntervals old.
   [[nodiscard]] bool fresh(common::TimePoint Now) const noexcept;
@@ -112,6 +123,8 @@
   common::TimePoint ReceivedAt{};
   bool StartSeen = false;
   bool Departed = false;
+  bool DepartureCertain = false; ///< The departure stated the incarnation in effect.
+  bool UnknownDeparted = false;  ///< An upstream departed before the first heartbeat.
   std::vector<Contender> Contenders;
   std::vector<Lifetime> Replaced; ///< Earlier incarnations, the latest one last.
 };
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -116,11 +116,8 @@
                 common::TimePoint StartedAt, policy::Mechanisms InUse = {});
 
   [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Received, common::TimePoint Now);
-  /// Notes that the upstream is about to exit. Returns false if the ID is that of another upstream.
-  bool onDeparture(const std::string &Id, common::TimePoint Now) {
-    DepartedAt = Now;
-    return Upstream.onDeparture(Id);
-  }
+  /// Notes that the upstream is about to exit. Returns false if it is another one that exits.
+  bool onDeparture(const Departure &Received, common::TimePoint Now);
   /// Declines new flows from now on, as this process is about to stop.
   void stop() noexcept { Stopping = true; }
 
--- a/src/relay/registration.cpp
+++ b/src/relay/registration.cpp
@@ -21,7 +21,7 @@
 
 HeartbeatEffect Registration::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
   if (isCurrent(Received) && Received.Sequence > Last->Sequence)
-    return refresh(Received, Now);
+    return DepartureCertain ? HeartbeatEffect::Outdated : refresh(Received, Now);
   if (succeeds(Received)) {
     const bool IsLater = Last && Last->Incarnation != 0 && Last->Incarnation < Received.Incarnation;
     const bool Started = Received.Sequence <= 1 || IsLater;
@@ -71,7 +71,7 @@
   It->Sequence = Received.Sequence;
   const auto ProofTime = std::chrono::duration_cast<common::Duration>(Interval * ProofIntervals);
   const bool CurrentLives = !Departed && fresh(Now);
-  if (CurrentLives || Now - It->FirstAt < ProofTime)
+  if (CurrentLives || (DepartureCertain && isCurrent(Received)) || Now - It->FirstAt < ProofTime)
     return std::nullopt;
   return It->First;
 }
@@ -101,14 +101,22 @@
   ReceivedAt = Now;
   StartSeen = Started;
   Departed = false;
+  DepartureCertain = false;
+  UnknownDeparted = false;
   Contenders.clear();
   return HeartbeatEffect::NewIncarnation;
 }
 
-bool Registration::onDeparture(const std::string &Id) {
-  if (Last && Last->Id != Id)
+bool Registration::onDeparture(const Departure &Received) {
+  if (!Last) {
+    UnknownDeparted = true;
+    return false;
+  }
+  const bool StatesIncarnation = Received.Incarnation && Last->Incarnation != 0;
+  if (Last->Id != Received.Id || (StatesIncarnation && *Received.Incarnation != Last->Incarnation))
     return false;
   Departed = true;
+  DepartureCertain = DepartureCertain || StatesIncarnation;
   return true;
 }
 
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -55,6 +55,14 @@
   return Effect;
 }
 
+bool UpstreamFlows::onDeparture(const Departure &Received, common::TimePoint Now) {
+  const bool DepartedBefore = Upstream.departed();
+  const bool Known = Upstream.onDeparture(Received);
+  if (Upstream.departed() && !DepartedBefore)
+    DepartedAt = Now;
+  return Known;
+}
+
 UpstreamState UpstreamFlows::state(common::TimePoint Now) const {
   if (upstreamEnded(Now))
     return UpstreamState::Ended;
--- a/tests/relay_registration_test.cpp
+++ b/tests/relay_registration_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(testDrain_withinIncarnation_isFinal);
   CPPUNIT_TEST(testSilence_beforeAddressReuse_stopsNewFlows);
   CPPUNIT_TEST(testDeparture_ofOtherUpstream_isIgnored);
+  CPPUNIT_TEST(testDeparture_ofEarlierIncarnation_isIgnored);
+  CPPUNIT_TEST(testDeparture_beforeFirstHeartbeat_stopsNewFlowsOnly);
   CPPUNIT_TEST(testColdFor_afterHeartbeat_decreasesToZero);
   CPPUNIT_TEST(testHeartbeat_afterDeparture_showsThatUpstreamLives);
   CPPUNIT_TEST(testHeartbeat_ofEarlierStart_takesOverOnceProven);
@@ -80,12 +82,37 @@
   void testDeparture_ofOtherUpstream_isIgnored() {
     Registration Upstream("desk", 1200ms);
     (void)Upstream.onHeartbeat(heartbeat(1), RelayStart);
-    CPPUNIT_ASSERT(!Upstream.onDeparture("up-9"));
+    CPPUNIT_ASSERT(!Upstream.onDeparture({"up-9", {}}));
     CPPUNIT_ASSERT(!Upstream.leaving());
-    CPPUNIT_ASSERT(Upstream.onDeparture("up-10"));
+    CPPUNIT_ASSERT(Upstream.onDeparture({"up-10", {}}));
     CPPUNIT_ASSERT(Upstream.leaving());
   }
 
+  // Guards against a late departure that ends the upstream that has started again under the same
+  // ID.
+  void testDeparture_ofEarlierIncarnation_isIgnored() {
+    Registration Upstream("desk", 1200ms);
+    auto Restarted = heartbeat(1, 11);
+    Restarted.Id = "up-10";
+    (void)Upstream.onHeartbeat(Restarted, RelayStart);
+    CPPUNIT_ASSERT(!Upstream.onDeparture({"up-10", 10}));
+    CPPUNIT_ASSERT(!Upstream.leaving());
+    CPPUNIT_ASSERT(Upstream.onDeparture({"up-10", 11}));
+    Restarted.Sequence = 2;
+    CPPUNIT_ASSERT(Upstream.onHeartbeat(Restarted, RelayStart + 1s) == HeartbeatEffect::Outdated);
+    CPPUNIT_ASSERT(Upstream.departed());
+  }
+
+  // Guards against a late departure of an earlier upstream, just after the agent's start, that ends
+  // the running one.
+  void testDeparture_beforeFirstHeartbeat_stopsNewFlowsOnly() {
+    Registration Upstream("desk", 1200ms);
+    CPPUNIT_ASSERT(!Upstream.onDeparture({"up-9", {}}));
+    CPPUNIT_ASSERT(Upstream.leaving() && !Upstream.departed());
+    (void)Upstream.onHeartbeat(heartbeat(1), RelayStart);
+    CPPUNIT_ASSERT(Upstream.takesFlows(RelayStart));
+  }
+
   void testColdFor_afterHeartbeat_decreasesToZero() {
     Registration Upstream("desk", 1200ms);
     auto Cold = heartbeat(1);
@@ -102,7 +129,7 @@
     Restarted.Id = "up-10";
     (void)Upstream.onHeartbeat(heartbeat(9, 10), RelayStart);
     (void)Upstream.onHeartbeat(Restarted, RelayStart + 2s);
-    (void)Upstream.onDeparture("up-10");
+    (void)Upstream.onDeparture({"up-10", {}});
     Restarted.Sequence = 2;
     (void)Upstream.onHeartbeat(Restarted, RelayStart + 3s);
     CPPUNIT_ASSERT(!Upstream.leaving());
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(testFlow_ofUpstreamWithEarlierStartThanLast_isNotReset);
   CPPUNIT_TEST(testFlow_heartbeatOfAnotherWriter_isNotReset);
   CPPUNIT_TEST(testFirstPacket_settingsAndHeartbeatDisagree_isReturned);
+  CPPUNIT_TEST(testDeparture_ofEarlierIncarnation_keepsFlows);
   CPPUNIT_TEST(testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure);
   CPPUNIT_TEST(testQuery_upstreamThatReplacedAnother_isAbsent);
   CPPUNIT_TEST(testFlow_ofUpstreamHeardAgainAfterSilence_isNotDenied);
@@ -115,8 +116,11 @@
         {"draining",
          [](UpstreamFlows &F) { (void)F.onHeartbeat(heartbeat(2, 10, true), RelayStart); }, ToDesk,
          0s, ReturnReason::Leaving},
-        {"departed", [](UpstreamFlows &F) { (void)F.onDeparture("up-10", RelayStart); }, ToDesk, 0s,
-         ReturnReason::Leaving},
+        {"departed",
+         [](UpstreamFlows &F) {
+           (void)F.onDeparture({"up-10", {}}, RelayStart);
+         },
+         ToDesk, 0s, ReturnReason::Leaving},
         {"stopping", [](UpstreamFlows &F) { F.stop(); }, ToDesk, 0s, ReturnReason::Leaving},
         {"silent", NoChange, ToDesk, 2s, ReturnReason::Unanswered},
         {"other service",
@@ -417,7 +421,7 @@
     open(Flows, relayKey(1));
     exchange(Flows, relayKey(1), 0);
     (void)fromBalancer(Flows, callerData(relayKey(1), Sequence + 100, 1100, 0));
-    (void)Flows.onDeparture("up-10", RelayStart);
+    (void)Flows.onDeparture({"up-10", {}}, RelayStart);
     const auto Resets = Flows.resetOpenFlows();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countActions(Resets, Kind::ResetCaller));
     CPPUNIT_ASSERT_EQUAL(Sequence + 100, Resets[0].Sequence);
@@ -428,7 +432,7 @@
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
     exchange(Flows, relayKey(1), 0);
-    (void)Flows.onDeparture("up-10", RelayStart);
+    (void)Flows.onDeparture({"up-10", {}}, RelayStart);
     const relay::FlowQuery Query{1, {{relayKey(1), Sequence}}};
     const auto Exit = RelayStart + relay::DepartureGrace;
     CPPUNIT_ASSERT(!Flows.upstreamEnded(Exit - 1ms));
@@ -443,7 +447,7 @@
     auto Flows = readyFlows();
     open(Flows, relayKey(1));
     (void)fromBalancer(Flows, callerData(relayKey(1), Sequence + 7'000'000));
-    (void)Flows.onDeparture("up-10", RelayStart);
+    (void)Flows.onDeparture({"up-10", {}}, RelayStart);
     CPPUNIT_ASSERT(Flows.resetOpenFlows().empty());
   }
 
@@ -566,6 +570,18 @@
         Kind::Deliver);
   }
 
+  // Guards against a late departure that resets the flows of the upstream that has started again.
+  void testDeparture_ofEarlierIncarnation_keepsFlows() {
+    auto Flows = readyFlows();
+    open(Flows, relayKey(1));
+    CPPUNIT_ASSERT(!Flows.onDeparture({"up-10", 9}, RelayStart));
+    CPPUNIT_ASSERT(!Flows.upstreamEnded(RelayStart + 1s));
+    // A departure of another upstream doesn't defer the end of one that has departed.
+    CPPUNIT_ASSERT(Flows.onDeparture({"up-10", 10}, RelayStart));
+    (void)Flows.onDeparture({"up-9", 9}, RelayStart + 90ms);
+    CPPUNIT_ASSERT(Flows.upstreamEnded(RelayStart + relay::DepartureGrace));
+  }
+
   void testQuery_upstreamOlderThanItsHeartbeatsSuggest_isUnsure() {
     UpstreamFlows Flows("desk", 1200ms, RelayStart);
     const auto Now = RelayStart + 10s;
