Accept the reports of an agent whose clock was set back

Cause: UpstreamDirectory::onReport ordered the processes of an agent by the time of day of their start alone.

Evidence: testReport_ofEarlierStart_takesEffectOnceRepeated and the new case of testHolders_namedByPeer_areExpectedUnlessOwnReportIsNewer fail on the code before.

Change: a process with an earlier start takes effect with its second report, at least 100 ms after the first, if the one in effect is silent in between. Until then the agent is queried and counts as one that may hold flows. Late reports of the replaced process stay outdated.

--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -74,6 +74,9 @@
 /// agent counts a flow from its SYN: the round trip between zones and the time that an agent takes
 /// to answer.
 inline constexpr common::Duration PlacementDelay = std::chrono::milliseconds(5);
+/// Minimum time between two reports that prove that an agent runs which states an earlier start
+/// than the process before it. Late datagrams arrive together.
+inline constexpr common::Duration ContenderProofTime = std::chrono::milliseconds(100);
 /// Number of random agents of a service that are compared for a short flow: the power of two
 /// choices (Mitzenmacher 2001).
 inline constexpr std::size_t RandomChoices = 2;
@@ -221,6 +224,12 @@
     common::TimePoint At{};
     FlowKind Kind = FlowKind::Short;
   };
+  /// A process of an agent whose reports may be late ones, since the one in effect.
+  struct ReportContender {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Sequence = 0; ///< Of its latest report.
+    common::TimePoint FirstAt{};
+  };
   struct AgentEntry {
     AgentView View;
     std::deque<Placement> Placements;                 ///< Those that no load figure includes yet.
@@ -229,6 +238,8 @@
     std::uint32_t UnansweredQueries = 0;              ///< Queries since UnansweredSince.
     std::set<NodeAddress> Witnesses; ///< Balancers that find the agent lost as well.
     bool ReportedLost = false;       ///< Returned by takeLost.
+    std::optional<std::uint64_t> ReplacedIncarnation; ///< The one before the one in effect.
+    std::optional<ReportContender> Contender;
   };
   struct ExpectedAgent {
     common::TimePoint Since{};
@@ -239,6 +250,9 @@
   /// are never chosen.
   enum class Fitness : std::uint8_t { Good, Doubtful, Unfit };
 
+  /// Whether a report takes the place of the agent's last one.
+  [[nodiscard]] static bool succeeds(AgentEntry &Agent, const AgentReport &Report,
+                                     common::TimePoint Now);
   [[nodiscard]] Fitness fitness(const AgentEntry &Agent, common::TimePoint Now) const;
   [[nodiscard]] static bool full(const AgentEntry &Agent);
   [[nodiscard]] double score(const AgentEntry &Agent, FlowKind Kind, common::TimePoint Now) const;
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -3,7 +3,6 @@
 #include "galenarelay/common/hash_mix.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace galenarelay::relay {
@@ -38,13 +37,19 @@
 
 UpstreamDirectory::Change UpstreamDirectory::onReport(NodeAddress From, const AgentReport &Report,
                                                       common::TimePoint Now) {
-  Expected.erase(From);
   auto [It, Added] = Agents.try_emplace(From);
   AgentEntry &Agent = It->second;
   const AgentReport &Previous = Agent.View.Report;
-  if (!Added && std::tie(Report.Incarnation, Report.Sequence) <=
-                    std::tie(Previous.Incarnation, Previous.Sequence))
+  if (!Added && !succeeds(Agent, Report, Now)) {
+    // The answer to a query shows which process runs; until then the agent may hold flows.
+    if (Agent.Contender)
+      Expected.try_emplace(From, ExpectedAgent{.Since = Now});
     return Change::Outdated;
+  }
+  Expected.erase(From);
+  if (!Added && Previous.Incarnation != Report.Incarnation)
+    Agent.ReplacedIncarnation = Previous.Incarnation;
+  Agent.Contender.reset();
   const bool Changed = Added || Previous.State != Report.State ||
                        Previous.Service != Report.Service ||
                        Previous.Incarnation != Report.Incarnation;
@@ -66,6 +71,27 @@
   return Added ? Change::Appeared : Change::StateChanged;
 }
 
+// Reports may arrive late, and an agent whose clock was set back states an earlier start than the
+// process before it. A report with an earlier start takes effect if its sender goes on reporting
+// while the process in effect is silent.
+bool UpstreamDirectory::succeeds(AgentEntry &Agent, const AgentReport &Report,
+                                 common::TimePoint Now) {
+  const AgentReport &Previous = Agent.View.Report;
+  if (Report.Incarnation == Previous.Incarnation)
+    return Report.Sequence > Previous.Sequence;
+  if (Report.Incarnation > Previous.Incarnation && Report.Incarnation != Agent.ReplacedIncarnation)
+    return true;
+  auto &Contender = Agent.Contender;
+  if (!Contender || Contender->Incarnation != Report.Incarnation) {
+    Contender = {Report.Incarnation, Report.Sequence, Now};
+    return false;
+  }
+  if (Report.Sequence <= Contender->Sequence)
+    return false;
+  Contender->Sequence = Report.Sequence;
+  return Now - Contender->FirstAt >= ContenderProofTime;
+}
+
 void UpstreamDirectory::addToService(NodeAddress Agent, const std::string &Service) {
   ByService[Service].push_back(Agent);
 }
@@ -449,8 +475,10 @@
     const auto It = Agents.find(Holder.Address);
     if (It != Agents.end()) {
       const AgentReport &Report = It->second.View.Report;
-      if (Report.State != UpstreamState::Ended || std::tie(Holder.Incarnation, Holder.Sequence) <=
-                                                      std::tie(Report.Incarnation, Report.Sequence))
+      const bool IsOlder = Holder.Incarnation == Report.Incarnation
+                               ? Holder.Sequence <= Report.Sequence
+                               : Holder.Incarnation == It->second.ReplacedIncarnation;
+      if (Report.State != UpstreamState::Ended || IsOlder)
         continue;
     }
     const auto [Entry, Added] = Expected.try_emplace(Holder.Address, ExpectedAgent{.Since = Now});
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -19,6 +19,8 @@
 class RelayViewTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayViewTest);
   CPPUNIT_TEST(testReport_outOfOrder_isIgnored);
+  CPPUNIT_TEST(testReport_ofEarlierStart_takesEffectOnceRepeated);
+  CPPUNIT_TEST(testReport_lateOnesOfEarlierStart_areIgnored);
   CPPUNIT_TEST(testChoice_unusableAgents_areSkipped);
   CPPUNIT_TEST(testChoice_suspectedAgents_areLastResort);
   CPPUNIT_TEST(testChoice_longFlows_spreadOverSlots);
@@ -73,6 +75,51 @@
     CPPUNIT_ASSERT(Directory.onReport(AgentOne, agentReport(9), RelayStart) == Change::Outdated);
   }
 
+  // Guards against ignoring an agent for good that restarts after its clock was set back: its flows
+  // were denied by all and reset.
+  void testReport_ofEarlierStart_takesEffectOnceRepeated() {
+    UpstreamDirectory Directory("a", 1);
+    auto Ended = agentReport(9);
+    Ended.Incarnation = 2000;
+    Ended.State = UpstreamState::Ended;
+    (void)Directory.onReport(AgentOne, Ended, RelayStart);
+    auto Restarted = agentReport(1);
+    Restarted.Incarnation = 1000;
+    CPPUNIT_ASSERT(Directory.onReport(AgentOne, Restarted, RelayStart + 1s) == Change::Outdated);
+    // It is queried, and no flow is taken as held nowhere meanwhile.
+    CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart + 1s) == std::vector{AgentOne});
+    Restarted.Sequence = 2;
+    CPPUNIT_ASSERT(Directory.onReport(AgentOne, Restarted, RelayStart + 1300ms) ==
+                   Change::StateChanged);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Directory.reportingHolders(RelayStart + 1300ms).size());
+    CPPUNIT_ASSERT(Directory.choose("desk", FlowKind::Short, {}, RelayStart + 1300ms) == AgentOne);
+    CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart + 1300ms).empty());
+    // A late report of the process before states a later start.
+    Ended.Sequence = 10;
+    CPPUNIT_ASSERT(Directory.onReport(AgentOne, Ended, RelayStart + 1400ms) == Change::Outdated);
+  }
+
+  void testReport_lateOnesOfEarlierStart_areIgnored() {
+    UpstreamDirectory Directory("a", 1);
+    auto Current = agentReport(1);
+    Current.Incarnation = 2000;
+    (void)Directory.onReport(AgentOne, Current, RelayStart);
+    auto Late = agentReport(50);
+    Late.Incarnation = 1000;
+    for (int I = 0; I < 20; ++I) {
+      const auto Now = RelayStart + I * 200ms;
+      ++Late.Sequence;
+      ++Current.Sequence;
+      CPPUNIT_ASSERT(Directory.onReport(AgentOne, Late, Now) == Change::Outdated);
+      CPPUNIT_ASSERT(Directory.onReport(AgentOne, Current, Now + 10ms) == Change::None);
+    }
+    // Delayed datagrams arrive together.
+    for (int I = 0; I < 5; ++I) {
+      ++Late.Sequence;
+      CPPUNIT_ASSERT(Directory.onReport(AgentOne, Late, RelayStart + 10s) == Change::Outdated);
+    }
+  }
+
   void testChoice_unusableAgents_areSkipped() {
     for (const auto State :
          {UpstreamState::Draining, UpstreamState::Silent, UpstreamState::Stopping}) {
@@ -297,6 +344,11 @@
     CPPUNIT_ASSERT(Name({AgentOne, 1, 99}).empty());
     CPPUNIT_ASSERT(Name({AgentTwo, 1, 4}).empty());
     CPPUNIT_ASSERT(Name({AgentTwo, 1, 5}).empty());
+    // A start that this balancer hasn't heard of may be a later one, whatever the clock said.
+    UpstreamDirectory Other("a", 1);
+    (void)Other.onReport(AgentTwo, Ended, RelayStart);
+    CPPUNIT_ASSERT(Other.noteHolders(std::vector<relay::KnownAgent>{{AgentTwo, 0, 1}},
+                                     RelayStart) == std::vector{AgentTwo});
     CPPUNIT_ASSERT(Directory.expectedHolders(RelayStart).empty());
     CPPUNIT_ASSERT(Name({AgentTwo, 1, 6}) == std::vector{AgentTwo});
     CPPUNIT_ASSERT(Name({AgentThree, 1, 1}) == std::vector{AgentThree});
