--- a/include/galenarelay/common/base64.h
+++ b/include/galenarelay/common/base64.h
@@ -3,7 +3,9 @@
 
 #include <boost/beast/core/detail/base64.hpp>
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace galenarelay::common {
 
@@ -15,11 +17,16 @@
   return Text;
 }
 
-/// Reads up to the first character that isn't base64.
-[[nodiscard]] inline std::string decodeBase64(const std::string &Text) {
+/// Empty if the text isn't standard base64 with padding.
+[[nodiscard]] inline std::optional<std::string> decodeBase64(const std::string &Text) {
   namespace base64 = boost::beast::detail::base64;
+  constexpr std::size_t GroupCharacters = 4;
   std::string Bytes(base64::decoded_size(Text.size()), '\0');
-  Bytes.resize(base64::decode(Bytes.data(), Text.data(), Text.size()).first);
+  const auto [Written, Read] = base64::decode(Bytes.data(), Text.data(), Text.size());
+  const auto Padding = std::string_view(Text).substr(Read);
+  if (Text.size() % GroupCharacters != 0 || !std::string_view("==").starts_with(Padding))
+    return std::nullopt;
+  Bytes.resize(Written);
   return Bytes;
 }
 
--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -143,11 +143,12 @@
   /// Calls OnRecord(Key, Address) for each node record in Page; logs records that can't be parsed.
   template <typename F> static void forEachRecord(const relay::StorePage &Page, F &&OnRecord) {
     for (const auto &Item : Page.Items) {
-      const auto Parsed = common::capture([&] { return common::parseEndpoint(Item.Value + ":0"); });
-      if (Parsed)
-        OnRecord(Item.Key, Parsed->Address);
+      const auto Address = readNodeRecord(Item.Value);
+      if (Address)
+        OnRecord(Item.Key, *Address);
       else
-        common::log(common::LogLevel::Warning, "record_unreadable", {{"key", Item.Key}});
+        common::log(common::LogLevel::Warning, "record_unreadable",
+                    {{"key", Item.Key}, {"detail", Address.Failure.Detail}});
     }
   }
 
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_NODE_IMPL_RELAY_STORE_H
 #define GALENARELAY_NODE_IMPL_RELAY_STORE_H
 
+#include "galenarelay/common/endpoint.h"
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/node/impl/call_pause.h"
@@ -91,6 +92,17 @@
   bool Reachable = true;
 };
 
+/// Reads the value of a node's record: an IPv4 address that one machine can have.
+/// Errors: MessageMalformed.
+[[nodiscard]] inline common::Outcome<std::uint32_t> readNodeRecord(const std::string &Value) {
+  constexpr std::uint32_t FirstMulticast = 0xe0000000;
+  const auto Parsed = common::capture([&] { return common::parseEndpoint(Value + ":0"); });
+  if (!Parsed || Parsed->Address == 0 || Parsed->Address >= FirstMulticast)
+    return {std::nullopt,
+            {common::ResultCode::MessageMalformed, "'" + Value + "' isn't a node's address"}};
+  return {Parsed->Address, {}};
+}
+
 /// Bounds of the exponential backoff after failed calls.
 inline constexpr common::Duration MinCallBackoff = std::chrono::milliseconds(100);
 inline constexpr common::Duration MaxCallBackoff = std::chrono::milliseconds(1500);
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -136,7 +136,7 @@
       return {404, "{}"};
   for (const auto &Put : Document.at("puts"))
     write(Put.at("key").get<std::string>(),
-          common::decodeBase64(Put.at("value").get<std::string>()),
+          common::decodeBase64(Put.at("value").get<std::string>()).value(),
           Put.at("lease").get<std::uint64_t>());
   for (const auto &Key : Document.at("delete"))
     remove(Key.get<std::string>());
