Read messages between nodes strictly

A message with booleans, fractions or negative numbers in place of numbers was accepted, with whatever nlohmann's get<> made of them; a time near the limit of its type overflowed sums with a point in time.

Evidence: testPeerMessage_oddField_isRefused fails on the code before. A crash by nesting was looked for and not shown: 65,000 nested arrays are refused without one.

Change: all numbers are read with common/json_fields, lists have to be arrays, times are bounded. Datagrams above 4 KiB are refused, since decoding recurses for each level. Agents log refused messages as balancers do.

--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -140,6 +140,14 @@
     common::log(common::LogLevel::Info, "reloaded", {{"seeds", NewOptions.Seeds.size()}});
   }
 
+  /// Counts and logs a message of another node that can't be decoded.
+  void rejectMessage(const common::Error &Reason, relay::NodeAddress From, common::TimePoint Now) {
+    MalformedPackets.Increment();
+    if (RejectLogLimiter.allow(Now))
+      common::log(common::LogLevel::Warning, "peer_message_rejected",
+                  {{"peer", common::addressToString(From)}, {"detail", Reason.Detail}});
+  }
+
   /// Calls OnRecord(Key, Address) for each node record in Page; logs records that can't be parsed.
   template <typename F> static void forEachRecord(const relay::StorePage &Page, F &&OnRecord) {
     for (const auto &Item : Page.Items) {
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -192,11 +192,13 @@
   void onPeerDatagram(std::span<const std::uint8_t> Raw, relay::NodeAddress From) {
     const auto Now = common::suspendAwareNow();
     const auto Message = relay::decodeMessage(Raw);
-    if (const auto *Query = Message ? std::get_if<relay::FlowQuery>(&*Message) : nullptr) {
+    if (!Message)
+      return this->rejectMessage(Message.Failure, From, Now);
+    if (const auto *Query = std::get_if<relay::FlowQuery>(&*Message)) {
       Peers.addContact(From, Now);
       return sendTo(From, Flows.onQuery(*Query, Now));
     }
-    if (const auto *Query = Message ? std::get_if<relay::LoadQuery>(&*Message) : nullptr) {
+    if (const auto *Query = std::get_if<relay::LoadQuery>(&*Message)) {
       Peers.addContact(From, Now);
       // A repeated query: the balancer has missed an answer, or knows this agent only from the
       // store or a peer.
@@ -204,7 +206,7 @@
         sendTo(From, makeReport(Now));
       return sendTo(From, Flows.onLoadQuery(*Query, From, Now));
     }
-    const auto *Beacon = Message ? std::get_if<relay::BalancerBeacon>(&*Message) : nullptr;
+    const auto *Beacon = std::get_if<relay::BalancerBeacon>(&*Message);
     if (Beacon == nullptr)
       return MalformedPackets.Increment();
     const auto KnownBefore = Peers.all();
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -115,7 +115,6 @@
   using Base::Peers;
   using Base::Random;
   using Base::Record;
-  using Base::RejectLogLimiter;
   using Base::sendTo;
   using Base::sendToAll;
   using Base::spawn;
@@ -224,13 +223,8 @@
   void onPeerDatagram(std::span<const std::uint8_t> Raw, relay::NodeAddress From) {
     const auto Now = common::suspendAwareNow();
     auto Message = relay::decodeMessage(Raw);
-    if (!Message) {
-      MalformedPackets.Increment();
-      if (RejectLogLimiter.allow(Now))
-        common::log(common::LogLevel::Warning, "peer_message_rejected",
-                    {{"peer", common::addressToString(From)}, {"detail", Message.Failure.Detail}});
-      return;
-    }
+    if (!Message)
+      return this->rejectMessage(Message.Failure, From, Now);
     std::visit([&](auto &Body) { handle(Body, From, Now); }, *Message);
   }
 
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -199,14 +199,18 @@
 /// Maximum number of agents in a part of a HolderAnswer, so that it fits into one Ethernet frame.
 inline constexpr std::size_t MaxNamedHolders = 60;
 
+/// Maximum size of a datagram. The longest messages are those with the longest lists. Decoding
+/// recurses for each nested value, so that this bounds its stack as well.
+inline constexpr std::size_t MaxMessageBytes = 4096;
+
 [[nodiscard]] std::string_view name(UpstreamState State) noexcept;
 [[nodiscard]] std::string_view name(ReturnReason Reason) noexcept;
 
 /// Encodes a message as a CBOR datagram.
 [[nodiscard]] Bytes encode(const PeerMessage &Message);
 
-/// Decodes a datagram. Fails with MessageMalformed, also if a list has more entries than the bounds
-/// above.
+/// Decodes a datagram. Errors: MessageTooLong; MessageMalformed, also if a list has more entries
+/// than the bounds above.
 [[nodiscard]] common::Outcome<PeerMessage> decodeMessage(std::span<const std::uint8_t> Datagram);
 
 } // namespace galenarelay::relay
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -1,12 +1,13 @@
 #include "galenarelay/relay/peer_message.h"
 
-#include <nlohmann/json.hpp>
+#include "galenarelay/common/json_fields.h"
 
 #include <array>
 
 namespace galenarelay::relay {
 
 using common::Outcome;
+using common::readUnsigned;
 using common::ResultCode;
 using nlohmann::json;
 
@@ -32,7 +33,7 @@
 json loadToJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
 
 UpstreamLoad loadFromJson(const json &Document) {
-  return {Document.at(0).get<std::uint32_t>(), Document.at(1).get<std::uint32_t>()};
+  return {readUnsigned<std::uint32_t>(Document.at(0)), readUnsigned<std::uint32_t>(Document.at(1))};
 }
 
 json keyToJson(const packet::FlowKey &Key) {
@@ -40,8 +41,9 @@
 }
 
 packet::FlowKey keyFromJson(const json &Document) {
-  return {{Document.at(0).get<std::uint32_t>(), Document.at(1).get<std::uint16_t>()},
-          {Document.at(2).get<std::uint32_t>(), Document.at(3).get<std::uint16_t>()}};
+  return {
+      {readUnsigned<std::uint32_t>(Document.at(0)), readUnsigned<std::uint16_t>(Document.at(1))},
+      {readUnsigned<std::uint32_t>(Document.at(2)), readUnsigned<std::uint16_t>(Document.at(3))}};
 }
 
 json toJson(const AgentReport &Report) {
@@ -114,36 +116,45 @@
 
 /// Returns the stamp at an index, or 0 if the array ends before it.
 std::uint16_t stampFromJson(const json &Fields, std::size_t Index) {
-  return Fields.size() > Index ? Fields.at(Index).get<std::uint16_t>() : 0;
+  return Fields.size() > Index ? readUnsigned<std::uint16_t>(Fields.at(Index)) : 0;
 }
 
 /// Returns an enumerator of at most Last; throws std::out_of_range for a larger value.
 template <typename E> E enumFromJson(const json &Value, E Last) {
-  const auto Number = Value.get<std::uint8_t>();
+  const auto Number = readUnsigned<std::uint8_t>(Value);
   if (Number > static_cast<std::uint8_t>(Last))
     throw std::out_of_range("unknown enum value " + std::to_string(Number));
   return static_cast<E>(Number);
 }
 
-/// Returns a list of at most MaxEntries entries; throws std::out_of_range for a longer one.
+/// Returns the rows of a list of at most MaxEntries; throws std::out_of_range for a longer one.
+const json::array_t &rowsOf(const json &Value, std::size_t MaxEntries) {
+  const auto &Rows = Value.get_ref<const json::array_t &>();
+  if (Rows.size() > MaxEntries)
+    throw std::out_of_range("list is too long: " + std::to_string(Rows.size()) + " entries");
+  return Rows;
+}
+
 template <typename T> std::vector<T> listFromJson(const json &Value, std::size_t MaxEntries) {
-  if (Value.size() > MaxEntries)
-    throw std::out_of_range("list is too long: " + std::to_string(Value.size()) + " entries");
-  return Value.get<std::vector<T>>();
+  std::vector<T> List;
+  for (const json &Row : rowsOf(Value, MaxEntries))
+    List.push_back(readUnsigned<T>(Row));
+  return List;
 }
 
 AgentReport reportFromJson(const json &Fields) {
   AgentReport Report;
   Report.Id = Fields.at(1).get<std::string>();
   Report.Zone = Fields.at(2).get<std::string>();
-  Report.Incarnation = Fields.at(3).get<std::uint64_t>();
-  Report.Sequence = Fields.at(4).get<std::uint64_t>();
+  Report.Incarnation = readUnsigned<std::uint64_t>(Fields.at(3));
+  Report.Sequence = readUnsigned<std::uint64_t>(Fields.at(4));
   Report.Service = Fields.at(5).get<std::string>();
   Report.State = enumFromJson(Fields.at(6), UpstreamState::Ended);
-  Report.UpstreamIncarnation = Fields.at(7).get<std::uint64_t>();
-  Report.Slots = Fields.at(8).get<std::uint32_t>();
+  Report.UpstreamIncarnation = readUnsigned<std::uint64_t>(Fields.at(7));
+  Report.Slots = readUnsigned<std::uint32_t>(Fields.at(8));
   Report.Load = loadFromJson(Fields.at(9));
-  Report.ColdFor = common::Duration(Fields.at(10).get<std::int64_t>());
+  Report.ColdFor = common::Duration(
+      readUnsigned(Fields.at(10), static_cast<std::uint64_t>(common::MaxStatedTime.count())));
   return Report;
 }
 
@@ -151,8 +162,8 @@
   BalancerBeacon Beacon;
   Beacon.Id = Fields.at(1).get<std::string>();
   Beacon.Zone = Fields.at(2).get<std::string>();
-  Beacon.Incarnation = Fields.at(3).get<std::uint64_t>();
-  Beacon.ConfigurationRevision = Fields.at(4).get<std::uint64_t>();
+  Beacon.Incarnation = readUnsigned<std::uint64_t>(Fields.at(3));
+  Beacon.ConfigurationRevision = readUnsigned<std::uint64_t>(Fields.at(4));
   Beacon.Leaving = Fields.at(5).get<bool>();
   Beacon.Balancers = listFromJson<NodeAddress>(Fields.at(6), MaxBeaconAddresses);
   Beacon.Agents = listFromJson<NodeAddress>(Fields.at(7), MaxBeaconAddresses);
@@ -160,30 +171,25 @@
 }
 
 FlowQuery queryFromJson(const json &Fields) {
-  FlowQuery Query{Fields.at(1).get<std::uint64_t>(), {}};
-  if (Fields.at(2).size() > MaxQueriedFlows)
-    throw std::out_of_range("flow query is too long: " + std::to_string(Fields.at(2).size()) +
-                            " flows");
-  for (const json &Row : Fields.at(2))
-    Query.Rows.push_back({keyFromJson(Row.at(0)), Row.at(1).get<std::uint32_t>()});
+  FlowQuery Query{readUnsigned<std::uint64_t>(Fields.at(1)), {}};
+  for (const json &Row : rowsOf(Fields.at(2), MaxQueriedFlows))
+    Query.Rows.push_back({keyFromJson(Row.at(0)), readUnsigned<std::uint32_t>(Row.at(1))});
   return Query;
 }
 
 HolderAnswer holderAnswerFromJson(const json &Fields) {
-  HolderAnswer Answer{Fields.at(1).get<std::uint64_t>(),
+  HolderAnswer Answer{readUnsigned<std::uint64_t>(Fields.at(1)),
                       Fields.at(2).get<bool>(),
-                      Fields.at(3).get<std::uint16_t>(),
-                      Fields.at(4).get<std::uint16_t>(),
+                      readUnsigned<std::uint16_t>(Fields.at(3)),
+                      readUnsigned<std::uint16_t>(Fields.at(4)),
                       {}};
   if (Answer.Part >= Answer.Parts)
     throw std::out_of_range("part " + std::to_string(Answer.Part) + " of " +
                             std::to_string(Answer.Parts));
-  if (Fields.at(5).size() > MaxNamedHolders)
-    throw std::out_of_range("holder answer is too long: " + std::to_string(Fields.at(5).size()) +
-                            " agents");
-  for (const json &Row : Fields.at(5))
-    Answer.Agents.push_back({Row.at(0).get<NodeAddress>(), Row.at(1).get<std::uint64_t>(),
-                             Row.at(2).get<std::uint64_t>()});
+  for (const json &Row : rowsOf(Fields.at(5), MaxNamedHolders))
+    Answer.Agents.push_back({readUnsigned<NodeAddress>(Row.at(0)),
+                             readUnsigned<std::uint64_t>(Row.at(1)),
+                             readUnsigned<std::uint64_t>(Row.at(2))});
   return Answer;
 }
 
@@ -203,7 +209,7 @@
   case MessageType::Query:
     return queryFromJson(Fields);
   case MessageType::Answer:
-    return FlowAnswer{Fields.at(1).get<std::uint64_t>(),
+    return FlowAnswer{readUnsigned<std::uint64_t>(Fields.at(1)),
                       listFromJson<std::uint8_t>(Fields.at(2), MaxQueriedFlows),
                       listFromJson<std::uint8_t>(Fields.at(3), MaxQueriedFlows)};
   case MessageType::LoadQuery:
@@ -216,7 +222,8 @@
   case MessageType::LossAnswer:
     return LossAnswer{listFromJson<NodeAddress>(Fields.at(1), MaxSuspectedAgents)};
   case MessageType::HolderQuery:
-    return HolderQuery{Fields.at(1).get<std::uint64_t>(), Fields.at(2).get<std::uint64_t>()};
+    return HolderQuery{readUnsigned<std::uint64_t>(Fields.at(1)),
+                       readUnsigned<std::uint64_t>(Fields.at(2))};
   case MessageType::HolderAnswer:
     return holderAnswerFromJson(Fields);
   }
@@ -242,6 +249,8 @@
 }
 
 Outcome<PeerMessage> decodeMessage(std::span<const std::uint8_t> Datagram) {
+  if (Datagram.size() > MaxMessageBytes)
+    return {std::nullopt, {ResultCode::MessageTooLong, std::to_string(Datagram.size()) + " bytes"}};
   try {
     return {messageFromJson(json::from_cbor(Datagram.begin(), Datagram.end())), {}};
   } catch (const std::exception &Error) {
