Read the product's own documents strictly

One bad record hid the rest of a list of members, contacts, claims or registrations of the product's own interface, and a stored configuration with a deeply nested patch ended each process that read it.

Cause: as for the platform's documents: get<> converts between types, lists were read in one piece, and json copies and writes recursively. Claims that couldn't be read were dropped without a log line, although the comment said that the caller counts them.

Change: all readers use common/json_fields. Lists of members, contacts, gossip records, claims and registered flows leave a bad entry out and log or count it. KeyClaims throws for a malformed message, so that the runtime counts and logs it; its test expects that now, and that nothing is stored. HTTP calls that end with an internal error are logged.

A configuration with a bad service still fails as a whole: the editor writes back what it reads.

--- a/include/galenarelay/flow/flow_router.h
+++ b/include/galenarelay/flow/flow_router.h
@@ -247,7 +247,8 @@
   void onFound(const nlohmann::json &Message, common::TimePoint Now, std::vector<Action> &Actions);
   void onNotFound(const nlohmann::json &Message, common::TimePoint Now,
                   std::vector<Action> &Actions);
-  void onRegister(const nlohmann::json &Message, common::TimePoint Now);
+  void onRegister(const nlohmann::json &Message, common::TimePoint Now,
+                  std::vector<Action> &Actions);
   void dispatchControl(const nlohmann::json &Message, common::Endpoint From, common::TimePoint Now,
                        std::vector<Action> &Actions);
 
--- a/include/galenarelay/membership/member.h
+++ b/include/galenarelay/membership/member.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace galenarelay::membership {
@@ -52,6 +53,21 @@
 /// Parses the JSON form of a record. Errors: MessageMalformed.
 [[nodiscard]] common::Result<Member> memberFromJson(const nlohmann::json &Document);
 
+/// Parses a list of records. Leaves out those that can't be read, and calls OnUnreadable with the
+/// reason of each. Throws nlohmann::json::exception if Records isn't a list.
+template <typename F>
+[[nodiscard]] std::vector<Member> membersFromJson(const nlohmann::json &Records, F &&OnUnreadable) {
+  std::vector<Member> Members;
+  for (const auto &Record : Records.get_ref<const nlohmann::json::array_t &>()) {
+    auto Parsed = common::capture([&] { return memberFromJson(Record); });
+    if (Parsed)
+      Members.push_back(std::move(*Parsed));
+    else
+      OnUnreadable(Parsed.Failure);
+  }
+  return Members;
+}
+
 } // namespace galenarelay::membership
 
 #endif // GALENARELAY_MEMBERSHIP_MEMBER_H
--- a/include/galenarelay/request/key_claims.h
+++ b/include/galenarelay/request/key_claims.h
@@ -117,8 +117,9 @@
                                                 std::string Body, common::TimePoint Now);
   /// Releases the key of a request that provably did not run and never will.
   [[nodiscard]] std::vector<ClaimAction> release(std::uint64_t Request, common::TimePoint Now);
-  /// Handles a message of type "claim", "claimed", "settle", "settled" or "claims". A malformed one
-  /// is ignored.
+  /// Handles a message of type "claim", "claimed", "settle", "settled" or "claims". Throws
+  /// nlohmann::json::exception for a malformed one, which has no effect, except that the readable
+  /// entries of a list take effect.
   [[nodiscard]] std::vector<ClaimAction> onControl(const nlohmann::json &Message,
                                                    common::Endpoint From, common::TimePoint Now);
   [[nodiscard]] std::vector<ClaimAction>
@@ -182,13 +183,12 @@
                  std::vector<ClaimAction> &Actions);
   void onSettled(const nlohmann::json &Message);
   void onHandover(const nlohmann::json &Message, common::TimePoint Now);
+  void takeOver(const ClaimKey &Key, const Claim &Value, common::TimePoint Now);
   void grant(std::uint64_t Request, std::vector<ClaimAction> &Actions);
   void abandon(std::uint64_t Request, common::TimePoint Now, std::vector<ClaimAction> &Actions);
   void sendClaim(std::uint64_t Request, common::TimePoint Now, std::vector<ClaimAction> &Actions);
   void expire(common::TimePoint Now);
   void sendHandovers(common::TimePoint Now, std::vector<ClaimAction> &Actions);
-  [[nodiscard]] std::vector<ClaimAction>
-  dispatchControl(const nlohmann::json &Message, common::Endpoint From, common::TimePoint Now);
 
   std::string SelfId;
   std::uint64_t StartId;
--- a/src/agent/flow_mover.cpp
+++ b/src/agent/flow_mover.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/agent/flow_mover.h"
 
+#include "galenarelay/common/json_fields.h"
+
 #include <algorithm>
 
 namespace galenarelay::agent {
@@ -20,7 +22,9 @@
   Offer.Service = Message.at("service").get<std::string>();
   flow::IdleStream &Stream = Offer.Stream;
   BOOST_LEAF_ASSIGN(Stream.Key, packet::parseFlowKey(Message.at("flow").get<std::string>()));
-  const auto Numbers = Message.at("numbers").get<std::vector<std::uint32_t>>();
+  std::vector<std::uint32_t> Numbers;
+  for (const json &Number : Message.at("numbers"))
+    Numbers.push_back(common::readUnsigned<std::uint32_t>(Number));
   constexpr std::size_t NumberCount = 5;
   if (Numbers.size() != NumberCount)
     return common::fail(ResultCode::MessageMalformed,
--- a/src/agent/load_message.cpp
+++ b/src/agent/load_message.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/agent/load_message.h"
 
+#include "galenarelay/common/json_fields.h"
+
 #include <algorithm>
 #include <set>
 
@@ -9,6 +11,13 @@
 using common::ResultCode;
 using schedule::LoadReport;
 
+namespace {
+
+/// Work that waits at one upstream: a day.
+constexpr double MaxQueuedWorkMs = 24.0 * 3600 * 1000;
+
+} // namespace
+
 nlohmann::json toMessage(const LoadReport &Report) {
   return {{"t", "load"},
           {"id", Report.MemberId},
@@ -24,12 +33,12 @@
   try {
     LoadReport Report;
     Report.MemberId = Message.at("id").get<std::string>();
-    Report.Slots = Message.at("slots").get<std::uint32_t>();
-    Report.Busy = Message.at("busy").get<std::uint32_t>();
-    Report.Queued = Message.at("queued").get<std::uint32_t>();
-    Report.QueuedWorkMs = Message.at("work_ms").get<double>();
-    Report.ErrorShare = Message.at("errors").get<double>();
-    Report.Sequence = Message.at("seq").get<std::uint64_t>();
+    Report.Slots = common::readUnsigned<std::uint32_t>(Message.at("slots"));
+    Report.Busy = common::readUnsigned<std::uint32_t>(Message.at("busy"));
+    Report.Queued = common::readUnsigned<std::uint32_t>(Message.at("queued"));
+    Report.QueuedWorkMs = common::readNumber(Message.at("work_ms"), 0, MaxQueuedWorkMs);
+    Report.ErrorShare = common::readNumber(Message.at("errors"), 0, 1);
+    Report.Sequence = common::readUnsigned<std::uint64_t>(Message.at("seq"));
     if (Report.MemberId.empty())
       return fail(ResultCode::MessageMalformed, "the \"id\" of a load report must not be empty");
     return Report;
--- a/src/common/http.cpp
+++ b/src/common/http.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/common/http.h"
 
+#include "galenarelay/common/log.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -90,6 +92,7 @@
   try {
     co_return co_await Handler(std::move(Request));
   } catch (const std::exception &Problem) {
+    log(LogLevel::Error, "call_failed", {{"detail", Problem.what()}});
     co_return HttpResponse{500, std::string(R"({"error":"Internal"})") + "\n"};
   }
 }
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,5 +1,6 @@
 #include "galenarelay/config/configuration.h"
 
+#include "galenarelay/common/json_fields.h"
 #include "galenarelay/config/selector.h"
 
 namespace galenarelay::config {
@@ -31,7 +32,7 @@
   BOOST_LEAF_ASSIGN(Parsed.Address,
                     common::parseEndpoint(Document.at("address").get<std::string>()));
   Parsed.Selector = Document.at("selector").get<std::string>();
-  Parsed.DefaultDeadline = milliseconds(Document.at("deadline_ms").get<std::int64_t>());
+  Parsed.DefaultDeadline = common::readMilliseconds(Document.at("deadline_ms"));
   if (Parsed.DefaultDeadline <= common::Duration::zero())
     return fail(ResultCode::ConfigurationMalformed, "a service's deadline isn't positive");
   return Parsed;
@@ -41,8 +42,9 @@
   AuditEntry Parsed;
   Parsed.EditId = Document.at("id").get<std::string>();
   Parsed.Author = Document.at("author").get<std::string>();
-  Parsed.TimeMs = Document.at("time_ms").get<std::int64_t>();
-  Parsed.AcceptedRevision = Document.at("revision").get<Revision>();
+  Parsed.TimeMs = static_cast<std::int64_t>(
+      common::readUnsigned<std::uint64_t>(Document.at("time_ms"), INT64_MAX));
+  Parsed.AcceptedRevision = common::readUnsigned<Revision>(Document.at("revision"));
   Parsed.Summary = Document.at("summary").get<std::string>();
   Parsed.Patch = Document.at("patch");
   return Parsed;
@@ -50,7 +52,7 @@
 
 Result<Configuration> parseFields(const json &Document) {
   Configuration Parsed;
-  Parsed.RevisionNumber = Document.at("revision").get<Revision>();
+  Parsed.RevisionNumber = common::readUnsigned<Revision>(Document.at("revision"));
   for (const auto &[Name, Value] : Document.at("services").items()) {
     BOOST_LEAF_AUTO(Definition, parseService(Value));
     Parsed.Services.emplace(Name, std::move(Definition));
--- a/src/config/edit_loop.cpp
+++ b/src/config/edit_loop.cpp
@@ -1,5 +1,6 @@
 #include "galenarelay/config/edit_loop.h"
 
+#include "galenarelay/common/json_fields.h"
 #include "galenarelay/membership/member.h"
 
 namespace galenarelay::config {
@@ -18,12 +19,6 @@
 
 namespace {
 
-constexpr bool AllowExceptions = false;
-
-json parseWithoutExceptions(const std::string &Text) {
-  return json::parse(Text, nullptr, AllowExceptions);
-}
-
 /// Tells whether the audit entries have consecutive revisions that end with the document's: they
 /// are looked up by position.
 bool hasConsecutiveEntries(const Configuration &Document) {
@@ -42,7 +37,7 @@
   if (Value.Version == 0)
     return {StoredConfiguration{}, {}};
   auto Document =
-      capture([&] { return configurationFromJson(parseWithoutExceptions(Value.Text)); });
+      capture([&] { return configurationFromJson(common::parseJsonOrDiscard(Value.Text)); });
   if (!Document)
     return {std::nullopt, Document.Failure};
   if (!hasConsecutiveEntries(*Document))
@@ -53,7 +48,7 @@
 }
 
 Outcome<AuditEntry> parseArchivedEntry(const StoredValue &Value) {
-  return capture([&] { return auditEntryFromJson(parseWithoutExceptions(Value.Text)); });
+  return capture([&] { return auditEntryFromJson(common::parseJsonOrDiscard(Value.Text)); });
 }
 
 std::vector<AnnouncedUpstream>
@@ -61,7 +56,7 @@
   std::vector<AnnouncedUpstream> Upstreams;
   for (const StoredValue &Value : MemberRecords) {
     const auto Member =
-        capture([&] { return membership::memberFromJson(parseWithoutExceptions(Value.Text)); });
+        capture([&] { return membership::memberFromJson(common::parseJsonOrDiscard(Value.Text)); });
     if (Member && Member->Kind == membership::MemberKind::Agent)
       Upstreams.push_back({Member->Id, Member->Zone});
   }
--- a/src/config/store_client.cpp
+++ b/src/config/store_client.cpp
@@ -1,5 +1,6 @@
 #include "galenarelay/config/store_client.h"
 
+#include "galenarelay/common/json_fields.h"
 #include "galenarelay/common/random.h"
 
 #include <nlohmann/json.hpp>
@@ -38,7 +39,8 @@
 }
 
 StoredValue valueFromJson(const json &Document) {
-  return {Document.at("key").get<std::string>(), Document.at("version").get<std::uint64_t>(),
+  return {Document.at("key").get<std::string>(),
+          common::readUnsigned<std::uint64_t>(Document.at("version")),
           Document.at("value").get<std::string>()};
 }
 
@@ -67,7 +69,7 @@
   if (Response->Status != StatusOk)
     return {std::nullopt, statusError(*Response, ResultCode::StoreUnavailable)};
   try {
-    return {valueFromJson(json::parse(Response->Body)), {}};
+    return {valueFromJson(common::parseJson(Response->Body)), {}};
   } catch (const json::exception &Exception) {
     return {std::nullopt, {ResultCode::StoreBadAnswer, Exception.what()}};
   }
@@ -79,7 +81,7 @@
   if (Response->Status != StatusOk)
     return {std::nullopt, statusError(*Response, ResultCode::StoreUnavailable)};
   try {
-    const json Body = json::parse(Response->Body);
+    const json Body = common::parseJson(Response->Body);
     std::vector<StoredValue> Values;
     for (const json &Item : Body.at("items"))
       Values.push_back(valueFromJson(Item));
@@ -106,7 +108,8 @@
   if (Response->Status != StatusOk)
     return {std::nullopt, statusError(*Response, ResultCode::StoreOutcomeUnknown)};
   try {
-    return {json::parse(Response->Body).at("version").get<std::uint64_t>(), {}};
+    return {common::readUnsigned<std::uint64_t>(common::parseJson(Response->Body).at("version")),
+            {}};
   } catch (const json::exception &Exception) {
     return {std::nullopt, {ResultCode::StoreOutcomeUnknown, Exception.what()}};
   }
--- a/src/flow/flow_router.cpp
+++ b/src/flow/flow_router.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/flow/flow_router.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/common/json_fields.h"
 
 #include <algorithm>
 
@@ -473,7 +474,7 @@
   else if (Type == "notfound")
     onNotFound(Message, Now, Actions);
   else if (Type == "register")
-    onRegister(Message, Now);
+    onRegister(Message, Now, Actions);
   else
     addDrop(Actions, ResultCode::MessageMalformed);
 }
@@ -481,9 +482,9 @@
 void FlowRouter::onLocate(const json &Message, Endpoint From, std::vector<Action> &Actions) {
   RouteView Requested;
   Requested.Key = flowKeyFromJson(Message.at("flow"));
-  Requested.Bits = fromBits(Message.at("bits").get<unsigned>());
-  Requested.Sequence = Message.at("seq").get<std::uint32_t>();
-  Requested.Acknowledgement = Message.at("ack").get<std::uint32_t>();
+  Requested.Bits = fromBits(common::readUnsigned<unsigned>(Message.at("bits")));
+  Requested.Sequence = common::readUnsigned<std::uint32_t>(Message.at("seq"));
+  Requested.Acknowledgement = common::readUnsigned<std::uint32_t>(Message.at("ack"));
   const auto ServedEntry = Served.find(Requested.Key);
   json Response = {{"flow", Message.at("flow")}, {"owner", SelfId}};
   if (ServedEntry != Served.end() && MatchesStream(Requested)) {
@@ -527,24 +528,33 @@
     return;
   Request.AwaitedOwners.erase(Answered);
   // The result is inconclusive if a peer knows other possible owners than this agent does.
-  if (Message.at("owners").get<std::uint64_t>() != Request.OwnersDigest)
+  if (common::readUnsigned<std::uint64_t>(Message.at("owners")) != Request.OwnersDigest)
     Request.Conclusive = false;
   if (Request.AwaitedOwners.empty())
     concludeLocate(Pending, true, Now, Actions);
 }
 
-void FlowRouter::onRegister(const json &Message, TimePoint Now) {
+void FlowRouter::onRegister(const json &Message, TimePoint Now, std::vector<Action> &Actions) {
   const auto Owner = Message.at("owner").get<std::string>();
   const json NoFlows = json::array();
   if (Owner == SelfId || liveMember(Owner) == nullptr)
     return;
-  for (const json &FlowText : Message.value("flows", NoFlows))
-    recordHandOff(flowKeyFromJson(FlowText), Owner, Now);
-  for (const json &FlowText : Message.value("ended", NoFlows)) {
-    const auto Entry = HandOffs.find(flowKeyFromJson(FlowText));
+  // An unreadable key doesn't hide the others.
+  const auto ForEachKey = [&](const char *Field, auto &&Apply) {
+    for (const json &FlowText : Message.value(Field, NoFlows)) {
+      try {
+        Apply(flowKeyFromJson(FlowText));
+      } catch (const json::exception &) {
+        addDrop(Actions, ResultCode::MessageMalformed);
+      }
+    }
+  };
+  ForEachKey("flows", [&](const FlowKey &Key) { recordHandOff(Key, Owner, Now); });
+  ForEachKey("ended", [&](const FlowKey &Key) {
+    const auto Entry = HandOffs.find(Key);
     if (Entry != HandOffs.end() && MemberNames.nameOf(Entry->second.Owner) == Owner)
       HandOffs.erase(Entry);
-  }
+  });
 }
 
 bool FlowRouter::recordHandOff(const FlowKey &Key, const std::string &Owner, TimePoint Now) {
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/membership/gossip.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/common/json_fields.h"
 
 #include <algorithm>
 #include <bit>
@@ -54,7 +55,7 @@
 }
 
 std::uint64_t unsignedField(const json &Message, const char *Key) {
-  return Message.at(Key).get<std::uint64_t>();
+  return common::readUnsigned<std::uint64_t>(Message.at(Key));
 }
 
 } // namespace
@@ -254,7 +255,12 @@
 void Gossip::applyRecords(const json &Records, TimePoint Now) {
   for (const json &Record : Records) {
     if (Record.is_array()) {
-      applyShortRecord(Record, Now);
+      // An unreadable record doesn't hide the others.
+      try {
+        applyShortRecord(Record, Now);
+      } catch (const json::exception &Problem) {
+        Actions.emplace_back(RejectInput{Error{ResultCode::MessageMalformed, Problem.what()}});
+      }
       continue;
     }
     const auto Parsed = common::capture([&] { return memberFromJson(Record); });
@@ -267,7 +273,7 @@
 
 void Gossip::applyShortRecord(const json &Record, TimePoint Now) {
   const auto Id = Record.at(0).get<std::string>();
-  const auto State = Record.at(2).get<unsigned>();
+  const auto State = common::readUnsigned<unsigned>(Record.at(2));
   if (State > static_cast<unsigned>(MemberState::Dead)) {
     Actions.emplace_back(RejectInput{Error{ResultCode::MessageMalformed, "unknown member state"}});
     return;
@@ -276,7 +282,7 @@
   if (Known == nullptr)
     return;
   Member Incoming = *Known;
-  Incoming.Incarnation = Record.at(1).get<std::uint64_t>();
+  Incoming.Incarnation = common::readUnsigned<std::uint64_t>(Record.at(1));
   Incoming.State = static_cast<MemberState>(State);
   // A short record only repeats a state that a peer observed. A higher incarnation comes from the
   // member itself, in a full record.
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/membership/member.h"
 
+#include "galenarelay/common/json_fields.h"
+
 #include <array>
 
 namespace galenarelay::membership {
@@ -38,12 +40,13 @@
   BOOST_LEAF_ASSIGN(Parsed.Kind, parseEnum<MemberKind>(KindNames, Document.at("kind")));
   BOOST_LEAF_ASSIGN(Parsed.State, parseEnum<MemberState>(StateNames, Document.at("state")));
   Parsed.Zone = Document.value("zone", std::string());
-  Parsed.Incarnation = Document.at("inc").get<std::uint64_t>();
+  Parsed.Incarnation = common::readUnsigned<std::uint64_t>(Document.at("inc"));
   BOOST_LEAF_ASSIGN(Parsed.Data, endpointField(Document, "data"));
   BOOST_LEAF_ASSIGN(Parsed.Control, endpointField(Document, "control"));
   BOOST_LEAF_ASSIGN(Parsed.Admin, endpointField(Document, "admin"));
   BOOST_LEAF_ASSIGN(Parsed.Upstream, endpointField(Document, "upstream"));
-  Parsed.Slots = Document.value("slots", 0U);
+  if (Document.contains("slots"))
+    Parsed.Slots = common::readUnsigned<std::uint32_t>(Document.at("slots"));
   Parsed.ResidualServices = Document.value("residual", std::vector<std::string>());
   return Parsed;
 }
--- a/src/node/configuration_difference.cpp
+++ b/src/node/configuration_difference.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/node/impl/configuration_difference.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/common/json_fields.h"
 
 #include <algorithm>
 
@@ -18,7 +19,7 @@
 
 common::Result<config::Configuration> applyEdits(const config::Configuration &Base,
                                                  const json &Response) {
-  if (Response.at("after").get<config::Revision>() != Base.RevisionNumber)
+  if (common::readUnsigned<config::Revision>(Response.at("after")) != Base.RevisionNumber)
     return fail(ResultCode::RevisionUnknown,
                 "the edits start at another revision than the local configuration");
   json Document = config::toJson(Base);
@@ -27,11 +28,11 @@
     Document.at("edits").push_back(Edit);
   }
   json &Edits = Document.at("edits");
-  const auto EditCount = Response.at("kept").get<std::size_t>();
+  const auto EditCount = common::readUnsigned<std::size_t>(Response.at("kept"));
   if (Edits.size() > EditCount)
     Edits.erase(Edits.begin(), Edits.end() - static_cast<std::ptrdiff_t>(EditCount));
   Document["revision"] = Response.at("revision");
-  if (documentHash(Document) != Response.at("hash").get<std::uint64_t>())
+  if (documentHash(Document) != common::readUnsigned<std::uint64_t>(Response.at("hash")))
     return fail(ResultCode::RevisionUnknown, "the patched configuration differs from the peer's");
   return config::configurationFromJson(Document);
 }
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/node/impl/runtime.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/common/json_fields.h"
 #include "galenarelay/node/impl/call_pause.h"
 #include "galenarelay/node/impl/configuration_difference.h"
 
@@ -33,19 +34,16 @@
 }
 
 Outcome<std::vector<Member>> parseMembers(const std::string &Body) {
-  std::vector<Member> Members;
   try {
-    const json Document = json::parse(Body);
-    for (const json &Record : Document.at("members")) {
-      const auto Parsed = common::capture([&] { return membership::memberFromJson(Record); });
-      if (!Parsed)
-        return {std::nullopt, Parsed.Failure};
-      Members.push_back(*Parsed);
-    }
+    return {membership::membersFromJson(
+                common::parseJson(Body).at("members"),
+                [](const Error &Reason) {
+                  log(LogLevel::Warning, "member_unreadable", {{"detail", Reason.Detail}});
+                }),
+            {}};
   } catch (const json::exception &Problem) {
     return {std::nullopt, {ResultCode::MessageMalformed, Problem.what()}};
   }
-  return {std::move(Members), {}};
 }
 
 } // namespace
@@ -345,7 +343,7 @@
     }
     Backoff.reset();
     ConfigurationVersion = Entry->Version;
-    const json Document = json::parse(Entry->Value, nullptr, false);
+    const json Document = common::parseJsonOrDiscard(Entry->Value);
     auto Parsed = common::capture([&] { return config::configurationFromJson(Document); });
     if (Parsed)
       offerConfiguration(std::move(*Parsed), "store");
@@ -378,7 +376,7 @@
         std::nullopt,
         {ResultCode::PeerUnreachable,
          "the peer answered with status " + std::to_string(Response->Status)}};
-  const json Document = json::parse(Response->Body, nullptr, false);
+  const json Document = common::parseJsonOrDiscard(Response->Body);
   const auto Current = Tracker.current();
   co_return common::capture([&] {
     return configurationFromResponse(Current ? *Current : config::Configuration{}, Document);
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/node/impl/store_link.h"
 
+#include "galenarelay/common/json_fields.h"
+#include "galenarelay/common/log.h"
 #include "galenarelay/config/configuration.h"
 
 #include <nlohmann/json.hpp>
@@ -42,7 +44,8 @@
 
 Outcome<std::uint64_t> parseVersion(const HttpResponse &Response) {
   try {
-    return {json::parse(Response.Body).at("version").get<std::uint64_t>(), {}};
+    return {common::readUnsigned<std::uint64_t>(common::parseJson(Response.Body).at("version")),
+            {}};
   } catch (const json::exception &Problem) {
     return {std::nullopt, malformedResponse(Problem)};
   }
@@ -50,8 +53,8 @@
 
 Outcome<StoreEntry> parseEntry(const HttpResponse &Response) {
   try {
-    const json Document = json::parse(Response.Body);
-    return {StoreEntry{Document.at("version").get<std::uint64_t>(),
+    const json Document = common::parseJson(Response.Body);
+    return {StoreEntry{common::readUnsigned<std::uint64_t>(Document.at("version")),
                        Document.at("value").get<std::string>()},
             {}};
   } catch (const json::exception &Problem) {
@@ -59,16 +62,26 @@
   }
 }
 
+common::Result<membership::Member> memberFromItem(const json &Item) {
+  try {
+    return membership::memberFromJson(common::parseJson(Item.at("value").get<std::string>()));
+  } catch (const json::exception &Problem) {
+    return common::fail(ResultCode::MessageMalformed, Problem.what());
+  }
+}
+
 Outcome<std::vector<Endpoint>> parseContacts(const HttpResponse &Response) {
   std::vector<Endpoint> Contacts;
   try {
-    const json Document = json::parse(Response.Body);
+    const json Document = common::parseJson(Response.Body);
     for (const json &Item : Document.at("items")) {
       // An unreadable record is skipped, so that it doesn't hide the others.
-      const json Record = json::parse(Item.at("value").get<std::string>(), nullptr, false);
-      const auto Parsed = common::capture([&] { return membership::memberFromJson(Record); });
+      const auto Parsed = common::capture([&] { return memberFromItem(Item); });
       if (Parsed)
         Contacts.push_back(Parsed->Control);
+      else
+        common::log(common::LogLevel::Warning, "member_unreadable",
+                    {{"detail", Parsed.Failure.Detail}});
     }
   } catch (const json::exception &Problem) {
     return {std::nullopt, malformedResponse(Problem)};
--- a/src/request/key_claims.cpp
+++ b/src/request/key_claims.cpp
@@ -1,10 +1,12 @@
 #include "galenarelay/request/key_claims.h"
 
 #include "galenarelay/common/hash.h"
+#include "galenarelay/common/json_fields.h"
 
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <exception>
 #include <functional>
 
 namespace galenarelay::request {
@@ -54,9 +56,10 @@
 Claim claimOf(const json &Message) {
   Claim Value;
   Value.Claimant = Message.at("c").get<std::string>();
-  Value.Fingerprint = Message.at("f").get<std::uint64_t>();
+  Value.Fingerprint = common::readUnsigned<std::uint64_t>(Message.at("f"));
   Value.State = parseState(Message.at("st").get<std::string>()).value_or(ClaimState::Unknown);
-  Value.Status = Message.value("code", 0U);
+  if (Message.contains("code"))
+    Value.Status = common::readUnsigned<unsigned>(Message.at("code"));
   Value.ContentType = Message.value("ct", std::string());
   Value.Body = Message.value("b", std::string()).substr(0, MaxClaimBody);
   return Value;
@@ -280,7 +283,7 @@
 }
 
 void KeyClaims::onClaimed(const json &Message, TimePoint Now, std::vector<ClaimAction> &Actions) {
-  const auto Request = Message.at("r").get<std::uint64_t>();
+  const auto Request = common::readUnsigned<std::uint64_t>(Message.at("r"));
   const auto Pending = PendingClaims.find(Request);
   if (Pending == PendingClaims.end())
     return;
@@ -303,21 +306,29 @@
 }
 
 void KeyClaims::onHandover(const json &Message, TimePoint Now) {
+  std::exception_ptr FirstProblem;
   for (const json &Item : Message.at("e")) {
-    const ClaimKey Key = keyOf(Item);
-    const Claim Value = claimOf(Item);
-    const auto Stored = StoredClaims.find(Key);
-    const bool KeepStored =
-        Stored != StoredClaims.end() && (Stored->second.Value.Claimant != Value.Claimant ||
-                                         Stored->second.Value.State != ClaimState::Running);
-    if (!KeepStored && ReleasedClaimants.count(Value.Claimant) == 0 &&
-        StoredClaims.size() < MaxClaims)
-      store(Key, Value, Now);
+    try {
+      takeOver(keyOf(Item), claimOf(Item), Now);
+    } catch (const json::exception &) {
+      FirstProblem = FirstProblem ? FirstProblem : std::current_exception();
+    }
   }
+  if (FirstProblem)
+    std::rethrow_exception(FirstProblem);
+}
+
+void KeyClaims::takeOver(const ClaimKey &Key, const Claim &Value, TimePoint Now) {
+  const auto Stored = StoredClaims.find(Key);
+  const bool KeepStored =
+      Stored != StoredClaims.end() && (Stored->second.Value.Claimant != Value.Claimant ||
+                                       Stored->second.Value.State != ClaimState::Running);
+  if (!KeepStored && ReleasedClaimants.count(Value.Claimant) == 0 &&
+      StoredClaims.size() < MaxClaims)
+    store(Key, Value, Now);
 }
 
-std::vector<ClaimAction> KeyClaims::dispatchControl(const json &Message, Endpoint From,
-                                                    TimePoint Now) {
+std::vector<ClaimAction> KeyClaims::onControl(const json &Message, Endpoint From, TimePoint Now) {
   std::vector<ClaimAction> Actions;
   const auto Type = Message.at("t").get<std::string>();
   if (Type == "claim") {
@@ -336,14 +347,6 @@
   return Actions;
 }
 
-std::vector<ClaimAction> KeyClaims::onControl(const json &Message, Endpoint From, TimePoint Now) {
-  try {
-    return dispatchControl(Message, From, Now);
-  } catch (const json::exception &) {
-    return {}; // The caller counts an empty result for a known type as a malformed message.
-  }
-}
-
 std::vector<ClaimAction> KeyClaims::onViewChange(std::shared_ptr<const routing::RoutingView> Next,
                                                  TimePoint Now) {
   const auto Previous = std::exchange(View, std::move(Next));
--- a/tests/flow_router_test.cpp
+++ b/tests/flow_router_test.cpp
@@ -323,6 +323,7 @@
   CPPUNIT_TEST(testUnknownFlow_soonAfterStart_isNeverReset);
   CPPUNIT_TEST(testLocate_answersOfPossibleOwners_decideReset);
   CPPUNIT_TEST(testControl_malformed_isCounted);
+  CPPUNIT_TEST(testRegistration_oddKey_keepsOthers);
   CPPUNIT_TEST(testRegistration_viewChange_staysBelowRate);
   CPPUNIT_TEST(testDrain_homeOrTargetDraining_forwardsNewFlows);
   CPPUNIT_TEST(testHandOff_cycleOfEntries_isBroken);
@@ -573,6 +574,18 @@
     }
   }
 
+  // Guards against flows that aren't found because of an odd key in the same registration.
+  void testRegistration_oddKey_keepsOthers() {
+    FlowRouter Router = makeRouter(1);
+    (void)Router.onViewChange(makeView(makeAgents(3)), {});
+    const nlohmann::json Message{
+        {"t", "register"},
+        {"owner", "agent-2"},
+        {"flows", {7, "x", packet::toString(flowKey(1)), nullptr, packet::toString(flowKey(2))}}};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Router.onControl(Message, {}, StartTime).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Router.handedOffFlows());
+  }
+
   // Guards against unbounded control traffic after a view change.
   void testRegistration_viewChange_staysBelowRate() {
     FlowRouter Router = makeRouter(1);
--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(testRevision_raised_reachesEveryNode);
   CPPUNIT_TEST(testSupersedes_allStatesAndIncarnations_followsPrecedence);
   CPPUNIT_TEST(testMessage_malformed_isRejectedAndViewUnchanged);
+  CPPUNIT_TEST(testMessage_oddRecord_keepsOthers);
   CPPUNIT_TEST(testDatagram_manyChanges_staysWithinLimit);
   CPPUNIT_TEST(testWatchers_zone_countAndOrderAreStable);
   CPPUNIT_TEST_SUITE_END();
@@ -241,6 +242,37 @@
     }
   }
 
+  // Guards against one odd record that hides the others of its message.
+  void testMessage_oddRecord_keepsOthers() {
+    using nlohmann::json;
+    GossipNetwork Network(18);
+    formCluster(Network, 2);
+    json Odd = toJson(GossipNetwork::record(6));
+    Odd["slots"] = -1;
+    const std::vector<json> OddRecords{3,
+                                       nullptr,
+                                       "agent-6",
+                                       json::array(),
+                                       json::array({"agent-1", true, 1}),
+                                       json::array({"agent-1", 1, 2.5}),
+                                       json::array({7, 1, 1}),
+                                       Odd};
+    for (std::size_t I = 0; I < OddRecords.size(); ++I) {
+      const json Message{{"t", "push"},
+                         {"f", "agent-1"},
+                         {"rev", 0},
+                         {"d", 0},
+                         {"u", {OddRecords[I], toJson(GossipNetwork::record(10 + I))}}};
+      const auto Actions = Network.core(0).onMessage(Message, {1, 1}, Network.now());
+      CPPUNIT_ASSERT_MESSAGE(Message.dump(), Network.core(0).member(GossipNetwork::id(10 + I)));
+      CPPUNIT_ASSERT_MESSAGE(Message.dump(),
+                             std::any_of(Actions.begin(), Actions.end(), [](const auto &Action) {
+                               return std::holds_alternative<RejectInput>(Action);
+                             }));
+    }
+    CPPUNIT_ASSERT(Network.core(0).member("agent-6") == nullptr);
+  }
+
   // Guards against datagrams above the size limit, which are fragmented or rejected, when many
   // records change at once.
   void testDatagram_manyChanges_staysWithinLimit() {
--- a/tests/odd_documents_test.cpp
+++ b/tests/odd_documents_test.cpp
@@ -1,22 +1,48 @@
 #include "odd_documents.h"
 
+#include "galenarelay/agent/flow_mover.h"
+#include "galenarelay/agent/load_message.h"
+#include "galenarelay/common/http.h"
+#include "galenarelay/common/json_fields.h"
+#include "galenarelay/common/metrics.h"
+#include "galenarelay/config/configuration.h"
+#include "galenarelay/config/edit_loop.h"
+#include "galenarelay/config/store_client.h"
+#include "galenarelay/membership/member.h"
+#include "galenarelay/node/impl/configuration_difference.h"
+#include "galenarelay/node/impl/store_link.h"
 #include "galenarelay/relay/peer_message.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
 #include <limits>
+#include <optional>
 
 namespace galenarelay::tests {
 
+using common::capture;
 using nlohmann::json;
 
-/// Readers of messages between nodes.
+/// Readers of messages between nodes and of the product's own documents.
 class OddDocumentsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OddDocumentsTest);
   CPPUNIT_TEST(testPeerMessage_oddField_isRefused);
   CPPUNIT_TEST(testPeerMessage_deeplyNested_isRefused);
   CPPUNIT_TEST(testPeerMessage_longestLists_areRead);
+  CPPUNIT_TEST(testMember_oddField_isRefused);
+  CPPUNIT_TEST(testMembers_oddRecord_isLeftOut);
+  CPPUNIT_TEST(testContacts_oddRecord_isLeftOut);
+  CPPUNIT_TEST(testLoadReport_oddField_isRefused);
+  CPPUNIT_TEST(testFlowOffer_oddField_isRefused);
+  CPPUNIT_TEST(testConfiguration_oddField_isRefused);
+  CPPUNIT_TEST(testConfigurationDifference_oddField_isRefused);
+  CPPUNIT_TEST(testStoredValues_oddField_areRefused);
+  CPPUNIT_TEST(testStoredDocument_deeplyNested_isRefused);
   CPPUNIT_TEST_SUITE_END();
 
   /// Values that a message can hold in place of a whole number.
@@ -132,6 +158,172 @@
     for (const auto &Message : {Beacon, Answer, Query, Packet})
       CPPUNIT_ASSERT(*relay::decodeMessage(relay::encode(Message)) == Message);
   }
+
+  static json memberDocument(const std::string &Id = "agent-1") {
+    membership::Member Record;
+    Record.Id = Id;
+    Record.Kind = membership::MemberKind::Agent;
+    Record.Slots = 3;
+    Record.Incarnation = 4;
+    for (auto *Address : {&Record.Data, &Record.Control, &Record.Admin, &Record.Upstream})
+      *Address = {0x0a000001, 80};
+    return membership::toJson(Record);
+  }
+
+  /// Texts of records that name no member.
+  static std::vector<std::string> oddRecords() {
+    std::vector<std::string> Records{"3",  "null",         "[]",
+                                     "{}", R"("agent-1")", nestedArrays(200'000)};
+    for (const auto &Odd : oddNumbers())
+      for (const char *Field : {"/inc", "/slots", "/control", "/kind"})
+        Records.push_back(withOdd(memberDocument(), Field, Odd));
+    Records.push_back(withOdd(memberDocument(), "/control", R"("10.0.0.1:65536")"));
+    return Records;
+  }
+
+  void testMembers_oddRecord_isLeftOut() {
+    for (const auto &Odd : oddRecords()) {
+      const auto Records = common::parseJson("[" + memberDocument("agent-2").dump() + "," + Odd +
+                                             "," + memberDocument("agent-3").dump() + "]");
+      std::size_t Unreadable = 0;
+      const auto Members =
+          membership::membersFromJson(Records, [&](const common::Error &) { ++Unreadable; });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Odd.substr(0, 80), std::size_t{2}, Members.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Unreadable);
+    }
+  }
+
+  // Guards against a node that finds no other one because of one odd record in the store.
+  void testContacts_oddRecord_isLeftOut() {
+    boost::asio::io_context Io{1};
+    std::string Body;
+    common::HttpServer Server(
+        Io, {0x7f000001, 0},
+        [&](const common::HttpRequest &) -> boost::asio::awaitable<common::HttpResponse> {
+          co_return common::HttpResponse{200, Body};
+        });
+    common::Metrics Metrics;
+    node::impl::NodeStoreClient Client(Server.local(), Metrics);
+    const auto Item = [](const std::string &Record) {
+      return json{{"key", "members/x"}, {"version", 1}, {"value", Record}}.dump();
+    };
+    std::vector<std::string> OddItems{"3", "null", "{}", R"({"value":true})",
+                                      nestedArrays(200'000)};
+    for (const auto &Odd : oddRecords())
+      OddItems.push_back(Item(Odd));
+    for (const auto &Odd : OddItems) {
+      Body = R"({"items":[)" + Odd + "," + Item(memberDocument().dump()) + "]}";
+      const CapturedLog Log;
+      std::optional<common::Outcome<std::vector<common::Endpoint>>> Contacts;
+      boost::asio::co_spawn(
+          Io,
+          [&]() -> boost::asio::awaitable<void> {
+            Contacts = co_await Client.registeredContacts();
+          },
+          boost::asio::detached);
+      while (!Contacts)
+        Io.run_one();
+      CPPUNIT_ASSERT_MESSAGE(Odd.substr(0, 80), *Contacts && (*Contacts)->size() == 1);
+      CPPUNIT_ASSERT_MESSAGE(Odd.substr(0, 80), Log.count("member_unreadable") == 1);
+    }
+  }
+
+  void testMember_oddField_isRefused() {
+    const json Document = memberDocument();
+    const auto Reads = [](const json &Changed) {
+      return static_cast<bool>(capture([&] { return membership::memberFromJson(Changed); }));
+    };
+    assertRefused(Document, scalarPaths(Document), Reads);
+    for (const char *Address : {"10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1"}) {
+      json Changed = Document;
+      Changed["control"] = Address;
+      CPPUNIT_ASSERT_MESSAGE(Address, !Reads(Changed));
+    }
+  }
+
+  void testLoadReport_oddField_isRefused() {
+    const json Message = agent::toMessage(schedule::LoadReport{"a", 5, 3, 7, 12, 1, 99});
+    const auto Reads = [](const json &Changed) {
+      return static_cast<bool>(capture([&] { return agent::loadFromMessage(Changed); }));
+    };
+    assertRefused(Message, {"/id", "/slots", "/busy", "/queued", "/seq"}, Reads);
+    for (const char *Field : {"work_ms", "errors"})
+      for (const json &Odd : oddValues()) {
+        json Changed = Message;
+        Changed[Field] = Odd;
+        const bool InRange = Odd == 2.5 && std::string(Field) == "work_ms";
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Field, InRange, Reads(Changed));
+      }
+  }
+
+  void testFlowOffer_oddField_isRefused() {
+    agent::FlowOffer Offer;
+    Offer.Service = "desk";
+    Offer.Stream.Key = key();
+    const json Message = agent::toMessage(Offer);
+    assertRefused(
+        Message, {"/service", "/flow", "/numbers/0", "/numbers/4"}, [](const json &Changed) {
+          return static_cast<bool>(capture([&] { return agent::offerFromMessage(Changed); }));
+        });
+  }
+
+  static json configuration() {
+    return {
+        {"revision", 3},
+        {"services",
+         {{"desk", {{"address", "10.0.0.1:80"}, {"selector", "zone=a"}, {"deadline_ms", 3000}}}}},
+        {"labels", {{"up-1", {{"tier", "1"}}}}},
+        {"edits",
+         {{{"id", "e"},
+           {"author", "x"},
+           {"time_ms", 1},
+           {"revision", 3},
+           {"summary", "s"},
+           {"patch", json::array()}}}}};
+  }
+
+  void testConfiguration_oddField_isRefused() {
+    assertRefused(configuration(), scalarPaths(configuration()), [](const json &Changed) {
+      return static_cast<bool>(capture([&] { return config::configurationFromJson(Changed); }));
+    });
+  }
+
+  void testConfigurationDifference_oddField_isRefused() {
+    const auto Base = *capture([] { return config::configurationFromJson(configuration()); });
+    json Response = node::impl::configurationSince(Base, 2);
+    CPPUNIT_ASSERT(Response.contains("after"));
+    auto Earlier = Base;
+    Earlier.RevisionNumber = 2;
+    Earlier.AuditEntries.clear();
+    assertRefused(Response, {"/after", "/revision", "/kept", "/hash"}, [&](const json &Changed) {
+      return static_cast<bool>(
+          capture([&] { return node::impl::configurationFromResponse(Earlier, Changed); }));
+    });
+  }
+
+  void testStoredValues_oddField_areRefused() {
+    const json Value{{"key", "k"}, {"version", 4}, {"value", "v"}};
+    const auto Read = [](const json &Body) {
+      return common::Outcome<common::HttpResponse>{common::HttpResponse{200, Body.dump()}, {}};
+    };
+    assertRefused(Value, scalarPaths(Value), [&](const json &Changed) {
+      return static_cast<bool>(config::impl::parseValueResponse("k", Read(Changed)));
+    });
+    assertRefused({{"version", 4}}, {"/version"}, [&](const json &Changed) {
+      return static_cast<bool>(config::impl::parseWriteResponse(Read(Changed)));
+    });
+  }
+
+  // Guards against a document that ends each process that reads it by exhausting its stack.
+  void testStoredDocument_deeplyNested_isRefused() {
+    const std::string Text = withOdd(configuration(), "/edits/0/patch", nestedArrays(200'000));
+    const auto Read = config::impl::parseStoredConfiguration({"config", 1, Text});
+    // The patch is read as null below MaxJsonDepth; it is kept, but never applied.
+    if (Read)
+      CPPUNIT_ASSERT(Read->Document.AuditEntries[0].Patch.dump().size() < 100);
+    for (const std::string &Odd : {std::string(500'000, '['), nestedArrays(500'000)})
+      CPPUNIT_ASSERT(!config::impl::parseStoredConfiguration({"config", 1, Odd}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddDocumentsTest);
--- a/tests/request_key_claims_test.cpp
+++ b/tests/request_key_claims_test.cpp
@@ -148,7 +148,8 @@
   CPPUNIT_TEST(testClaim_restartedClaimant_isDenied);
   CPPUNIT_TEST(testSettle_retentionOver_leavesNothingBehind);
   CPPUNIT_TEST(testView_unrelatedChange_sendsNothing);
-  CPPUNIT_TEST(testControl_malformedMessage_isIgnored);
+  CPPUNIT_TEST(testControl_malformedMessage_hasNoEffect);
+  CPPUNIT_TEST(testHandover_oddClaim_keepsOthers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -279,14 +280,31 @@
     CPPUNIT_ASSERT_EQUAL(Before, Group.Sent);
   }
 
-  void testControl_malformedMessage_isIgnored() {
+  void testControl_malformedMessage_hasNoEffect() {
     ClaimGroup Group(3, 0, 6);
     const char *Rows[] = {R"({"t":"claim"})", R"({"t":"claimed","r":"x","ok":true})",
                           R"({"t":"settle","s":1})", R"({"t":"claims","e":[{}]})", R"({"t":7})"};
     for (const char *Row : Rows)
-      CPPUNIT_ASSERT(Group.agent(0).onControl(nlohmann::json::parse(Row), {}, Group.now()).empty());
+      CPPUNIT_ASSERT_THROW(
+          (void)Group.agent(0).onControl(nlohmann::json::parse(Row), {}, Group.now()),
+          nlohmann::json::exception);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Group.agent(0).storedCount());
   }
+
+  // Guards against a claim that is lost, so that its request runs twice, because of another one in
+  // the same handover.
+  void testHandover_oddClaim_keepsOthers() {
+    ClaimGroup Group(3, 0, 6);
+    const auto Row = [](const char *Key, const nlohmann::json &Fingerprint) {
+      return nlohmann::json{
+          {"s", "desk"}, {"k", Key}, {"c", "agent-1#1#1"}, {"f", Fingerprint}, {"st", "running"}};
+    };
+    const nlohmann::json Message{{"t", "claims"},
+                                 {"e", {Row("odd", true), Row("odd", -1), Row("k", 7)}}};
+    CPPUNIT_ASSERT_THROW((void)Group.agent(0).onControl(Message, {}, Group.now()),
+                         nlohmann::json::exception);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Group.agent(0).storedCount());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KeyClaimsTest);
