Return a discarded value for text that isn't JSON

parseJsonOrDiscard returned an array with a discarded value, since json takes braces for a list. Its callers read fields only, which failed all the same. The new test fails on the code before (is_discarded() is false).

--- a/src/common/json_fields.cpp
+++ b/src/common/json_fields.cpp
@@ -92,7 +92,7 @@
   try {
     return parseJson(Text);
   } catch (const json::exception &) {
-    return {json::value_t::discarded};
+    return json(json::value_t::discarded); // Braces would make it an element of an array.
   }
 }
 
--- a/tests/odd_documents_test.cpp
+++ b/tests/odd_documents_test.cpp
@@ -31,6 +31,7 @@
 /// Readers of messages between nodes and of the product's own documents.
 class OddDocumentsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OddDocumentsTest);
+  CPPUNIT_TEST(testText_thatIsNotJson_isDiscarded);
   CPPUNIT_TEST(testPeerMessage_oddField_isRefused);
   CPPUNIT_TEST(testPeerMessage_deeplyNested_isRefused);
   CPPUNIT_TEST(testPeerMessage_longestLists_areRead);
@@ -98,6 +99,12 @@
   }
 
 public:
+  void testText_thatIsNotJson_isDiscarded() {
+    CPPUNIT_ASSERT(common::parseJsonOrDiscard("{").is_discarded());
+    CPPUNIT_ASSERT(common::parseJsonOrDiscard("[1e400]")[0].is_null());
+    CPPUNIT_ASSERT_EQUAL(1, common::parseJsonOrDiscard("[1]")[0].get<int>());
+  }
+
   void testPeerMessage_oddField_isRefused() {
     relay::AgentReport Report{"agent", "a", 1,      2, "desk", relay::UpstreamState::Ready,
                               3,       4,   {5, 6}, {}};
