Read the store's era from every answer and log its rise

StoreProtocol::readEra decodes the header once; pages, leases and writes carry the era, the gauge store_era shows the newest, and store_restored is logged when it rises. No decision uses it yet.

--- a/include/galenarelay/common/http.h
+++ b/include/galenarelay/common/http.h
@@ -8,10 +8,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -42,6 +44,11 @@
 
 using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
+/// Reads a header that holds a whole number; 0 if the answer doesn't have it.
+/// Errors: MessageMalformed.
+[[nodiscard]] Outcome<std::uint64_t> readNumberHeader(const HttpResponse &Answer,
+                                                      std::string_view Name);
+
 /// Percent-encodes a query value.
 [[nodiscard]] std::string encodeQuery(std::string_view Text);
 
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -32,7 +33,11 @@
   template <typename T> using Answer = boost::asio::awaitable<common::Outcome<T>>;
 
   RelayStore(common::Endpoint Address, common::Metrics &Metrics)
-      : Address(Address), Metrics(Metrics) {}
+      : Address(Address), Metrics(Metrics),
+        EraGauge(Metrics.gauge("store_era", "Era of the store's newest answer")) {}
+
+  /// The newest era that an answer has named; 0 before the first answer.
+  [[nodiscard]] relay::StoreEra era() const noexcept { return NewestEra.value_or(0); }
 
   Answer<relay::StorePage> list(std::string Prefix) {
     return call("list", Protocol::list(Prefix), StoreCallTimeout, &Protocol::readPage);
@@ -44,10 +49,10 @@
     return call("watch", Protocol::watch(Prefix, After, StoreWatchWait),
                 StoreWatchWait + StoreCallTimeout, &Protocol::readPage);
   }
-  Answer<std::uint64_t> put(std::string Key, std::string Value, std::uint64_t Lease) {
+  Answer<relay::StoreRevision> put(std::string Key, std::string Value, std::uint64_t Lease) {
     return call("put", Protocol::put(Key, Value, Lease), StoreCallTimeout, &Protocol::readWritten);
   }
-  Answer<std::uint64_t> remove(std::string Key) {
+  Answer<relay::StoreRevision> remove(std::string Key) {
     return call("remove", Protocol::remove(Key), StoreCallTimeout, &Protocol::readWritten);
   }
   Answer<relay::StoreLease> grantLease(common::Duration TimeToLive) {
@@ -65,9 +70,8 @@
     auto Response =
         co_await common::httpCall(Address, std::move(Request.Method), std::move(Request.Target),
                                   std::move(Request.Body), Timeout);
-    common::Outcome<T> Result = Response
-                                    ? ReadResponse(*Response)
-                                    : common::Outcome<T>{std::nullopt, std::move(Response.Failure)};
+    auto Result = Response ? read(*Response, ReadResponse)
+                           : common::Outcome<T>{std::nullopt, std::move(Response.Failure)};
     const std::string Code(common::name(Result ? common::ResultCode::Ok : Result.Failure.Code));
     Metrics.counter("store_calls_total", "Calls to the store", {{"kind", Kind}, {"result", Code}})
         .Increment();
@@ -78,6 +82,32 @@
     co_return Result;
   }
 
+  template <typename T>
+  common::Outcome<T> read(const common::HttpResponse &Response,
+                          common::Outcome<T> (*ReadResponse)(const common::HttpResponse &)) {
+    const auto Era = Protocol::readEra(Response);
+    if (!Era)
+      return {std::nullopt, Era.Failure};
+    noteEra(*Era);
+    auto Result = ReadResponse(Response);
+    if (Result)
+      eraOf(*Result) = *Era;
+    return Result;
+  }
+
+  static relay::StoreEra &eraOf(relay::StorePage &Page) { return Page.Revision.Era; }
+  static relay::StoreEra &eraOf(relay::StoreRevision &Revision) { return Revision.Era; }
+  static relay::StoreEra &eraOf(relay::StoreLease &Lease) { return Lease.Era; }
+
+  void noteEra(relay::StoreEra Era) {
+    if (NewestEra && Era <= *NewestEra)
+      return;
+    if (const auto Previous = std::exchange(NewestEra, Era))
+      common::log(common::LogLevel::Warning, "store_restored",
+                  {{"era", Era}, {"previous", *Previous}});
+    EraGauge.Set(static_cast<double>(Era));
+  }
+
   void logReachabilityChange(bool IsReachable, const std::string &Code) {
     if (std::exchange(Reachable, IsReachable) == IsReachable)
       return;
@@ -89,6 +119,8 @@
 
   common::Endpoint Address;
   common::Metrics &Metrics;
+  prometheus::Gauge &EraGauge;
+  std::optional<relay::StoreEra> NewestEra;
   bool Reachable = true;
 };
 
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -561,7 +561,7 @@
       if (Page) {
         LastStoreAnswerAt = common::suspendAwareNow();
         Backoff.reset();
-        LastRevision = Page->StoreRevision;
+        LastRevision = Page->Revision.Number;
         applyNewestItem(*Page);
         if (!HasList && Page->Items.empty())
           co_await impl::sleepFor(impl::jittered(impl::MinCallBackoff, Random));
--- a/include/galenarelay/relay/store_call.h
+++ b/include/galenarelay/relay/store_call.h
@@ -21,20 +21,33 @@
   friend bool operator==(const StoreCall &, const StoreCall &) = default;
 };
 
+/// Counts the times that the store has come back from an older copy; 0 if it doesn't say. Revisions
+/// and leases are given out anew after a restore, so that each is valid only within its era.
+using StoreEra = std::uint64_t;
+
 /// A key of the store with its value, or a change of it.
 struct StoreItem {
   std::string Key;
   std::string Value;
   std::uint64_t Revision = 0; ///< Store revision of the key's last change.
   bool Removed = false;
+  std::uint64_t Lease = 0; ///< 0 without a lease.
 
   friend bool operator==(const StoreItem &, const StoreItem &) = default;
 };
 
+/// A revision of the whole store.
+struct StoreRevision {
+  StoreEra Era = 0;
+  std::uint64_t Number = 0;
+
+  friend bool operator==(const StoreRevision &, const StoreRevision &) = default;
+};
+
 /// A page of keys or changes, and the revision of the whole store from which to continue.
 struct StorePage {
   std::vector<StoreItem> Items;
-  std::uint64_t StoreRevision = 0;
+  StoreRevision Revision;
   bool More = false;
 
   friend bool operator==(const StorePage &, const StorePage &) = default;
@@ -42,6 +55,7 @@
 
 /// A lease granted by the store.
 struct StoreLease {
+  StoreEra Era = 0;
   std::uint64_t Id = 0;
   common::Duration TimeToLive{};
 
@@ -50,7 +64,7 @@
 
 /// Protocol of a store: builds requests and parses responses.
 /// Errors of the read functions: StoreUnavailable, StoreRateLimited, StoreHistoryGone,
-/// StoreKeyNotFound, StoreConflict, StoreBadAnswer.
+/// StoreKeyNotFound, StoreConflict, StoreBadAnswer. readEra has only the last of these.
 template <typename T>
 concept StoreProtocol = requires(const std::string &Text, std::uint64_t Number,
                                  common::Duration Time, const common::HttpResponse &Answer) {
@@ -62,9 +76,10 @@
   { T::remove(Text) } -> std::same_as<StoreCall>;
   { T::grantLease(Time) } -> std::same_as<StoreCall>;
   { T::renewLease(Number) } -> std::same_as<StoreCall>;
+  { T::readEra(Answer) } -> std::same_as<common::Outcome<StoreEra>>;
   { T::readPage(Answer) } -> std::same_as<common::Outcome<StorePage>>;
   { T::readLease(Answer) } -> std::same_as<common::Outcome<StoreLease>>;
-  { T::readWritten(Answer) } -> std::same_as<common::Outcome<std::uint64_t>>;
+  { T::readWritten(Answer) } -> std::same_as<common::Outcome<StoreRevision>>;
 };
 
 } // namespace galenarelay::relay
--- a/src/common/http.cpp
+++ b/src/common/http.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <chrono>
 #include <exception>
 
@@ -122,6 +123,22 @@
 
 } // namespace
 
+Outcome<std::uint64_t> readNumberHeader(const HttpResponse &Answer, std::string_view Name) {
+  const auto Found =
+      std::find_if(Answer.Headers.begin(), Answer.Headers.end(),
+                   [Name](const auto &Each) { return beast::iequals(Each.first, Name); });
+  if (Found == Answer.Headers.end())
+    return {0, {}};
+  const std::string &Text = Found->second;
+  std::uint64_t Number = 0;
+  const auto [End, Status] = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Status != std::errc() || End != Text.data() + Text.size())
+    return {std::nullopt,
+            {ResultCode::MessageMalformed,
+             "the header " + std::string(Name) + " holds no whole number: '" + Text + "'"}};
+  return {Number, {}};
+}
+
 std::string encodeQuery(std::string_view Text) {
   constexpr std::string_view Hex = "0123456789ABCDEF";
   std::string Encoded;
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(testCalls_pathsAndMethods_areToldApart);
   CPPUNIT_TEST(testStore_page_isDecoded);
   CPPUNIT_TEST(testStore_statuses_becomeResultCodes);
+  CPPUNIT_TEST(testStore_eraHeader_isReadInAnyCase);
   CPPUNIT_TEST(testStore_put_carriesValueAsBase64);
   CPPUNIT_TEST_SUITE_END();
 
@@ -130,8 +131,8 @@
              R"({"key":"old","revision":413,"tombstone":true}],"currentRev":420})"};
     const auto Page = StoreProtocol::readPage(Answer);
     CPPUNIT_ASSERT(Page);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{420}, Page->StoreRevision);
-    CPPUNIT_ASSERT((Page->Items[0] == relay::StoreItem{"k", "node-1", 412, false}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{420}, Page->Revision.Number);
+    CPPUNIT_ASSERT((Page->Items[0] == relay::StoreItem{"k", "node-1", 412, false, 7}));
     CPPUNIT_ASSERT((Page->Items[1] == relay::StoreItem{"old", "", 413, true}));
   }
 
@@ -152,6 +153,18 @@
                    ResultCode::StoreBadAnswer);
   }
 
+  void testStore_eraHeader_isReadInAnyCase() {
+    const auto ReadEra = [](const std::string &Name, const std::string &Value) {
+      return StoreProtocol::readEra({503, "{}", "application/json", {{Name, Value}}});
+    };
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{7}, *ReadEra("Store-Era", "7"));
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{7}, *ReadEra("store-era", "7"));
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{0}, *ReadEra("Server", "7"));
+    for (const char *Odd : {"", "x", "-1", "1.5", "7 ", "99999999999999999999"})
+      CPPUNIT_ASSERT_MESSAGE(Odd,
+                             ReadEra("Store-Era", Odd).Failure.Code == ResultCode::StoreBadAnswer);
+  }
+
   void testStore_put_carriesValueAsBase64() {
     const auto Call = StoreProtocol::put("my/leader", "node-1", 77120);
     const auto Body = json::parse(Call.Body);
--- a/tests/platform_odd_documents_test.cpp
+++ b/tests/platform_odd_documents_test.cpp
@@ -171,11 +171,13 @@
     const auto IsLeftOut = [](const std::string &Text, const std::string &Case) {
       const CapturedLog Log;
       const auto Page = StoreProtocol::readPage({200, Text});
-      CPPUNIT_ASSERT_MESSAGE(Case, Page && Page->Items.size() == 1 && Page->StoreRevision == 7);
+      CPPUNIT_ASSERT_MESSAGE(Case, Page && Page->Items.size() == 1 && Page->Revision.Number == 7);
       CPPUNIT_ASSERT_MESSAGE(Case, Page->Items[0].Value == "10.0.0.2");
       CPPUNIT_ASSERT_MESSAGE(Case, Log.count("store_rows_unreadable") == 1);
     };
-    forEachOdd(page(), {{"/items/0/revision"}, {"/items/0/key", "/items/0/value"}}, IsLeftOut);
+    forEachOdd(page(),
+               {{"/items/0/revision", "/items/0/lease"}, {"/items/0/key", "/items/0/value"}},
+               IsLeftOut);
     for (const char *Odd : {"3", "null", "[]", "{}", R"("a")"})
       IsLeftOut(withOdd(page(), "/items/0", Odd), Odd);
     IsLeftOut(withOdd(page(), "/items/0", nestedArrays(200'000)), "nested");
