Let the soak restore the store from an older copy

The stand-in keeps copies, names its era in each answer, answers 410 to a watch from a revision that it doesn't have, and cuts waiting watches when it is restored. The soak restores it among its other faults, lets the operator write its configuration again, and demands that at the end of a run every node has its record and every balancer the newest configuration.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -1,7 +1,7 @@
 #include "fleet.h"
 
 #include "galenarelay/common/log.h"
-#include "galenarelay/node/impl/relay_store.h"
+#include "galenarelay/node/impl/relay_node.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -221,14 +221,38 @@
     }
     Routes.push_back(std::move(Made));
   }
-  Store->put("op/config", nlohmann::json{{"version", Version},
-                                         {"routes", std::move(Routes)},
-                                         {"services", nlohmann::json::array()},
-                                         {"limits", {{"idleTimeoutMs", 30000}}}}
-                              .dump());
+  Configuration = nlohmann::json{{"version", Version},
+                                 {"routes", std::move(Routes)},
+                                 {"services", nlohmann::json::array()},
+                                 {"limits", {{"idleTimeoutMs", 30000}}}}
+                      .dump();
+  writeConfiguration();
   Seen.onConfiguration(std::move(Services));
 }
 
+void Fleet::writeConfiguration() { Store->put("op/config", Configuration); }
+
+boost::asio::awaitable<std::string> Fleet::outOfPlace() {
+  for (std::size_t I = 0; I < Nodes.size(); ++I) {
+    const bool IsBalancer = I < Chosen.Balancers;
+    const bool Serves = IsBalancer || (Hosts[I - Chosen.Balancers]->lives() &&
+                                       !Hosts[I - Chosen.Balancers]->draining());
+    if (!Nodes[I]->running() || !Nodes[I]->Wanted || !Serves)
+      continue;
+    const std::string Prefix =
+        IsBalancer ? node::impl::BalancerRecordPrefix : node::impl::AgentRecordPrefix;
+    if (!Store->contains(Prefix + nameOf(I)))
+      co_return "the record of " + nameOf(I) + " is missing";
+    if (!IsBalancer)
+      continue;
+    const auto Answer = co_await common::httpCall(address(BalancerGroup, I, AdminPort), "GET",
+                                                  "/v1/config", "", ReadinessTimeout);
+    if (!Answer || Answer->Body != Configuration)
+      co_return nameOf(I) + " has not the newest configuration";
+  }
+  co_return std::string();
+}
+
 // Callers' packets reach all balancers if fewer than half are in rotation.
 std::optional<common::Endpoint> Fleet::route(const packet::FlowKey &Key) const {
   std::vector<std::size_t> Known;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -65,6 +65,8 @@
 
   /// Writes the next configuration; Split sends some photos to the other service.
   void configure(bool Split);
+  /// The operator writes the newest configuration again.
+  void writeConfiguration();
   [[nodiscard]] std::size_t nodes() const noexcept { return Nodes.size(); }
   [[nodiscard]] std::size_t balancers() const noexcept { return Chosen.Balancers; }
   [[nodiscard]] std::size_t hosts() const noexcept { return Hosts.size(); }
@@ -81,6 +83,10 @@
   boost::asio::awaitable<void> replaceHost(std::size_t Host);
   boost::asio::awaitable<void> crashHost(std::size_t Host, common::Duration Down);
 
+  /// What has not come back to its place yet, empty if nothing: the record of a running node, or
+  /// the newest configuration on a running balancer.
+  boost::asio::awaitable<std::string> outOfPlace();
+
   void onTimer(Clock::time_point Now);
 
   std::unique_ptr<StoreStandin> Store;
@@ -119,6 +125,7 @@
   std::size_t Joined = 0;      ///< Balancers that have started.
   std::size_t JoinedHosts = 0; ///< The same of upstreams.
   std::uint64_t Version = 0;
+  std::string Configuration; ///< The newest one, as the operator writes it.
 };
 
 } // namespace galenarelay::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -28,9 +28,10 @@
 /// Without a check of times, recovery is awaited for this long.
 constexpr auto RecoveryPatience = std::chrono::seconds(60);
 constexpr auto RecoveryWindow = std::chrono::seconds(2);
+constexpr auto ComeBackStep = std::chrono::milliseconds(100);
 /// Faults of single machines; the other kinds concern all of them.
 constexpr std::size_t MachineFaults = 6;
-constexpr std::size_t AllFaults = 10;
+constexpr std::size_t AllFaults = 11;
 
 /// Nodes of each kind that start during a run, at least.
 constexpr std::size_t Late = 3;
@@ -112,6 +113,7 @@
     Under.Link->setFault(LinkFault::None);
     Under.Links.disturb(0, {});
     co_await recover();
+    co_await comeBack();
     Io.stop();
   }
 
@@ -231,11 +233,28 @@
     case 8:
       return spawn(
           linkFault(static_cast<LinkFault>(1 + common::uniformBelow(Random, LinkFaults - 1))));
+    case 9:
+      return spawn(restoreStore());
     default:
       return spawn(lossyLinks());
     }
   }
 
+  /// The store is away for a moment and comes back from an older copy. The operator writes its
+  /// configuration again.
+  Task restoreStore() {
+    note("restore_store", 0);
+    Seen.onStoreFault();
+    Under.Store->setFault(common::uniformUnit(Random) < 0.5 ? StoreFault::Refusing
+                                                            : StoreFault::Silent);
+    co_await sleepFor(between(0.3, 3));
+    Under.Store->restore(between(0.5, 9));
+    Under.Store->setFault(StoreFault::None);
+    Seen.onStoreFault();
+    co_await sleepFor(between(0, 1));
+    Under.writeConfiguration();
+  }
+
   Task storeFault(StoreFault What) {
     note("store", static_cast<std::size_t>(What));
     Seen.onStoreFault();
@@ -285,6 +304,19 @@
     }
   }
 
+  /// Records and configurations come back to their places.
+  Task comeBack() {
+    const auto Begin = Clock::now();
+    while (true) {
+      const std::string Missing = co_await Under.outOfPlace();
+      if (Missing.empty())
+        co_return;
+      if (Clock::now() - Begin > RecoveryPatience)
+        co_return Seen.violation("records and configuration", Missing);
+      co_await sleepFor(ComeBackStep);
+    }
+  }
+
   void note(const char *Action, std::size_t Which) {
     common::log(common::LogLevel::Info, "soak_action", {{"action", Action}, {"which", Which}});
   }
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace galenarelay::soak {
@@ -29,6 +30,7 @@
 constexpr auto WatchStep = std::chrono::milliseconds(5);
 constexpr double LostShare = 0.3;
 constexpr auto LinkDelay = std::chrono::milliseconds(150);
+constexpr std::size_t MaxCopies = 2000;
 
 std::uint64_t numberIn(const HttpRequest &Request, const char *Name) {
   const auto Found = Request.Query.find(Name);
@@ -44,6 +46,13 @@
       Server(Io, Local, [this](HttpRequest Request) { return answer(std::move(Request)); }) {}
 
 StoreStandin::Answer StoreStandin::answer(HttpRequest Request) {
+  ++CallsByPath[Request.Path];
+  auto Made = co_await answerWithoutEra(std::move(Request));
+  Made.Headers.emplace_back("Store-Era", std::to_string(Era));
+  co_return Made;
+}
+
+StoreStandin::Answer StoreStandin::answerWithoutEra(HttpRequest Request) {
   const StoreFault During = Fault;
   if (During == StoreFault::Silent) {
     co_await sleepFor(SilentTime);
@@ -72,13 +81,14 @@
     return transact(Request.Body);
   if (Request.Path == "/-/kv-lease") {
     const std::chrono::milliseconds Time(json::parse(Request.Body).at("ttlMs").get<std::int64_t>());
-    const auto Id = NextLease++;
-    Leases[Id] = {std::chrono::steady_clock::now() + Time, Time};
+    keepCopy();
+    const auto Id = Data.NextLease++;
+    Data.Leases[Id] = {std::chrono::steady_clock::now() + Time, Time};
     return {200, json{{"lease", Id}, {"ttlMs", Time.count()}}.dump()};
   }
   if (Request.Path.starts_with(Keep)) {
-    const auto Found = Leases.find(std::stoull(Request.Path.substr(Keep.size())));
-    if (Found == Leases.end())
+    const auto Found = Data.Leases.find(std::stoull(Request.Path.substr(Keep.size())));
+    if (Found == Data.Leases.end())
       return {404, "{}"};
     Found->second.End = std::chrono::steady_clock::now() + Found->second.Time;
     return {200, json{{"ttlMs", Found->second.Time.count()}}.dump()};
@@ -89,19 +99,23 @@
 StoreStandin::Answer StoreStandin::watch(HttpRequest Request) {
   const std::string Prefix = Request.Query.at("prefix");
   const auto After = numberIn(Request, "after");
+  const auto Began = Era;
   const auto End =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(numberIn(Request, "waitMs"));
   while (true) {
+    if (Era != Began)
+      co_return HttpResponse{common::NoAnswer, ""};
     // Without the change that follows After, what happened since can't be told.
-    const std::uint64_t Oldest = History.empty() ? Revision + 1 : History.front().Revision;
-    if (After < Revision && Oldest > After + 1)
+    const std::uint64_t Oldest =
+        Data.History.empty() ? Data.Revision + 1 : Data.History.front().Revision;
+    if (After > Data.Revision || (After < Data.Revision && Oldest > After + 1))
       co_return HttpResponse{410, "{}"};
     json Events = json::array();
-    for (const auto &Each : History) {
+    for (const auto &Each : Data.History) {
       if (Each.Revision <= After || !Each.Key.starts_with(Prefix))
         continue;
-      const auto Held = Items.find(Each.Key);
-      if (Each.Removed || Held == Items.end())
+      const auto Held = Data.Items.find(Each.Key);
+      if (Each.Removed || Held == Data.Items.end())
         Events.push_back({{"key", Each.Key}, {"revision", Each.Revision}, {"tombstone", true}});
       else
         Events.push_back({{"key", Each.Key},
@@ -110,7 +124,7 @@
                           {"lease", Held->second.Lease}});
     }
     if (!Events.empty() || std::chrono::steady_clock::now() >= End)
-      co_return HttpResponse{200, json{{"events", Events}, {"currentRev", Revision}}.dump()};
+      co_return HttpResponse{200, json{{"events", Events}, {"currentRev", Data.Revision}}.dump()};
     if (Fault == StoreFault::Refusing || Fault == StoreFault::Silent)
       co_return HttpResponse{common::NoAnswer, ""};
     co_await sleepFor(WatchStep);
@@ -120,19 +134,19 @@
 
 HttpResponse StoreStandin::range(const std::string &Prefix) const {
   json Rows = json::array();
-  for (const auto &[Key, Held] : Items)
+  for (const auto &[Key, Held] : Data.Items)
     if (Key.starts_with(Prefix))
       Rows.push_back({{"key", Key},
                       {"value", common::encodeBase64(Held.Value)},
                       {"revision", Held.Revision},
                       {"lease", Held.Lease}});
-  return {200, json{{"items", Rows}, {"hasMore", false}, {"currentRev", Revision}}.dump()};
+  return {200, json{{"items", Rows}, {"hasMore", false}, {"currentRev", Data.Revision}}.dump()};
 }
 
 HttpResponse StoreStandin::transact(const std::string &Body) {
   const json Document = json::parse(Body);
   for (const auto &Put : Document.at("puts"))
-    if (const auto Id = Put.at("lease").get<std::uint64_t>(); Id != 0 && !Leases.contains(Id))
+    if (const auto Id = Put.at("lease").get<std::uint64_t>(); Id != 0 && !Data.Leases.contains(Id))
       return {404, "{}"};
   for (const auto &Put : Document.at("puts"))
     write(Put.at("key").get<std::string>(),
@@ -140,33 +154,74 @@
           Put.at("lease").get<std::uint64_t>());
   for (const auto &Key : Document.at("delete"))
     remove(Key.get<std::string>());
-  return {200, json{{"revision", Revision}}.dump()};
+  return {200, json{{"revision", Data.Revision}}.dump()};
 }
 
 void StoreStandin::write(const std::string &Key, const std::string &Value, std::uint64_t Lease) {
-  Items[Key] = {Value, ++Revision, Lease};
-  History.push_back({Key, Revision, false});
+  keepCopy();
+  Data.Items[Key] = {Value, ++Data.Revision, Lease};
+  Data.History.push_back({Key, Data.Revision, false});
 }
 
 void StoreStandin::remove(const std::string &Key) {
-  if (Items.erase(Key) > 0)
-    History.push_back({Key, ++Revision, true});
+  keepCopy();
+  if (Data.Items.erase(Key) > 0)
+    Data.History.push_back({Key, ++Data.Revision, true});
+}
+
+void StoreStandin::keepCopy() {
+  Copies.push_back({std::chrono::steady_clock::now(), Data});
+  if (Copies.size() > MaxCopies)
+    Copies.pop_front();
+}
+
+void StoreStandin::restore(common::Duration Age) {
+  const auto Of = std::chrono::steady_clock::now() - Age;
+  restoreFrom(std::find_if(Copies.begin(), Copies.end(),
+                           [Of](const Copy &Each) { return Each.Until > Of; }));
+}
+
+void StoreStandin::restoreTo(std::uint64_t Revision) {
+  restoreFrom(std::find_if(Copies.begin(), Copies.end(), [Revision](const Copy &Each) {
+    return Each.Kept.Revision >= Revision;
+  }));
+}
+
+void StoreStandin::restoreFrom(std::deque<Copy>::iterator Found) {
+  if (Found != Copies.end())
+    Data = Found->Kept;
+  // Copies of the ended era would bring its changes back.
+  Copies.erase(Found, Copies.end());
+  ++Era;
+}
+
+bool StoreStandin::contains(const std::string &Key) {
+  expireLeases();
+  return Data.Items.contains(Key);
+}
+
+std::size_t StoreStandin::calls(const std::string &PathPrefix) const {
+  std::size_t Count = 0;
+  for (const auto &[Path, Calls] : CallsByPath)
+    if (Path.starts_with(PathPrefix))
+      Count += Calls;
+  return Count;
 }
 
 void StoreStandin::expireLeases() {
   const auto Now = std::chrono::steady_clock::now();
-  for (auto At = Leases.begin(); At != Leases.end();) {
+  for (auto At = Data.Leases.begin(); At != Data.Leases.end();) {
     if (At->second.End > Now) {
       ++At;
       continue;
     }
     std::vector<std::string> Keys;
-    for (const auto &[Key, Held] : Items)
+    for (const auto &[Key, Held] : Data.Items)
       if (Held.Lease == At->first)
         Keys.push_back(Key);
     for (const auto &Key : Keys)
       remove(Key);
-    At = Leases.erase(At);
+    At = Data.Leases.erase(At);
   }
 }
 
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -29,11 +29,22 @@
 public:
   StoreStandin(boost::asio::io_context &Io, common::Endpoint Local, std::uint64_t Seed);
 
+  [[nodiscard]] common::Endpoint local() const noexcept { return Server.local(); }
+
   void setFault(StoreFault Now) { Fault = Now; }
   /// Watches from older revisions get "gone" from now on.
-  void dropHistory() { History.clear(); }
+  void dropHistory() { Data.History.clear(); }
+  /// Comes back from a copy of this age: later changes and leases are gone, revisions and leases
+  /// are given out anew, waiting watches are cut, and the era rises by one.
+  void restore(common::Duration Age);
+  /// The same from the copy with this revision, or the oldest one after it.
+  void restoreTo(std::uint64_t Revision);
   /// The operator writes a key.
   void put(const std::string &Key, const std::string &Value) { write(Key, Value, 0); }
+  [[nodiscard]] bool contains(const std::string &Key);
+  [[nodiscard]] std::uint64_t revision() const noexcept { return Data.Revision; }
+  /// Calls so far whose path begins so.
+  [[nodiscard]] std::size_t calls(const std::string &PathPrefix) const;
 
 private:
   struct Item {
@@ -50,9 +61,23 @@
     std::chrono::steady_clock::time_point End;
     std::chrono::milliseconds Time{};
   };
+  /// All that a copy of the store holds.
+  struct State {
+    std::uint64_t Revision = 1;
+    std::uint64_t NextLease = 1;
+    std::map<std::string, Item> Items;
+    std::deque<Change> History;
+    std::map<std::uint64_t, Lease> Leases;
+  };
+  /// The state until this time.
+  struct Copy {
+    std::chrono::steady_clock::time_point Until;
+    State Kept;
+  };
   using Answer = boost::asio::awaitable<common::HttpResponse>;
 
   Answer answer(common::HttpRequest Request);
+  Answer answerWithoutEra(common::HttpRequest Request);
   common::HttpResponse serve(const common::HttpRequest &Request);
   Answer watch(common::HttpRequest Request);
   common::HttpResponse range(const std::string &Prefix) const;
@@ -60,15 +85,17 @@
   void write(const std::string &Key, const std::string &Value, std::uint64_t Lease);
   void remove(const std::string &Key);
   void expireLeases();
+  /// Keeps a copy of the state before a change.
+  void keepCopy();
+  void restoreFrom(std::deque<Copy>::iterator Found);
 
   boost::asio::io_context &Io;
   common::Engine Random;
   StoreFault Fault = StoreFault::None;
-  std::uint64_t Revision = 1;
-  std::uint64_t NextLease = 1;
-  std::map<std::string, Item> Items;
-  std::deque<Change> History;
-  std::map<std::uint64_t, Lease> Leases;
+  std::uint64_t Era = 1;
+  State Data;
+  std::deque<Copy> Copies;
+  std::map<std::string, std::size_t> CallsByPath;
   common::HttpServer Server;
 };
 
