Keep revisions and leases of the store within its era

Callers would have seen: a configuration that is confirmed but not in force, as the watch went on from a revision of before the restore and the store had given that revision out again; and, at balancers that start then, agents missing from the list, as a node found out that its record was lost only at its next renewal, or never, if the lease's number was another node's by then.

Cause: a revision or lease was kept as a number beyond the era that gave it. With the header ignored, as before, four of the new fixtures fail: testRecord_lostInRestore_isWrittenUnderItsOwnLease, testWatch_revisionGivenOutAgain_missesNoChange, testWatch_waitingDuringRestore_readsAfresh and testAnswer_ofEndedEra_isRefused.

Change: RelayStore refuses a revision, a lease or an answer of an ended era with StoreEraEnded. KeyWatch reads the value again, and asks without waiting after a failed call. A record whose lease is of an ended era is looked up: only if the copy has it under this lease is the lease still this node's. Beacons name the era, so that nodes that make few calls look too, after a random delay; an era in a beacon only makes a node call the store.

--- a/include/galenarelay/common/http.h
+++ b/include/galenarelay/common/http.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -44,10 +45,10 @@
 
 using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
-/// Reads a header that holds a whole number; 0 if the answer doesn't have it.
+/// Reads a header that holds a whole number; empty if the answer doesn't have it.
 /// Errors: MessageMalformed.
-[[nodiscard]] Outcome<std::uint64_t> readNumberHeader(const HttpResponse &Answer,
-                                                      std::string_view Name);
+[[nodiscard]] Outcome<std::optional<std::uint64_t>> readNumberHeader(const HttpResponse &Answer,
+                                                                     std::string_view Name);
 
 /// Percent-encodes a query value.
 [[nodiscard]] std::string encodeQuery(std::string_view Text);
--- a/include/galenarelay/common/result_code.h
+++ b/include/galenarelay/common/result_code.h
@@ -25,6 +25,7 @@
   StoreBadAnswer = 24,
   StoreKeyNotFound = 25,
   StoreHistoryGone = 26,
+  StoreEraEnded = 27,
   SelectorSyntax = 30,
   LabelSyntax = 31,
   ServiceUnknown = 32,
--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -73,9 +74,30 @@
     PeerSocket = std::make_unique<common::UdpSocket>(Io, Options.Peers, std::move(OnMessage));
     for (const auto &Address : {Options.Readiness, Options.Admin, Options.Control})
       Servers.push_back(std::make_unique<common::HttpServer>(Io, Address, Serve));
+    Store.onRestored([this](relay::StoreEra Era) {
+      if (Era > HeardEra)
+        noteStoreRestored();
+    });
     spawn(Record.keep(Random));
   }
 
+  /// The newest era of the store that this node has seen or heard of.
+  [[nodiscard]] relay::StoreEra newestStoreEra() const noexcept {
+    return std::max(HeardEra, Store.era());
+  }
+
+  /// A balancer names an era of the store. Only the store's own answers are relied on: an era that
+  /// is new here makes the node call the store.
+  void hearStoreEra(relay::StoreEra Era) {
+    if (Era <= newestStoreEra())
+      return;
+    HeardEra = Era;
+    noteStoreRestored();
+  }
+
+  /// Callback is called when this node learns that the store has been restored.
+  void onStoreRestored(std::function<void()> Callback) { OnStoreRestored = std::move(Callback); }
+
   /// Calls OnTick(Now, PausedFor) every RelayTickInterval. PausedFor is the time since the last
   /// tick if it is above ProcessPauseThreshold, and zero otherwise.
   template <typename F> void startTimer(F OnTick) {
@@ -175,6 +197,12 @@
   prometheus::Counter &MalformedPackets;
 
 private:
+  void noteStoreRestored() {
+    Record.onStoreRestored();
+    if (OnStoreRestored)
+      OnStoreRestored();
+  }
+
   bool mayLog(common::LogRateLimit &Limiter, common::TimePoint Now) {
     if (Limiter.allow(Now))
       return true;
@@ -182,6 +210,8 @@
     return false;
   }
 
+  relay::StoreEra HeardEra = 0; ///< Named by a balancer.
+  std::function<void()> OnStoreRestored;
   common::LogRateLimit FlowLogLimiter{FlowLogLimit};
   common::LogRateLimit ResetLogLimiter{ResetLogLimit};
   prometheus::Counter &SuppressedLines;
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -12,6 +12,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -39,18 +41,27 @@
   /// The newest era that an answer has named; 0 before the first answer.
   [[nodiscard]] relay::StoreEra era() const noexcept { return NewestEra.value_or(0); }
 
+  /// Callback is called with the era when an answer shows that the store has been restored.
+  void onRestored(std::function<void(relay::StoreEra)> Callback) {
+    OnRestored = std::move(Callback);
+  }
+
   Answer<relay::StorePage> list(std::string Prefix) {
     return call("list", Protocol::list(Prefix), StoreCallTimeout, &Protocol::readPage);
   }
   Answer<relay::StorePage> listRecent(std::string Prefix) {
     return call("list_recent", Protocol::listRecent(Prefix), StoreCallTimeout, &Protocol::readPage);
   }
-  Answer<relay::StorePage> watch(std::string Prefix, std::uint64_t After) {
-    return call("watch", Protocol::watch(Prefix, After, StoreWatchWait),
-                StoreWatchWait + StoreCallTimeout, &Protocol::readPage);
+  /// Waits for changes after a revision. Errors: also StoreEraEnded.
+  Answer<relay::StorePage> watch(std::string Prefix, relay::StoreRevision After,
+                                 common::Duration Wait) {
+    return callInEra(After.Era, "watch", Protocol::watch(Prefix, After.Number, Wait),
+                     Wait + StoreCallTimeout, &Protocol::readPage);
   }
-  Answer<relay::StoreRevision> put(std::string Key, std::string Value, std::uint64_t Lease) {
-    return call("put", Protocol::put(Key, Value, Lease), StoreCallTimeout, &Protocol::readWritten);
+  /// Errors: also StoreEraEnded.
+  Answer<relay::StoreRevision> put(std::string Key, std::string Value, relay::StoreLease Lease) {
+    return callInEra(Lease.Era, "put", Protocol::put(Key, Value, Lease.Id), StoreCallTimeout,
+                     &Protocol::readWritten);
   }
   Answer<relay::StoreRevision> remove(std::string Key) {
     return call("remove", Protocol::remove(Key), StoreCallTimeout, &Protocol::readWritten);
@@ -59,11 +70,31 @@
     return call("grant_lease", Protocol::grantLease(TimeToLive), StoreCallTimeout,
                 &Protocol::readLease);
   }
-  Answer<relay::StoreLease> renewLease(std::uint64_t Lease) {
-    return call("renew_lease", Protocol::renewLease(Lease), StoreCallTimeout, &Protocol::readLease);
+  /// Errors: also StoreEraEnded.
+  Answer<relay::StoreLease> renewLease(relay::StoreLease Lease) {
+    return callInEra(Lease.Era, "renew_lease", Protocol::renewLease(Lease.Id), StoreCallTimeout,
+                     &Protocol::readLease);
   }
 
 private:
+  /// A call whose revision or lease means something else, or nothing, in any other era.
+  template <typename T>
+  Answer<T> callInEra(relay::StoreEra Era, const char *Kind, relay::StoreCall Request,
+                      common::Duration Timeout,
+                      common::Outcome<T> (*ReadResponse)(const common::HttpResponse &)) {
+    if (Era != era())
+      co_return eraEnded<T>();
+    auto Result = co_await call(Kind, std::move(Request), Timeout, ReadResponse);
+    if (Result && eraOf(*Result) != Era)
+      co_return eraEnded<T>();
+    co_return Result;
+  }
+
+  template <typename T> static common::Outcome<T> eraEnded() {
+    return {std::nullopt,
+            {common::ResultCode::StoreEraEnded, "the store has been restored from a copy"}};
+  }
+
   template <typename T>
   Answer<T> call(const char *Kind, relay::StoreCall Request, common::Duration Timeout,
                  common::Outcome<T> (*ReadResponse)(const common::HttpResponse &)) {
@@ -77,7 +108,8 @@
         .Increment();
     logReachabilityChange(static_cast<bool>(Result) ||
                               Result.Failure.Code == common::ResultCode::StoreKeyNotFound ||
-                              Result.Failure.Code == common::ResultCode::StoreHistoryGone,
+                              Result.Failure.Code == common::ResultCode::StoreHistoryGone ||
+                              Result.Failure.Code == common::ResultCode::StoreEraEnded,
                           Code);
     co_return Result;
   }
@@ -85,13 +117,18 @@
   template <typename T>
   common::Outcome<T> read(const common::HttpResponse &Response,
                           common::Outcome<T> (*ReadResponse)(const common::HttpResponse &)) {
-    const auto Era = Protocol::readEra(Response);
-    if (!Era)
-      return {std::nullopt, Era.Failure};
-    noteEra(*Era);
+    const auto Named = Protocol::readEra(Response);
+    if (!Named)
+      return {std::nullopt, Named.Failure};
+    const relay::StoreEra Era = Named->value_or(era());
+    // A late answer of before the restore.
+    if (Era < era())
+      return eraEnded<T>();
+    if (*Named)
+      noteEra(Era);
     auto Result = ReadResponse(Response);
     if (Result)
-      eraOf(*Result) = *Era;
+      eraOf(*Result) = Era;
     return Result;
   }
 
@@ -102,10 +139,14 @@
   void noteEra(relay::StoreEra Era) {
     if (NewestEra && Era <= *NewestEra)
       return;
-    if (const auto Previous = std::exchange(NewestEra, Era))
-      common::log(common::LogLevel::Warning, "store_restored",
-                  {{"era", Era}, {"previous", *Previous}});
+    const auto Previous = std::exchange(NewestEra, Era);
     EraGauge.Set(static_cast<double>(Era));
+    if (!Previous)
+      return;
+    common::log(common::LogLevel::Warning, "store_restored",
+                {{"era", Era}, {"previous", *Previous}});
+    if (OnRestored)
+      OnRestored(Era);
   }
 
   void logReachabilityChange(bool IsReachable, const std::string &Code) {
@@ -121,9 +162,49 @@
   common::Metrics &Metrics;
   prometheus::Gauge &EraGauge;
   std::optional<relay::StoreEra> NewestEra;
+  std::function<void(relay::StoreEra)> OnRestored;
   bool Reachable = true;
 };
 
+/// Follows a key of the store: its value, then its changes. Reads the value again where the changes
+/// since the last page can't be told: after the history has gone, and after a restore.
+template <relay::StoreProtocol Protocol> class KeyWatch {
+public:
+  KeyWatch(RelayStore<Protocol> &Store, std::string Key) : Store(Store), Key(std::move(Key)) {}
+
+  /// Returns the next page; it may have no items. Errors: those of RelayStore's calls. The caller
+  /// pauses before the next call after an error, and while the key doesn't exist.
+  boost::asio::awaitable<common::Outcome<relay::StorePage>> next() {
+    // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
+    common::Outcome<relay::StorePage> Page;
+    if (Position) {
+      // After a failure the store may have been restored. Without a wait, the answer tells at once.
+      const auto Wait = AfterFailure ? common::Duration::zero() : StoreWatchWait;
+      Page = co_await Store.watch(Key, *Position, Wait);
+    } else {
+      Page = co_await Store.list(Key);
+    }
+    AfterFailure = !Page;
+    if (Page && (Position || !Page->Items.empty()))
+      Position = Page->Revision;
+    else if (Page.Failure.Code == common::ResultCode::StoreHistoryGone ||
+             Page.Failure.Code == common::ResultCode::StoreEraEnded)
+      Position.reset();
+    co_return Page;
+  }
+
+  /// Reads the value again with the next page.
+  void restart() { Position.reset(); }
+  /// False before the key's value has been read.
+  [[nodiscard]] bool hasValue() const noexcept { return Position.has_value(); }
+
+private:
+  RelayStore<Protocol> &Store;
+  std::string Key;
+  std::optional<relay::StoreRevision> Position;
+  bool AfterFailure = false;
+};
+
 /// Reads the value of a node's record: an IPv4 address that one machine can have.
 /// Errors: MessageMalformed.
 [[nodiscard]] inline common::Outcome<std::uint32_t> readNodeRecord(const std::string &Value) {
@@ -162,6 +243,8 @@
   boost::asio::awaitable<void> keep(common::Engine &Random) {
     Backoff Backoff(MinRecordRetryDelay, MaxRecordRetryDelay, Random);
     while (true) {
+      if (std::exchange(Doubted, false))
+        co_await sleepFor(jittered(MinRecordRetryDelay, Random));
       const bool WantedBefore = Wanted;
       bool Succeeded = false;
       // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
@@ -169,7 +252,7 @@
         Succeeded = co_await writeOrRenew();
       else
         Succeeded = co_await removeFromStore();
-      if (WantedBefore != Wanted)
+      if (WantedBefore != Wanted || Doubted)
         continue;
       if (Succeeded)
         Backoff.reset();
@@ -185,6 +268,14 @@
       RenewalTimer.cancel();
   }
 
+  /// The store has been restored, so that a record may be missing, and a removed one back: wakes
+  /// keep(), which looks after a random delay, as all nodes do so.
+  void onStoreRestored() {
+    Doubted = true;
+    MayBeStored = true;
+    RenewalTimer.cancel();
+  }
+
   /// Removes the record for good. Without that it would stay until its lease expires.
   boost::asio::awaitable<void> remove() {
     Wanted = false;
@@ -195,31 +286,56 @@
   /// Renews the lease, or writes the record under a new lease. Returns true if the record is in the
   /// store.
   boost::asio::awaitable<bool> writeOrRenew() {
-    if (Lease != 0) {
-      const auto Renewed = co_await Store.renewLease(Lease);
-      if (Renewed || Renewed.Failure.Code != common::ResultCode::StoreKeyNotFound)
-        co_return static_cast<bool>(Renewed);
+    if (Lease) {
+      const auto Renewed = co_await Store.renewLease(*Lease);
+      if (Renewed)
+        co_return true;
+      if (Renewed.Failure.Code == common::ResultCode::StoreEraEnded)
+        co_return co_await lookUpAfterRestore(*Lease);
+      if (Renewed.Failure.Code != common::ResultCode::StoreKeyNotFound)
+        co_return false;
       common::log(common::LogLevel::Warning, "record_lapsed", {{"key", Key}});
-      Lease = 0;
+      Lease.reset();
     }
     const auto Granted = co_await Store.grantLease(RecordLeaseTime);
     if (!Granted)
       co_return false;
     MayBeStored = true;
-    const auto Result = co_await Store.put(Key, Value, Granted->Id);
+    const auto Result = co_await Store.put(Key, Value, *Granted);
     if (Result)
-      Lease = Granted->Id;
+      Lease = *Granted;
     co_return static_cast<bool>(Result);
   }
 
+  /// Keeps the lease if the copy has the record under it, since it has the lease then too. Without
+  /// the record, a lease of this number is another node's.
+  boost::asio::awaitable<bool> lookUpAfterRestore(relay::StoreLease Known) {
+    const auto Page = co_await Store.list(Key);
+    if (!Page)
+      co_return false;
+    const bool Present =
+        std::any_of(Page->Items.begin(), Page->Items.end(), [&](const relay::StoreItem &Item) {
+          return Item.Key == Key && Item.Value == Value && Item.Lease == Known.Id;
+        });
+    common::log(common::LogLevel::Info, "record_looked_up",
+                {{"key", Key}, {"era", Page->Revision.Era}, {"present", Present}});
+    if (!Wanted)
+      co_return false;
+    Lease.reset();
+    if (Present)
+      Lease = relay::StoreLease{Page->Revision.Era, Known.Id, Known.TimeToLive};
+    co_return co_await writeOrRenew();
+  }
+
   /// Returns true if the record is known not to be in the store.
   boost::asio::awaitable<bool> removeFromStore() {
     if (!MayBeStored)
       co_return true;
-    Lease = 0;
+    Lease.reset();
     const auto Result = co_await Store.remove(Key);
+    // The answer may be of before a restore that a balancer has named meanwhile.
     if (Result)
-      MayBeStored = false;
+      MayBeStored = Doubted;
     else
       common::log(common::LogLevel::Warning, "record_not_removed",
                   {{"key", Key}, {"detail", Result.Failure.Detail}});
@@ -232,7 +348,8 @@
   boost::asio::steady_timer RenewalTimer;
   bool Wanted = true;
   bool MayBeStored = false; ///< Set before the write, whose response may be lost.
-  std::uint64_t Lease = 0;
+  bool Doubted = false;     ///< The store has been restored since the last call.
+  std::optional<relay::StoreLease> Lease;
 };
 
 } // namespace galenarelay::node::impl
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -211,6 +211,7 @@
       return MalformedPackets.Increment();
     const auto KnownBefore = Peers.all();
     const bool IsNew = Peers.onBeacon(From, *Beacon, Now);
+    this->hearStoreEra(Beacon->Era);
     reportToNewBalancers(KnownBefore, From, Now);
     if (!IsNew)
       return;
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -72,6 +72,7 @@
     this->listen([this](std::span<std::uint8_t> Raw,
                         common::Endpoint From) { onPeerDatagram(Raw, From.Address); },
                  [this](common::HttpRequest Request) { return serve(std::move(Request)); });
+    this->onStoreRestored([this] { gossipNews(common::suspendAwareNow()); });
     this->logStart();
     spawn(followConfiguration());
     spawn(lookUpNodes());
@@ -266,6 +267,7 @@
       else
         sendTo(From, makeBeacon(Now));
     }
+    this->hearStoreEra(Beacon.Era);
     if (Beacon.ConfigurationRevision > Steering.routes().revision() &&
         !std::exchange(FetchingFromPeers, true))
       spawn(fetchConfigurationFromPeers());
@@ -345,7 +347,8 @@
 
   relay::BalancerBeacon makeBeacon(common::TimePoint Now) {
     relay::BalancerBeacon Beacon{
-        Options.Id, Options.Zone, Incarnation, Steering.routes().revision(), Draining, {}, {}};
+        Options.Id, Options.Zone, Incarnation, Steering.routes().revision(),
+        Draining,   {},           {},          this->newestStoreEra()};
     const auto Live = Peers.live(Now);
     for (std::size_t I = 0; I < std::min(BeaconSampleSize, Live.size()); ++I)
       Beacon.Balancers.push_back(*SampleRotation.next(Live));
@@ -383,10 +386,10 @@
     sendToAll(Directory.agents(), Message);
   }
 
-  /// Notifies GossipFanout random balancers of a new configuration, and those without any, which
-  /// can't serve: when all processes restart together, the first balancer that reads the store
-  /// supplies the others.
-  void gossipRevision(common::TimePoint Now) {
+  /// Notifies GossipFanout random balancers of a new configuration or era of the store, and those
+  /// without any configuration, which can't serve: when all processes restart together, the first
+  /// balancer that reads the store supplies the others.
+  void gossipNews(common::TimePoint Now) {
     auto Recipients = Peers.withoutConfiguration(MaxUnconfiguredRecipients);
     auto Live = Peers.live(Now);
     const auto Count = std::min(GossipFanout, Live.size());
@@ -526,7 +529,7 @@
                  {"previous", CurrentRevision},
                  {"source", Source},
                  {"routes", Steering.routes().size()}});
-    gossipRevision(common::suspendAwareNow());
+    gossipNews(common::suspendAwareNow());
   }
 
   /// Applies the newest value of the configuration key in Page, if there is one.
@@ -541,39 +544,27 @@
   }
 
   Awaitable<void> followConfiguration() {
-    const std::string Key = Platform::Store::configurationKey();
-    std::uint64_t LastRevision = 0;
-    bool HasList = false;
+    impl::KeyWatch<typename Platform::Store> Watch(Store, Platform::Store::configurationKey());
     impl::Backoff Backoff(impl::MinCallBackoff, impl::MaxCallBackoff, Random);
     while (true) {
       if (Steering.routes().revision() != 0 &&
           !Peers.isStoreWatcher(Options.Zone, common::suspendAwareNow())) {
-        HasList = false;
+        Watch.restart();
         co_await impl::sleepFor(WatcherCheckInterval);
         continue;
       }
-      // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
-      common::Outcome<relay::StorePage> Page;
-      if (HasList)
-        Page = co_await Store.watch(Key, LastRevision);
-      else
-        Page = co_await Store.list(Key);
-      if (Page) {
-        LastStoreAnswerAt = common::suspendAwareNow();
-        Backoff.reset();
-        LastRevision = Page->Revision.Number;
-        applyNewestItem(*Page);
-        if (!HasList && Page->Items.empty())
-          co_await impl::sleepFor(impl::jittered(impl::MinCallBackoff, Random));
-        else
-          HasList = true;
-        if (HasList && !Page->Items.empty())
-          co_await impl::sleepFor(WatchCoalescingTime);
+      const auto Page = co_await Watch.next();
+      if (!Page) {
+        co_await impl::sleepFor(Backoff.nextDelay());
         continue;
       }
-      if (Page.Failure.Code == common::ResultCode::StoreHistoryGone)
-        HasList = false;
-      co_await impl::sleepFor(Backoff.nextDelay());
+      LastStoreAnswerAt = common::suspendAwareNow();
+      Backoff.reset();
+      applyNewestItem(*Page);
+      if (!Watch.hasValue())
+        co_await impl::sleepFor(impl::jittered(impl::MinCallBackoff, Random));
+      else if (!Page->Items.empty())
+        co_await impl::sleepFor(WatchCoalescingTime);
     }
   }
 
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/error.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/route_table.h"
+#include "galenarelay/relay/store_era.h"
 
 #include <cstdint>
 #include <span>
@@ -61,6 +62,7 @@
   bool Leaving = false;
   std::vector<NodeAddress> Balancers; ///< Live balancers known to the sender, without the sender.
   std::vector<NodeAddress> Agents; ///< Live agents known to the sender; empty in beacons to agents.
+  StoreEra Era = 0;                ///< The newest era of the store that the sender has heard of.
 
   friend bool operator==(const BalancerBeacon &, const BalancerBeacon &) = default;
 };
--- a/include/galenarelay/relay/store_call.h
+++ b/include/galenarelay/relay/store_call.h
@@ -4,9 +4,11 @@
 #include "galenarelay/common/error.h"
 #include "galenarelay/common/http.h"
 #include "galenarelay/common/time.h"
+#include "galenarelay/relay/store_era.h"
 
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,10 +23,6 @@
   friend bool operator==(const StoreCall &, const StoreCall &) = default;
 };
 
-/// Counts the times that the store has come back from an older copy; 0 if it doesn't say. Revisions
-/// and leases are given out anew after a restore, so that each is valid only within its era.
-using StoreEra = std::uint64_t;
-
 /// A key of the store with its value, or a change of it.
 struct StoreItem {
   std::string Key;
@@ -76,7 +74,7 @@
   { T::remove(Text) } -> std::same_as<StoreCall>;
   { T::grantLease(Time) } -> std::same_as<StoreCall>;
   { T::renewLease(Number) } -> std::same_as<StoreCall>;
-  { T::readEra(Answer) } -> std::same_as<common::Outcome<StoreEra>>;
+  { T::readEra(Answer) } -> std::same_as<common::Outcome<std::optional<StoreEra>>>;
   { T::readPage(Answer) } -> std::same_as<common::Outcome<StorePage>>;
   { T::readLease(Answer) } -> std::same_as<common::Outcome<StoreLease>>;
   { T::readWritten(Answer) } -> std::same_as<common::Outcome<StoreRevision>>;
--- a/src/common/http.cpp
+++ b/src/common/http.cpp
@@ -123,12 +123,13 @@
 
 } // namespace
 
-Outcome<std::uint64_t> readNumberHeader(const HttpResponse &Answer, std::string_view Name) {
+Outcome<std::optional<std::uint64_t>> readNumberHeader(const HttpResponse &Answer,
+                                                       std::string_view Name) {
   const auto Found =
       std::find_if(Answer.Headers.begin(), Answer.Headers.end(),
                    [Name](const auto &Each) { return beast::iequals(Each.first, Name); });
   if (Found == Answer.Headers.end())
-    return {0, {}};
+    return {std::optional<std::uint64_t>(), {}};
   const std::string &Text = Found->second;
   std::uint64_t Number = 0;
   const auto [End, Status] = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
@@ -136,7 +137,7 @@
     return {std::nullopt,
             {ResultCode::MessageMalformed,
              "the header " + std::string(Name) + " holds no whole number: '" + Text + "'"}};
-  return {Number, {}};
+  return {std::optional(Number), {}};
 }
 
 std::string encodeQuery(std::string_view Text) {
--- a/src/common/result_code.cpp
+++ b/src/common/result_code.cpp
@@ -33,6 +33,8 @@
     ResultCodeInfo{StoreKeyNotFound, "StoreKeyNotFound", "The key doesn't exist."},
     ResultCodeInfo{StoreHistoryGone, "StoreHistoryGone",
                    "The store no longer has the changes since a revision; read afresh."},
+    ResultCodeInfo{StoreEraEnded, "StoreEraEnded",
+                   "The store has been restored from a copy since; read afresh."},
     ResultCodeInfo{SelectorSyntax, "SelectorSyntax", "The selector can't be parsed."},
     ResultCodeInfo{LabelSyntax, "LabelSyntax", "The label isn't key=value."},
     ResultCodeInfo{ServiceUnknown, "ServiceUnknown", "No service has this name."},
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -54,8 +54,8 @@
 
 json toJson(const BalancerBeacon &Beacon) {
   return json::array({MessageType::Beacon, Beacon.Id, Beacon.Zone, Beacon.Incarnation,
-                      Beacon.ConfigurationRevision, Beacon.Leaving, Beacon.Balancers,
-                      Beacon.Agents});
+                      Beacon.ConfigurationRevision, Beacon.Leaving, Beacon.Balancers, Beacon.Agents,
+                      Beacon.Era});
 }
 
 json toJson(const FlowNotice &Notice) {
@@ -167,6 +167,9 @@
   Beacon.Leaving = Fields.at(5).get<bool>();
   Beacon.Balancers = listFromJson<NodeAddress>(Fields.at(6), MaxBeaconAddresses);
   Beacon.Agents = listFromJson<NodeAddress>(Fields.at(7), MaxBeaconAddresses);
+  // Earlier versions don't send it.
+  if (Fields.size() > 8)
+    Beacon.Era = readUnsigned<StoreEra>(Fields.at(8));
   return Beacon;
 }
 
--- a/tests/odd_documents_test.cpp
+++ b/tests/odd_documents_test.cpp
@@ -111,7 +111,7 @@
     Report.ColdFor = std::chrono::seconds(1);
     const std::vector<relay::PeerMessage> Messages{
         Report,
-        relay::BalancerBeacon{"balancer", "a", 1, 2, false, {3}, {4}},
+        relay::BalancerBeacon{"balancer", "a", 1, 2, false, {3}, {4}, 5},
         relay::FlowNotice{key(), {1, 2}},
         relay::ReturnedPacket{relay::ReturnReason::Busy, {1, 2}, {1, 2, 3}},
         relay::FlowAbsence{key()},
@@ -152,7 +152,8 @@
                                                             UINT64_MAX,
                                                             true,
                                                             Addresses,
-                                                            Addresses};
+                                                            Addresses,
+                                                            UINT64_MAX};
     const relay::PeerMessage Answer =
         relay::HolderAnswer{UINT64_MAX, true, 0, 1,
                             std::vector<relay::KnownAgent>(relay::MaxNamedHolders,
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -157,9 +157,10 @@
     const auto ReadEra = [](const std::string &Name, const std::string &Value) {
       return StoreProtocol::readEra({503, "{}", "application/json", {{Name, Value}}});
     };
-    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{7}, *ReadEra("Store-Era", "7"));
-    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{7}, *ReadEra("store-era", "7"));
-    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{0}, *ReadEra("Server", "7"));
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{7}, ReadEra("Store-Era", "7")->value());
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{7}, ReadEra("store-era", "7")->value());
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{0}, ReadEra("Store-Era", "0")->value());
+    CPPUNIT_ASSERT(ReadEra("Server", "7") && !ReadEra("Server", "7")->has_value());
     for (const char *Odd : {"", "x", "-1", "1.5", "7 ", "99999999999999999999"})
       CPPUNIT_ASSERT_MESSAGE(Odd,
                              ReadEra("Store-Era", Odd).Failure.Code == ResultCode::StoreBadAnswer);
--- a/tests/relay_store_test.cpp
+++ b/tests/relay_store_test.cpp
@@ -2,6 +2,7 @@
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/node/impl/relay_store.h"
 #include "platform/store_protocol.h"
+#include "soak/store_standin.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,8 +11,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <functional>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace galenarelay::tests {
 
@@ -24,6 +28,12 @@
   CPPUNIT_TEST(testRecord_ofRunningNode_isWritten);
   CPPUNIT_TEST(testRecord_unwantedForAWhile_isRemovedAndWrittenAgain);
   CPPUNIT_TEST(testRecord_storeFailsOnce_isRetried);
+  CPPUNIT_TEST(testRecord_lostInRestore_isWrittenUnderItsOwnLease);
+  CPPUNIT_TEST(testRecord_keptByRestore_isNotWrittenAgain);
+  CPPUNIT_TEST(testRecord_backAfterRestore_isRemovedAgain);
+  CPPUNIT_TEST(testWatch_revisionGivenOutAgain_missesNoChange);
+  CPPUNIT_TEST(testWatch_waitingDuringRestore_readsAfresh);
+  CPPUNIT_TEST(testAnswer_ofEndedEra_isRefused);
   CPPUNIT_TEST_SUITE_END();
 
   using Protocol = platform::StoreProtocol;
@@ -69,6 +79,50 @@
     node::impl::NodeRecord<Protocol> Record;
   };
 
+  /// A node and its store, which can be restored.
+  struct NodeWithRestorableStore {
+    explicit NodeWithRestorableStore(bool KeepsRecord = true) {
+      if (KeepsRecord)
+        boost::asio::co_spawn(Io, Record.keep(Random), boost::asio::detached);
+    }
+
+    /// Runs until the condition holds. Returns false after 20 s, the most that a test waits.
+    bool await(const std::function<bool()> &Condition) {
+      const auto End = std::chrono::steady_clock::now() + 20s;
+      while (!Condition() && std::chrono::steady_clock::now() < End)
+        Io.run_one_for(10ms);
+      return Condition();
+    }
+
+    template <typename T> common::Outcome<T> run(boost::asio::awaitable<common::Outcome<T>> Call) {
+      std::optional<common::Outcome<T>> Result;
+      boost::asio::co_spawn(
+          Io, [&]() -> boost::asio::awaitable<void> { Result = co_await std::move(Call); },
+          boost::asio::detached);
+      CPPUNIT_ASSERT(await([&] { return Result.has_value(); }));
+      return *Result;
+    }
+
+    /// The value that a watch returns with at most one failure before.
+    std::string nextValue(node::impl::KeyWatch<Protocol> &Watch) {
+      auto Page = run(Watch.next());
+      if (!Page)
+        Page = run(Watch.next());
+      CPPUNIT_ASSERT(Page && Page->Items.size() == 1);
+      return Page->Items[0].Value;
+    }
+
+    bool hasRecord() { return Standin.contains("nodes/a"); }
+
+    boost::asio::io_context Io{1};
+    common::Metrics Metrics;
+    common::Engine Random{1};
+    soak::StoreStandin Standin{Io, {0x7f000001, 0}, 1};
+    node::impl::RelayStore<Protocol> Store{Standin.local(), Metrics};
+    node::impl::RelayStore<Protocol> OtherNode{Standin.local(), Metrics};
+    node::impl::NodeRecord<Protocol> Record{Io, Store, "nodes/a", "10.0.0.1"};
+  };
+
 public:
   void testRecord_ofRunningNode_isWritten() {
     NodeWithStore Node;
@@ -89,6 +143,116 @@
     Node.FailuresLeft = 1;
     CPPUNIT_ASSERT(Node.awaitRecord(true));
   }
+
+  // Guards against renewing a lease whose number another node has got since a restore.
+  void testRecord_lostInRestore_isWrittenUnderItsOwnLease() {
+    NodeWithRestorableStore Node;
+    CPPUNIT_ASSERT(Node.await([&] { return Node.hasRecord(); }));
+    Node.Standin.restoreTo(0);
+    const auto Others = Node.run(Node.OtherNode.grantLease(30s));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Others->Id);
+    CPPUNIT_ASSERT(!Node.hasRecord());
+    Node.Record.onStoreRestored();
+    CPPUNIT_ASSERT(Node.await([&] { return Node.hasRecord(); }));
+    const auto Page = Node.run(Node.OtherNode.list("nodes/a"));
+    CPPUNIT_ASSERT(Page->Items.at(0).Lease != Others->Id);
+  }
+
+  // Guards against a fleet that writes all its records at once after a restore.
+  void testRecord_keptByRestore_isNotWrittenAgain() {
+    NodeWithRestorableStore Node;
+    CPPUNIT_ASSERT(Node.await([&] { return Node.hasRecord(); }));
+    const auto Revision = Node.Standin.revision();
+    Node.Standin.put("lost", "x");
+    Node.Standin.restoreTo(Revision);
+    const auto Renewals = Node.Standin.calls("/-/kv-keep/");
+    Node.Record.onStoreRestored();
+    // One renewal meets the new era, the next one is under it.
+    CPPUNIT_ASSERT(Node.await([&] { return Node.Standin.calls("/-/kv-keep/") == Renewals + 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Node.Standin.calls("/-/kv-txn"));
+    CPPUNIT_ASSERT_EQUAL(Revision, Node.Standin.revision());
+  }
+
+  // Guards against the record of an ended upstream's agent, for which new balancers would wait.
+  void testRecord_backAfterRestore_isRemovedAgain() {
+    NodeWithRestorableStore Node;
+    CPPUNIT_ASSERT(Node.await([&] { return Node.hasRecord(); }));
+    const auto Revision = Node.Standin.revision();
+    Node.Record.setWanted(false);
+    CPPUNIT_ASSERT(Node.await([&] { return !Node.hasRecord(); }));
+    Node.Standin.restoreTo(Revision);
+    CPPUNIT_ASSERT(Node.hasRecord());
+    Node.Record.onStoreRestored();
+    CPPUNIT_ASSERT(Node.await([&] { return !Node.hasRecord(); }));
+  }
+
+  // Guards against a watch that goes on from a revision which the store has given out again.
+  void testWatch_revisionGivenOutAgain_missesNoChange() {
+    NodeWithRestorableStore Node(false);
+    Node.Standin.put("config", "1");
+    const auto Restored = Node.Standin.revision();
+    Node.Standin.put("config", "2");
+    node::impl::KeyWatch<Protocol> Watch(Node.Store, "config");
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), Node.run(Watch.next())->Items.at(0).Value);
+    Node.Standin.restoreTo(Restored);
+    Node.Standin.put("config", "3");
+    Node.Standin.put("other", "x");
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), Node.nextValue(Watch));
+    Node.Standin.put("config", "4");
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), Node.run(Watch.next())->Items.at(0).Value);
+  }
+
+  void testWatch_waitingDuringRestore_readsAfresh() {
+    NodeWithRestorableStore Node(false);
+    Node.Standin.put("config", "1");
+    const auto Restored = Node.Standin.revision();
+    Node.Standin.put("config", "2");
+    node::impl::KeyWatch<Protocol> Watch(Node.Store, "config");
+    CPPUNIT_ASSERT(Node.run(Watch.next()));
+    std::optional<common::Outcome<relay::StorePage>> Waiting;
+    boost::asio::co_spawn(
+        Node.Io, [&]() -> boost::asio::awaitable<void> { Waiting = co_await Watch.next(); },
+        boost::asio::detached);
+    CPPUNIT_ASSERT(Node.await([&] { return Node.Standin.calls("/-/kv-watch") == 1; }));
+    Node.Standin.restoreTo(Restored);
+    Node.Standin.put("config", "3");
+    CPPUNIT_ASSERT(Node.await([&] { return Waiting.has_value(); }));
+    CPPUNIT_ASSERT(!*Waiting);
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), Node.nextValue(Watch));
+  }
+
+  // Guards against a late answer of before a restore that is applied after one of the new era.
+  void testAnswer_ofEndedEra_isRefused() {
+    boost::asio::io_context Io{1};
+    common::Metrics Metrics;
+    std::vector<std::string> Eras{"1", "2", "1"};
+    std::size_t Served = 0;
+    common::HttpServer Server(
+        Io, {0x7f000001, 0},
+        [&](common::HttpRequest) -> boost::asio::awaitable<common::HttpResponse> {
+          common::HttpResponse Answer{200, R"({"items":[],"currentRev":7})"};
+          Answer.Headers.emplace_back("Store-Era", Eras.at(Served++));
+          co_return Answer;
+        });
+    node::impl::RelayStore<Protocol> Store(Server.local(), Metrics);
+    std::vector<relay::StoreEra> Restores;
+    Store.onRestored([&](relay::StoreEra Era) { Restores.push_back(Era); });
+    std::vector<common::Outcome<relay::StorePage>> Pages;
+    boost::asio::co_spawn(
+        Io,
+        [&]() -> boost::asio::awaitable<void> {
+          for (std::size_t I = 0; I < Eras.size(); ++I)
+            Pages.push_back(co_await Store.list("nodes/"));
+          Io.stop();
+        },
+        boost::asio::detached);
+    Io.run();
+    CPPUNIT_ASSERT((Pages.at(0)->Revision == relay::StoreRevision{1, 7}));
+    CPPUNIT_ASSERT((Pages.at(1)->Revision == relay::StoreRevision{2, 7}));
+    CPPUNIT_ASSERT(Pages.at(2).Failure.Code == common::ResultCode::StoreEraEnded);
+    CPPUNIT_ASSERT((Restores == std::vector<relay::StoreEra>{2}));
+    CPPUNIT_ASSERT_EQUAL(relay::StoreEra{2}, Store.era());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayStoreTest);
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -3,6 +3,7 @@
 #include "relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 #include <map>
 #include <optional>
@@ -53,6 +54,7 @@
   CPPUNIT_TEST(testPeers_beacons_updateLiveAndContacts);
   CPPUNIT_TEST(testPeers_balancerThatAnnouncedItsStop_isStillReportedTo);
   CPPUNIT_TEST(testMessage_allTypes_readBack);
+  CPPUNIT_TEST(testMessage_beaconOfEarlierVersion_hasNoEra);
   CPPUNIT_TEST(testMessage_damaged_isRejected);
   CPPUNIT_TEST(testMessage_longerThanItsBound_isRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -646,7 +648,7 @@
   void testMessage_allTypes_readBack() {
     const std::vector<relay::PeerMessage> Messages{
         agentReport(3, 4, 5),
-        relay::BalancerBeacon{"b", "z", 1, 2, true, {1, 2}, {3}},
+        relay::BalancerBeacon{"b", "z", 1, 2, true, {1, 2}, {3}, 4},
         relay::FlowNotice{relayKey(1), {1, 2}},
         relay::ReturnedPacket{ReturnReason::Busy, {3, 4}, {0, 255, 7}},
         relay::FlowAbsence{relayKey(4)},
@@ -666,6 +668,14 @@
     }
   }
 
+  void testMessage_beaconOfEarlierVersion_hasNoEra() {
+    const relay::BalancerBeacon Beacon{"b", "z", 1, 2, true, {1, 2}, {3}, 0};
+    auto Fields = nlohmann::json::from_cbor(relay::encode(Beacon));
+    Fields.erase(8);
+    CPPUNIT_ASSERT(*relay::decodeMessage(nlohmann::json::to_cbor(Fields)) ==
+                   relay::PeerMessage(Beacon));
+  }
+
   void testMessage_damaged_isRejected() {
     const relay::PeerMessage Whole = agentReport(3);
     const auto Raw = relay::encode(Whole);
