Refuse unknown routes at once only if no peer has a newer configuration

A balancer that starts after a restore of the store, before the operator has written again, reads an older configuration and took it for current since the store answers: a flow to a route added since was reset with its first packet, though peers had the route. Now such a flow waits for its first copy while a peer's beacon names a newer revision, which is fetched within milliseconds. Found by reading; no run of ours showed it.

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -495,13 +495,13 @@
 
   // --- configuration
 
-  /// Whether the configuration is known to be current: the store has answered lately, or peers are
-  /// live and none has a newer revision.
+  /// Whether the configuration is known to be current: the store has answered lately or peers are
+  /// live, and no peer has a newer revision, as after a restore of the store from an older copy.
   bool routesCurrent(common::TimePoint Now) const {
     const bool StoreAnswers =
         Now - LastStoreAnswerAt <= impl::StoreWatchWait + impl::StoreCallTimeout;
-    return StoreAnswers || (!Peers.live(Now).empty() &&
-                            !Peers.peerNewerThan(Steering.routes().revision(), Options.Zone));
+    return (StoreAnswers || !Peers.live(Now).empty()) &&
+           !Peers.peerNewerThan(Steering.routes().revision(), Options.Zone);
   }
 
   /// Parses a configuration and puts it into force if its revision is above the current one. Logs
