Fence edits by the era of the version that they expect

Product's own interface: an edit read the document at version 6, the store was restored, another operator's edit got version 6, and the write of the first edit met its number and overwrote it. Both operators were told that their edit was accepted.

The store stand-in restores from copies, names its era in each answer, and refuses a write that states another era; a watch after a version that it hasn't given out gets 410. StoreVersion holds both, so that a write of unknown outcome is known to be dead after a restore as well. With the header ignored, as before, ConfigHistoryTest::testEdit_storeRestoredBeforeWrite_keepsOtherEdit and StoreTest::testRestore_writeOfEndedEra_isRefused fail.

--- a/include/galenarelay/config/edit_loop.h
+++ b/include/galenarelay/config/edit_loop.h
@@ -45,10 +45,10 @@
   friend bool operator==(const SubmitOptions &, const SubmitOptions &) = default;
 };
 
-/// The configuration document and its version in the store. Both the version and the revision are 0
-/// if the store has no document.
+/// The configuration document and its version in the store. Both the version's number and the
+/// revision are 0 if the store has no document.
 struct StoredConfiguration {
-  std::uint64_t Version = 0;
+  StoreVersion Version;
   Configuration Document;
 };
 
@@ -90,7 +90,7 @@
   const auto Value = Client.get(editIdKey(EditId));
   if (!Value)
     return {std::nullopt, Value.Failure};
-  if (Value->Version == 0)
+  if (Value->Version.Number == 0)
     return {std::optional<AuditEntry>(), {}};
   const auto Archived = impl::parseArchivedEntry(*Value);
   if (!Archived)
@@ -124,7 +124,7 @@
     const auto Value = Client.get(auditKey(Number));
     if (!Value)
       return {std::nullopt, Value.Failure};
-    if (Value->Version == 0)
+    if (Value->Version.Number == 0)
       return UnknownRevision("revision " + std::to_string(Number) + " isn't in the history");
     const auto Entry = impl::parseArchivedEntry(*Value);
     if (!Entry)
@@ -170,8 +170,8 @@
       return recordFailure(RecordedEntry.Failure);
     if (*RecordedEntry)
       return finishWithRecordedEntry(**RecordedEntry);
-    // The document's version has changed without the edit, so the pending write, which expects the
-    // old version, can no longer take effect.
+    // The document's version or its era has changed without the edit, so the pending write, which
+    // expects the old one, can no longer take effect.
     if (PendingVersion && *PendingVersion != Current->Version)
       PendingVersion.reset();
     return applyAndWrite(*Current);
@@ -210,7 +210,7 @@
 
   /// Archives the entries that no longer fit, then writes the document. Returns true if no further
   /// attempt is needed.
-  bool writeDocument(std::uint64_t Version, const EditedDocument &Edited) {
+  bool writeDocument(StoreVersion Version, const EditedDocument &Edited) {
     for (const AuditEntry &Entry : Edited.EntriesToArchive)
       if (!archiveEntry(Entry))
         return false;
@@ -232,7 +232,7 @@
   bool archiveEntry(const AuditEntry &Entry) {
     const std::string SerializedEntry = toJson(Entry).dump();
     for (const std::string &Key : {editIdKey(Entry.EditId), auditKey(Entry.AcceptedRevision)}) {
-      const auto Copied = Client.put(Key, 0, SerializedEntry);
+      const auto Copied = Client.put(Key, {}, SerializedEntry);
       if (!Copied && Copied.Failure.Code != common::ResultCode::StoreConflict) {
         // The document hasn't been written in this attempt, so an unknown outcome of the copy
         // leaves no doubt about the edit.
@@ -297,7 +297,7 @@
   Edit RequestedEdit;
   std::optional<Revision> BaseRevision;
   bool MayHavePendingWrite;
-  std::optional<std::uint64_t> PendingVersion; ///< Version expected by a write of unknown outcome.
+  std::optional<StoreVersion> PendingVersion; ///< Version expected by a write of unknown outcome.
   bool WriteSent = false; ///< This submission has sent a write of the edited document.
   EditReport Report;
 };
--- a/include/galenarelay/config/store_client.h
+++ b/include/galenarelay/config/store_client.h
@@ -6,16 +6,34 @@
 
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace galenarelay::config {
 
-/// A value in the store with its key and version. Version 0 means that the key doesn't exist.
+/// Header of all answers of the store: its era, which rises by one whenever the store is restored
+/// from an older copy.
+inline constexpr const char *StoreEraHeader = "Galenarelay-Store-Era";
+
+/// Reads the era that an answer names, if it does. Errors: StoreBadAnswer.
+[[nodiscard]] common::Outcome<std::optional<std::uint64_t>>
+readStoreEra(const common::HttpResponse &Response);
+
+/// Version of a key. Versions are given out anew after a restore, so that each is valid only within
+/// its era. Number 0 means that the key doesn't exist, era 0 that the store names none.
+struct StoreVersion {
+  std::uint64_t Era = 0;
+  std::uint64_t Number = 0;
+
+  friend bool operator==(const StoreVersion &, const StoreVersion &) = default;
+};
+
+/// A value in the store with its key and version.
 struct StoredValue {
   std::string Key;
-  std::uint64_t Version = 0;
+  StoreVersion Version;
   std::string Text;
 
   friend bool operator==(const StoredValue &, const StoredValue &) = default;
@@ -31,19 +49,20 @@
 /// The store operations that edits need: read a key, list keys by prefix, compare-and-swap a key,
 /// and wait before a retry.
 template <typename T>
-concept ConfigStore = requires(T &Store, const std::string &Text, std::uint64_t Version,
+concept ConfigStore = requires(T &Store, const std::string &Text, StoreVersion Version,
                                std::uint32_t Attempt) {
   { Store.get(Text) } -> std::same_as<common::Outcome<StoredValue>>;
   { Store.list(Text) } -> std::same_as<common::Outcome<std::vector<StoredValue>>>;
-  { Store.put(Text, Version, Text) } -> std::same_as<common::Outcome<std::uint64_t>>;
+  { Store.put(Text, Version, Text) } -> std::same_as<common::Outcome<StoreVersion>>;
   Store.pause(Attempt);
 };
 
 namespace impl {
 
-/// Request target of a key; with a version, that of a write that expects this version.
+/// Request target of a key; with a version, that of a write that expects this version, which the
+/// store refuses in any other era.
 [[nodiscard]] std::string keyTarget(const std::string &Key);
-[[nodiscard]] std::string keyTarget(const std::string &Key, std::uint64_t Version);
+[[nodiscard]] std::string keyTarget(const std::string &Key, StoreVersion Expected);
 /// Request target that lists the keys with a prefix.
 [[nodiscard]] std::string listTarget(const std::string &Prefix);
 
@@ -52,7 +71,7 @@
 parseValueResponse(const std::string &Key, const common::Outcome<common::HttpResponse> &Response);
 [[nodiscard]] common::Outcome<std::vector<StoredValue>>
 parseListResponse(const common::Outcome<common::HttpResponse> &Response);
-[[nodiscard]] common::Outcome<std::uint64_t>
+[[nodiscard]] common::Outcome<StoreVersion>
 parseWriteResponse(const common::Outcome<common::HttpResponse> &Response);
 
 } // namespace impl
@@ -72,12 +91,12 @@
     return impl::parseListResponse(Sender.call("GET", impl::listTarget(Prefix), ""));
   }
 
-  /// Writes a key if it still has the given version (0: if it doesn't exist) and returns the new
+  /// Writes a key if it still has the expected version (0: if it doesn't exist) and returns the new
   /// version. Errors: StoreConflict, StoreUnavailable (nothing was sent), StoreOutcomeUnknown,
   /// StoreRateLimited, StoreBadAnswer, ConfigurationTooLarge.
-  [[nodiscard]] common::Outcome<std::uint64_t> put(const std::string &Key, std::uint64_t Version,
-                                                   const std::string &Text) {
-    return impl::parseWriteResponse(Sender.call("PUT", impl::keyTarget(Key, Version), Text));
+  [[nodiscard]] common::Outcome<StoreVersion> put(const std::string &Key, StoreVersion Expected,
+                                                  const std::string &Text) {
+    return impl::parseWriteResponse(Sender.call("PUT", impl::keyTarget(Key, Expected), Text));
   }
 
   /// Waits before the given attempt, counted from 1 for the first retry.
--- a/include/galenarelay/standins/store/store.h
+++ b/include/galenarelay/standins/store/store.h
@@ -6,6 +6,7 @@
 #include "galenarelay/standins/store/rate_limit.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +23,9 @@
 inline constexpr common::Duration MaxWatchWait = std::chrono::seconds(30);
 inline constexpr common::Duration MaxLeaseTtl = std::chrono::hours(1);
 
+/// Copies of earlier states that the store keeps for a restore; the oldest are dropped.
+inline constexpr std::size_t MaxCopies = 100;
+
 /// Calls per second that the store answers; the others get 429.
 struct StoreLimits {
   double ReadsPerSecond = 2000;
@@ -53,21 +57,25 @@
 };
 
 /// The store's state and answers. Versions rise over all keys, so that a key which is deleted and
-/// created again never gets an old version.
-/// Example: `Store S({}); S.handle({"GET", "/v1/kv/config", {}, ""}, Now).Status == 404`
+/// created again never gets an old version, unless the store is restored from a copy: the era in
+/// the header of each answer then rises by one, and a write may state the era of the version that
+/// it expects. Example: `Store S({}); S.handle({"GET", "/v1/kv/config", {}, ""}, Now).Status ==
+/// 404`
 class Store {
 public:
   explicit Store(StoreLimits Limits);
 
   [[nodiscard]] const CallCounts &counts() const noexcept { return Counts; }
   [[nodiscard]] const Faults &faults() const noexcept { return Active; }
-  [[nodiscard]] std::size_t size() const noexcept { return Entries.size(); }
+  [[nodiscard]] std::size_t size() const noexcept { return Data.Entries.size(); }
+  [[nodiscard]] std::uint64_t era() const noexcept { return Era; }
   /// Number of changes so far; a waiting watch looks again when it rises.
   [[nodiscard]] std::uint64_t changes() const noexcept { return Changes; }
   /// When the next lease expires.
   [[nodiscard]] std::optional<common::TimePoint> nextExpiry() const noexcept;
   /// The answer that a watch has now: 200 with a newer value, 404 if the value it knew is deleted,
-  /// 503 in an outage. Empty while it has to wait.
+  /// 410 if the store hasn't given out the version it knew, 503 in an outage. Empty while it has to
+  /// wait.
   [[nodiscard]] std::optional<common::HttpResponse> watchAnswer(const std::string &Key,
                                                                 std::uint64_t After) const;
 
@@ -75,6 +83,9 @@
   [[nodiscard]] common::HttpResponse handle(const common::HttpRequest &Request,
                                             common::TimePoint Now);
   void setFaults(const Faults &Next) noexcept;
+  /// Comes back from the copy with this last version, or the oldest one after it: later changes and
+  /// leases are gone, and versions and leases are given out anew.
+  void restore(std::uint64_t LastVersion);
   /// Deletes the keys of expired leases.
   void expire(common::TimePoint Now);
 
@@ -89,6 +100,15 @@
     common::Duration Ttl{};
   };
 
+  /// All that a copy holds.
+  struct State {
+    std::map<std::string, Entry> Entries;
+    std::map<std::uint64_t, Lease> Leases;
+    std::uint64_t LastVersion = 0;
+    std::uint64_t LastLease = 0;
+  };
+  [[nodiscard]] common::HttpResponse handleWithoutEra(const common::HttpRequest &Request,
+                                                      common::TimePoint Now);
   [[nodiscard]] common::HttpResponse read(const common::HttpRequest &Request) const;
   [[nodiscard]] common::HttpResponse list(const std::string &Prefix) const;
   [[nodiscard]] common::HttpResponse watch(const common::HttpRequest &Request) const;
@@ -98,11 +118,12 @@
   [[nodiscard]] common::HttpResponse lease(const common::HttpRequest &Request,
                                            common::TimePoint Now);
   void changed() noexcept { ++Changes; }
+  /// Keeps a copy of the state before a change.
+  void keepCopy();
 
-  std::map<std::string, Entry> Entries;
-  std::map<std::uint64_t, Lease> Leases;
-  std::uint64_t LastVersion = 0;
-  std::uint64_t LastLease = 0;
+  State Data;
+  std::deque<State> Copies;
+  std::uint64_t Era = 1;
   std::uint64_t Changes = 0;
   RateLimit Reads;
   RateLimit Writes;
--- a/src/config/edit_loop.cpp
+++ b/src/config/edit_loop.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 Outcome<StoredConfiguration> parseStoredConfiguration(const StoredValue &Value) {
-  if (Value.Version == 0)
+  if (Value.Version.Number == 0)
     return {StoredConfiguration{}, {}};
   auto Document =
       capture([&] { return configurationFromJson(common::parseJsonOrDiscard(Value.Text)); });
--- a/src/config/store_client.cpp
+++ b/src/config/store_client.cpp
@@ -16,6 +16,13 @@
 using common::ResultCode;
 using nlohmann::json;
 
+Outcome<std::optional<std::uint64_t>> readStoreEra(const HttpResponse &Response) {
+  auto Era = common::readNumberHeader(Response, StoreEraHeader);
+  if (!Era)
+    Era.Failure.Code = ResultCode::StoreBadAnswer;
+  return Era;
+}
+
 namespace impl {
 
 namespace {
@@ -38,9 +45,12 @@
   return {ResultCode::StoreBadAnswer, Detail + ": " + Response.Body};
 }
 
-StoredValue valueFromJson(const json &Document) {
-  return {Document.at("key").get<std::string>(),
-          common::readUnsigned<std::uint64_t>(Document.at("version")),
+StoreVersion versionFromJson(const json &Document, std::uint64_t Era) {
+  return {Era, common::readUnsigned<std::uint64_t>(Document.at("version"))};
+}
+
+StoredValue valueFromJson(const json &Document, std::uint64_t Era) {
+  return {Document.at("key").get<std::string>(), versionFromJson(Document, Era),
           Document.at("value").get<std::string>()};
 }
 
@@ -52,8 +62,11 @@
 
 std::string keyTarget(const std::string &Key) { return "/v1/kv/" + common::encodeQuery(Key); }
 
-std::string keyTarget(const std::string &Key, std::uint64_t Version) {
-  return keyTarget(Key) + "?version=" + std::to_string(Version);
+std::string keyTarget(const std::string &Key, StoreVersion Expected) {
+  std::string Target = keyTarget(Key) + "?version=" + std::to_string(Expected.Number);
+  if (Expected.Era != 0 && Expected.Number != 0)
+    Target += "&era=" + std::to_string(Expected.Era);
+  return Target;
 }
 
 std::string listTarget(const std::string &Prefix) {
@@ -65,11 +78,14 @@
   if (!Response)
     return {std::nullopt, readError(Response.Failure)};
   if (Response->Status == StatusNotFound)
-    return {StoredValue{Key, 0, ""}, {}};
+    return {StoredValue{Key, {}, ""}, {}};
   if (Response->Status != StatusOk)
     return {std::nullopt, statusError(*Response, ResultCode::StoreUnavailable)};
+  const auto Era = readStoreEra(*Response);
+  if (!Era)
+    return {std::nullopt, Era.Failure};
   try {
-    return {valueFromJson(common::parseJson(Response->Body)), {}};
+    return {valueFromJson(common::parseJson(Response->Body), Era->value_or(0)), {}};
   } catch (const json::exception &Exception) {
     return {std::nullopt, {ResultCode::StoreBadAnswer, Exception.what()}};
   }
@@ -80,18 +96,21 @@
     return {std::nullopt, readError(Response.Failure)};
   if (Response->Status != StatusOk)
     return {std::nullopt, statusError(*Response, ResultCode::StoreUnavailable)};
+  const auto Era = readStoreEra(*Response);
+  if (!Era)
+    return {std::nullopt, Era.Failure};
   try {
     const json Body = common::parseJson(Response->Body);
     std::vector<StoredValue> Values;
     for (const json &Item : Body.at("items"))
-      Values.push_back(valueFromJson(Item));
+      Values.push_back(valueFromJson(Item, Era->value_or(0)));
     return {std::move(Values), {}};
   } catch (const json::exception &Exception) {
     return {std::nullopt, {ResultCode::StoreBadAnswer, Exception.what()}};
   }
 }
 
-Outcome<std::uint64_t> parseWriteResponse(const Outcome<HttpResponse> &Response) {
+Outcome<StoreVersion> parseWriteResponse(const Outcome<HttpResponse> &Response) {
   if (!Response) {
     const bool NotSent = Response.Failure.Code == ResultCode::PeerUnreachable;
     return {std::nullopt,
@@ -107,9 +126,11 @@
   // whether the write took effect.
   if (Response->Status != StatusOk)
     return {std::nullopt, statusError(*Response, ResultCode::StoreOutcomeUnknown)};
+  const auto Era = readStoreEra(*Response);
+  if (!Era)
+    return {std::nullopt, {ResultCode::StoreOutcomeUnknown, Era.Failure.Detail}};
   try {
-    return {common::readUnsigned<std::uint64_t>(common::parseJson(Response->Body).at("version")),
-            {}};
+    return {versionFromJson(common::parseJson(Response->Body), Era->value_or(0)), {}};
   } catch (const json::exception &Exception) {
     return {std::nullopt, {ResultCode::StoreOutcomeUnknown, Exception.what()}};
   }
--- a/src/standins/store/store.cpp
+++ b/src/standins/store/store.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/standins/store/store.h"
 
+#include "galenarelay/config/store_client.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -61,7 +63,7 @@
 
 std::optional<TimePoint> Store::nextExpiry() const noexcept {
   std::optional<TimePoint> Earliest;
-  for (const auto &Held : Leases)
+  for (const auto &Held : Data.Leases)
     if (!Earliest || Held.second.Expiry < *Earliest)
       Earliest = Held.second.Expiry;
   return Earliest;
@@ -70,8 +72,10 @@
 std::optional<HttpResponse> Store::watchAnswer(const std::string &Key, std::uint64_t After) const {
   if (Active.Outage)
     return problem(503, "the store is unavailable");
-  const auto Found = Entries.find(Key);
-  if (Found == Entries.end())
+  if (After > Data.LastVersion)
+    return problem(410, "the store hasn't given out this version");
+  const auto Found = Data.Entries.find(Key);
+  if (Found == Data.Entries.end())
     return After > 0 ? std::optional(problem(404, "the key was deleted")) : std::nullopt;
   if (Found->second.Version <= After)
     return std::nullopt;
@@ -79,6 +83,30 @@
 }
 
 HttpResponse Store::handle(const HttpRequest &Request, TimePoint Now) {
+  auto Answer = handleWithoutEra(Request, Now);
+  Answer.Headers.emplace_back(config::StoreEraHeader, std::to_string(Era));
+  return Answer;
+}
+
+void Store::restore(std::uint64_t LastVersion) {
+  const auto Found = std::find_if(Copies.begin(), Copies.end(), [LastVersion](const State &Each) {
+    return Each.LastVersion >= LastVersion;
+  });
+  if (Found != Copies.end())
+    Data = *Found;
+  // Copies of the ended era would bring its changes back.
+  Copies.erase(Found, Copies.end());
+  ++Era;
+  changed();
+}
+
+void Store::keepCopy() {
+  Copies.push_back(Data);
+  if (Copies.size() > MaxCopies)
+    Copies.pop_front();
+}
+
+HttpResponse Store::handleWithoutEra(const HttpRequest &Request, TimePoint Now) {
   expire(Now);
   const bool Reading = isRead(Request);
   std::uint64_t &Counter = isWatch(Request)   ? Counts.Watches
@@ -96,14 +124,17 @@
   }
   if (isWatch(Request))
     return watch(Request);
-  if (isLease(Request))
+  if (isLease(Request)) {
+    keepCopy();
     return lease(Request, Now);
+  }
   if (Reading)
     return read(Request);
   if (Active.LoseRequests > 0) {
     --Active.LoseRequests;
     return {common::NoAnswer, ""};
   }
+  keepCopy();
   const HttpResponse Written = write(Request);
   if (Active.LoseAnswers == 0)
     return Written;
@@ -119,15 +150,15 @@
 }
 
 void Store::expire(TimePoint Now) {
-  for (auto Held = Leases.begin(); Held != Leases.end();) {
+  for (auto Held = Data.Leases.begin(); Held != Data.Leases.end();) {
     if (Held->second.Expiry > Now) {
       ++Held;
       continue;
     }
     const std::uint64_t Id = Held->first;
-    if (std::erase_if(Entries, [Id](const auto &Each) { return Each.second.Lease == Id; }) > 0)
+    if (std::erase_if(Data.Entries, [Id](const auto &Each) { return Each.second.Lease == Id; }) > 0)
       changed();
-    Held = Leases.erase(Held);
+    Held = Data.Leases.erase(Held);
   }
 }
 
@@ -137,15 +168,15 @@
   if (!Request.Path.starts_with(KeyPath))
     return problem(404, "no such endpoint");
   const std::string Key = Request.Path.substr(KeyPath.size());
-  const auto Found = Entries.find(Key);
-  if (Found == Entries.end())
+  const auto Found = Data.Entries.find(Key);
+  if (Found == Data.Entries.end())
     return problem(404, "no such key");
   return answer(200, entryJson(Key, Found->second.Version, Found->second.Value));
 }
 
 HttpResponse Store::list(const std::string &Prefix) const {
   json Items = json::array();
-  for (auto It = Entries.lower_bound(Prefix); It != Entries.end(); ++It) {
+  for (auto It = Data.Entries.lower_bound(Prefix); It != Data.Entries.end(); ++It) {
     if (!It->first.starts_with(Prefix))
       break;
     Items.push_back(entryJson(It->first, It->second.Version, It->second.Value));
@@ -170,16 +201,17 @@
     return problem(400, "a key and version=VERSION are required");
   if (Request.Body.size() > MaxValueBytes)
     return problem(413, "the value is too large");
-  const auto Found = Entries.find(Key);
-  const std::uint64_t Current = Found == Entries.end() ? 0 : Found->second.Version;
+  const auto Found = Data.Entries.find(Key);
+  const std::uint64_t Current = Found == Data.Entries.end() ? 0 : Found->second.Version;
   const bool Removing = Request.Method == "DELETE";
   if (Removing && Current == 0)
     return problem(404, "no such key");
-  if (*Expected != Current)
+  // The era of the expected version, where the caller states it.
+  if (*Expected != Current || number(Request, "era").value_or(Era) != Era)
     return answer(409, {{"key", Key}, {"version", Current}});
   if (!Removing)
     return Request.Method == "PUT" ? put(Key, Request) : problem(405, "no such method");
-  Entries.erase(Found);
+  Data.Entries.erase(Found);
   changed();
   return answer(200, {{"key", Key}, {"version", Current}});
 }
@@ -187,13 +219,13 @@
 HttpResponse Store::put(const std::string &Key, const HttpRequest &Request) {
   const std::uint64_t LeaseId =
       Request.Query.contains("lease") ? number(Request, "lease").value_or(0) : 0;
-  if (Request.Query.contains("lease") && !Leases.contains(LeaseId))
+  if (Request.Query.contains("lease") && !Data.Leases.contains(LeaseId))
     return problem(404, "no such lease");
-  if (!Entries.contains(Key) && Entries.size() >= MaxEntries)
+  if (!Data.Entries.contains(Key) && Data.Entries.size() >= MaxEntries)
     return problem(507, "the store is full");
-  Entries[Key] = {++LastVersion, Request.Body, LeaseId};
+  Data.Entries[Key] = {++Data.LastVersion, Request.Body, LeaseId};
   changed();
-  return answer(200, {{"key", Key}, {"version", LastVersion}});
+  return answer(200, {{"key", Key}, {"version", Data.LastVersion}});
 }
 
 HttpResponse Store::lease(const HttpRequest &Request, TimePoint Now) {
@@ -202,14 +234,14 @@
     const auto Ttl = std::chrono::milliseconds(TtlMs.value_or(0));
     if (!TtlMs || Ttl <= Ttl.zero() || Ttl > MaxLeaseTtl)
       return problem(400, "ttl=MILLISECONDS is required, at most an hour");
-    if (Leases.size() >= MaxEntries)
+    if (Data.Leases.size() >= MaxEntries)
       return problem(507, "the store is full");
-    Leases[++LastLease] = {Now + Ttl, Ttl};
-    return answer(200, {{"lease", LastLease}, {"ttl", *TtlMs}});
+    Data.Leases[++Data.LastLease] = {Now + Ttl, Ttl};
+    return answer(200, {{"lease", Data.LastLease}, {"ttl", *TtlMs}});
   }
   const auto Id = parseNumber(Request.Path.substr(LeasePath.size() + 1));
-  const auto Held = Id ? Leases.find(*Id) : Leases.end();
-  if (Held == Leases.end())
+  const auto Held = Id ? Data.Leases.find(*Id) : Data.Leases.end();
+  if (Held == Data.Leases.end())
     return problem(404, "no such lease");
   Held->second.Expiry = Now + Held->second.Ttl;
   return answer(200, {{"lease", *Id}});
--- a/src/standins/store/store_server.cpp
+++ b/src/standins/store/store_server.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/standins/store/store_server.h"
 
+#include "galenarelay/config/store_client.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -66,7 +68,9 @@
       co_return *Admin;
     if (Data.faults().Delay > common::Duration::zero()) {
       asio::steady_timer Timer(Io, Data.faults().Delay);
+      ++Delayed;
       co_await Timer.async_wait(AsTuple);
+      --Delayed;
     }
     HttpResponse Answer = Data.handle(Request, steadyNow());
     afterChange();
@@ -82,6 +86,7 @@
     if (Request.Path == "/v1/stats") {
       json Stats = countsJson(Data.counts());
       Stats["waiting"] = Waiting.size();
+      Stats["delayed"] = Delayed;
       Stats["keys"] = Data.size();
       return HttpResponse{200, Stats.dump()};
     }
@@ -89,7 +94,10 @@
       return std::nullopt;
     if (Request.Method == "POST") {
       try {
-        Data.setFaults(faultsFromJson(json::parse(Request.Body), Data.faults()));
+        const json Document = json::parse(Request.Body);
+        Data.setFaults(faultsFromJson(Document, Data.faults()));
+        if (Document.contains("restore_version"))
+          Data.restore(Document.at("restore_version").get<std::uint64_t>());
       } catch (const json::exception &Problem) {
         return HttpResponse{400, json{{"error", Problem.what()}}.dump()};
       }
@@ -106,14 +114,20 @@
     const auto Deadline = std::chrono::steady_clock::now() + Asked;
     asio::steady_timer Timer(Io);
     Waiting.insert(&Timer);
+    const std::uint64_t Era = Data.era();
     std::optional<HttpResponse> Answer;
     while (!Answer && !Closed && std::chrono::steady_clock::now() < Deadline) {
       Timer.expires_at(Deadline);
       co_await Timer.async_wait(AsTuple);
-      Answer = Data.watchAnswer(Key, After);
+      // A restore cuts waiting watches.
+      Answer =
+          Data.era() == Era ? Data.watchAnswer(Key, After) : HttpResponse{common::NoAnswer, ""};
     }
     Waiting.erase(&Timer);
-    co_return Answer ? *Answer : HttpResponse{204, ""};
+    if (!Answer)
+      Answer = HttpResponse{204, ""};
+    Answer->Headers.emplace_back(config::StoreEraHeader, std::to_string(Data.era()));
+    co_return *Answer;
   }
 
   void afterChange() {
@@ -152,6 +166,7 @@
   Store Data;
   asio::steady_timer LeaseTimer;
   std::set<asio::steady_timer *> Waiting;
+  std::size_t Delayed = 0; ///< Calls whose effect is still to come.
   std::uint64_t SeenChanges = 0;
   bool Closed = false;
 };
--- a/tests/config_history_test.cpp
+++ b/tests/config_history_test.cpp
@@ -162,6 +162,26 @@
   void pause(std::uint32_t Attempt) { Shared->pause(Attempt); }
 };
 
+/// Restores the store before the first write of the document, and gives its version out again with
+/// the edit of another operator.
+struct RestoringTransport {
+  DirectTransport Direct;
+  std::uint64_t RestoredVersion;
+  Edit OtherEdit;
+  bool *Restored;
+
+  common::Outcome<common::HttpResponse> call(const std::string &Method, const std::string &Target,
+                                             const std::string &Body) {
+    if (Method == "PUT" && !std::exchange(*Restored, true)) {
+      Direct.Target->restore(RestoredVersion);
+      StoreClient Other(Direct);
+      CPPUNIT_ASSERT(submitEdit(Other, OtherEdit).Result.Code == ResultCode::Ok);
+    }
+    return Direct.call(Method, Target, Body);
+  }
+  void pause(std::uint32_t Attempt) { Direct.pause(Attempt); }
+};
+
 struct SubmittedEdit {
   Edit RequestedEdit;
   EditReport Report;
@@ -200,6 +220,7 @@
   CPPUNIT_TEST(testEdit_lateWrite_agreesWithReport);
   CPPUNIT_TEST(testEdit_repeatedWithItsId_isAcceptedOnce);
   CPPUNIT_TEST(testEdit_basedOnOldRevision_learnsWhatChanged);
+  CPPUNIT_TEST(testEdit_storeRestoredBeforeWrite_keepsOtherEdit);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t Operators = 4;
@@ -393,6 +414,26 @@
     CPPUNIT_ASSERT(Submit("e5", SetSelector{"desk", "role=desk"}, 9).Result.Code ==
                    ResultCode::RevisionUnknown);
   }
+
+  // Guards against an edit that overwrites another one whose version has the number of a lost one.
+  void testEdit_storeRestoredBeforeWrite_keepsOtherEdit() {
+    Store Target{{}};
+    common::TimePoint Now{};
+    announce(Target, Now, fourAnnounced());
+    StoreClient Direct(DirectTransport{&Target, &Now});
+    const auto First = Direct.put(ConfigurationKey, {}, toJson(deskAndWarranty()).dump())->Number;
+    const auto LabelEdit = [](const std::string &Id, const std::string &Key) {
+      return Edit{Id, "rosa", 1, SetLabels{"u3", {{Key, "yes"}}}};
+    };
+    CPPUNIT_ASSERT(submitEdit(Direct, LabelEdit("lost", "lost")).Result.Code == ResultCode::Ok);
+    bool Restored = false;
+    StoreClient Client(
+        RestoringTransport{{&Target, &Now}, First, LabelEdit("other", "other"), &Restored});
+    CPPUNIT_ASSERT(submitEdit(Client, LabelEdit("own", "own")).Result.Code == ResultCode::Ok);
+    const auto Final = readConfiguration(Direct);
+    const Labels Expected{{"other", "yes"}, {"own", "yes"}};
+    CPPUNIT_ASSERT(Final->Document.UpstreamLabels.at("u3") == Expected);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigHistoryTest);
--- a/tests/odd_documents_test.cpp
+++ b/tests/odd_documents_test.cpp
@@ -325,11 +325,11 @@
   // Guards against a document that ends each process that reads it by exhausting its stack.
   void testStoredDocument_deeplyNested_endsNoReader() {
     const std::string Text = withOdd(configuration(), "/edits/0/patch", nestedArrays(200'000));
-    const auto Read = config::impl::parseStoredConfiguration({"config", 1, Text});
+    const auto Read = config::impl::parseStoredConfiguration({"config", {1, 1}, Text});
     // The patch is read as null below MaxJsonDepth; it is kept, but never applied.
     CPPUNIT_ASSERT(Read && Read->Document.AuditEntries[0].Patch.dump().size() < 100);
     for (const std::string &Odd : {std::string(500'000, '['), nestedArrays(500'000)})
-      CPPUNIT_ASSERT(!config::impl::parseStoredConfiguration({"config", 1, Odd}));
+      CPPUNIT_ASSERT(!config::impl::parseStoredConfiguration({"config", {1, 1}, Odd}));
   }
 };
 
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -27,6 +27,9 @@
   CPPUNIT_TEST(testServer_watch_waitsAndCountsOnce);
   CPPUNIT_TEST(testServer_outage_endsWatch);
   CPPUNIT_TEST(testServer_lostAnswer_isOutcomeUnknown);
+  CPPUNIT_TEST(testRestore_laterChanges_areGoneAndGivenOutAnew);
+  CPPUNIT_TEST(testRestore_writeOfEndedEra_isRefused);
+  CPPUNIT_TEST(testRestore_waitingWatch_isCut);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t Loopback = 0x7f000001;
@@ -180,18 +183,19 @@
   // Guards against a write that is called "not written" although it may have been.
   void testClient_answers_mapToResultCodes() {
     config::StoreClient Client(DirectTransport{&Direct, &Now});
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Client.get("a")->Version);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, *Client.put("a", 0, "x"));
-    CPPUNIT_ASSERT(Client.put("a", 0, "x").Failure.Code == ResultCode::StoreConflict);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Client.get("a")->Version.Number);
+    const auto Written = Client.put("a", {}, "x");
+    CPPUNIT_ASSERT((*Written == config::StoreVersion{1, 1}));
+    CPPUNIT_ASSERT(Client.put("a", {}, "x").Failure.Code == ResultCode::StoreConflict);
     CPPUNIT_ASSERT_EQUAL(std::string("x"), Client.get("a")->Text);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Client.list("")->size());
     Faults Active;
     Active.LoseAnswers = 1;
     Direct.setFaults(Active);
-    CPPUNIT_ASSERT(Client.put("a", 1, "y").Failure.Code == ResultCode::StoreOutcomeUnknown);
+    CPPUNIT_ASSERT(Client.put("a", *Written, "y").Failure.Code == ResultCode::StoreOutcomeUnknown);
     Active.Outage = true;
     Direct.setFaults(Active);
-    CPPUNIT_ASSERT(Client.put("a", 1, "y").Failure.Code == ResultCode::StoreOutcomeUnknown);
+    CPPUNIT_ASSERT(Client.put("a", *Written, "y").Failure.Code == ResultCode::StoreOutcomeUnknown);
     CPPUNIT_ASSERT(Client.get("a").Failure.Code == ResultCode::StoreUnavailable);
     CPPUNIT_ASSERT(Client.list("a").Failure.Code == ResultCode::StoreUnavailable);
     Direct = Store({1, 1});
@@ -237,9 +241,55 @@
     Running Store;
     config::StoreClient Client(config::BlockingTransport(Store.Server.local(), Timeout, 1));
     CPPUNIT_ASSERT(Store.call("POST", "/v1/faults", R"({"lose_answers":1,"delay_ms":1})"));
-    CPPUNIT_ASSERT(Client.put("a", 0, "x").Failure.Code == ResultCode::StoreOutcomeUnknown);
+    CPPUNIT_ASSERT(Client.put("a", {}, "x").Failure.Code == ResultCode::StoreOutcomeUnknown);
     CPPUNIT_ASSERT_EQUAL(std::string("x"), Client.get("a")->Text);
   }
+
+  // Guards against a stand-in whose restore is kinder than the platform's.
+  void testRestore_laterChanges_areGoneAndGivenOutAnew() {
+    const auto Era = [](const common::HttpResponse &Answer) {
+      return config::readStoreEra(Answer)->value();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Era(call("PUT", "/v1/kv/a?version=0", "kept")));
+    call("PUT", "/v1/kv/b?version=0", "lost");
+    call("POST", "/v1/lease?ttl=1000");
+    Direct.restore(1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Era(call("GET", "/v1/kv/b")));
+    CPPUNIT_ASSERT_EQUAL(404U, call("GET", "/v1/kv/b").Status);
+    CPPUNIT_ASSERT_EQUAL(200U, call("GET", "/v1/kv/a").Status);
+    CPPUNIT_ASSERT_EQUAL(404U, call("POST", "/v1/lease/1").Status);
+    CPPUNIT_ASSERT_EQUAL(410U, call("GET", "/v1/watch/a?after=2").Status);
+    const auto Again = call("PUT", "/v1/kv/c?version=0", "x");
+    CPPUNIT_ASSERT_EQUAL(2, json::parse(Again.Body).at("version").get<int>());
+    CPPUNIT_ASSERT_EQUAL(204U, call("GET", "/v1/watch/a?after=2").Status);
+    CPPUNIT_ASSERT_EQUAL(
+        1, json::parse(call("POST", "/v1/lease?ttl=1000").Body).at("lease").get<int>());
+  }
+
+  // Guards against a write that meets a version of its number from another era.
+  void testRestore_writeOfEndedEra_isRefused() {
+    config::StoreClient Client(DirectTransport{&Direct, &Now});
+    const auto First = *Client.put("a", {}, "first");
+    const auto Before = *Client.put("a", First, "lost");
+    Direct.restore(First.Number);
+    const auto Since = *Client.put("a", Client.get("a")->Version, "since");
+    CPPUNIT_ASSERT_EQUAL(Before.Number, Since.Number);
+    CPPUNIT_ASSERT(Client.put("a", Before, "late").Failure.Code == ResultCode::StoreConflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("since"), Client.get("a")->Text);
+  }
+
+  void testRestore_waitingWatch_isCut() {
+    Running Store;
+    auto Watch = std::async(std::launch::async, [&] {
+      return Store.call("GET", "/v1/watch/config?after=0&wait=15000");
+    });
+    Store.awaitWatch();
+    CPPUNIT_ASSERT_EQUAL(200U,
+                         Store.call("POST", "/v1/faults", R"({"restore_version":0})")->Status);
+    CPPUNIT_ASSERT(!Watch.get());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         config::readStoreEra(*Store.call("GET", "/v1/kv/config"))->value());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
