Bring configuration and member records back after a restore of the store

A watch waited after a version that the store gave out again, so that the next edit was not in force; an accepted edit that the copy lacked was gone for new nodes, and the next edit took its revision, which nodes then refused; a member's record was written once in its life, so that after a restore editors took its upstream for unknown.

Watches and responses are now checked against the era. A watcher that had edits before the restore which the store lacks applies them to the stored document again and writes it under compare-and-swap; one that no longer applies is recorded in the audit trail without a change. Gossip names the era, and each member reads its record and writes it if it is gone. With the header ignored, as before, the four fixtures NodeTest::testStore_restored* fail.

--- a/include/galenarelay/config/edit.h
+++ b/include/galenarelay/config/edit.h
@@ -115,6 +115,14 @@
 applyEdit(const Configuration &Base, const Edit &RequestedEdit,
           const std::vector<AnnouncedUpstream> &Announced);
 
+/// Applies the edits of Known that Stored lacks to Stored, in their order and under new revisions:
+/// the store has been restored from a copy without them, and may have accepted others since. An
+/// edit that no longer applies is recorded without a change, so that its author learns of it.
+/// Returns Stored if it lacks none. Errors: ConfigurationTooLarge.
+[[nodiscard]] common::Result<EditedDocument>
+reapplyLostEdits(const Configuration &Stored, const Configuration &Known,
+                 const std::vector<AnnouncedUpstream> &Announced);
+
 } // namespace galenarelay::config
 
 #endif // GALENARELAY_CONFIG_EDIT_H
--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -112,6 +112,13 @@
   friend bool operator==(const FetchConfiguration &, const FetchConfiguration &) = default;
 };
 
+/// Action: call the store, since a peer has seen a newer era of it than this node.
+struct CheckStore {
+  std::uint64_t Era = 0;
+
+  friend bool operator==(const CheckStore &, const CheckStore &) = default;
+};
+
 /// Action: count and log a rejected input.
 struct RejectInput {
   common::Error Reason;
@@ -119,8 +126,8 @@
   friend bool operator==(const RejectInput &, const RejectInput &) = default;
 };
 
-using GossipAction =
-    std::variant<SendDatagram, NotifyViewChanged, FetchMembers, FetchConfiguration, RejectInput>;
+using GossipAction = std::variant<SendDatagram, NotifyViewChanged, FetchMembers, FetchConfiguration,
+                                  CheckStore, RejectInput>;
 using GossipActions = std::vector<GossipAction>;
 
 /// IDs of the members that watch the store for a zone, selected by rendezvous hashing: the active
@@ -150,6 +157,7 @@
   /// Hash over the records of live members; equal on nodes with equal views.
   [[nodiscard]] std::uint64_t digest() const noexcept { return Digest; }
   [[nodiscard]] std::uint64_t revision() const noexcept { return Revision; }
+  [[nodiscard]] std::uint64_t storeEra() const noexcept { return StoreEra; }
   /// True while a changed record or revision has rounds of push messages left.
   [[nodiscard]] bool hasPushRoundsLeft() const noexcept;
   [[nodiscard]] common::TimePoint nextTimer() const;
@@ -170,6 +178,9 @@
   /// Sets this node's configuration revision and pushes it to peers; a lower or equal revision is
   /// ignored.
   [[nodiscard]] GossipActions setRevision(std::uint64_t NewRevision, common::TimePoint Now);
+  /// Sets the store's era that this node has seen and pushes it to peers; a lower or equal era is
+  /// ignored.
+  [[nodiscard]] GossipActions setStoreEra(std::uint64_t NewEra, common::TimePoint Now);
 
 private:
   struct Peer {
@@ -240,7 +251,8 @@
 
   std::uint64_t Digest = 0;
   std::uint64_t Revision = 0;
-  std::uint32_t RevisionPushRoundsLeft = 0; ///< Rounds of push messages left for Revision.
+  std::uint64_t StoreEra = 0;
+  std::uint32_t RevisionPushRoundsLeft = 0; ///< Rounds of push messages left for these two.
   std::uint64_t NextSequence = 1;
   std::uint32_t DigestMismatches = 0;
   std::uint32_t EarlySyncsLeft = MaxEarlySyncs;
--- a/include/galenarelay/node/impl/runtime.h
+++ b/include/galenarelay/node/impl/runtime.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/udp_socket.h"
+#include "galenarelay/config/edit.h"
 #include "galenarelay/config/revision_tracker.h"
 #include "galenarelay/membership/gossip.h"
 #include "galenarelay/node/impl/store_link.h"
@@ -85,6 +86,7 @@
   void performAction(const membership::NotifyViewChanged &Action);
   void performAction(const membership::FetchMembers &Action);
   void performAction(const membership::FetchConfiguration &Action);
+  void performAction(const membership::CheckStore &Action);
   void performAction(const membership::RejectInput &Action);
   void armGossipTimer();
   void scheduleViewBuild();
@@ -93,6 +95,13 @@
 
   [[nodiscard]] bool watchesStore() const;
   [[nodiscard]] boost::asio::awaitable<void> registerInStore();
+  void registerAgain();
+  [[nodiscard]] boost::asio::awaitable<void> registerAfterPause();
+  [[nodiscard]] boost::asio::awaitable<bool> takeFromStore(config::StoreVersion Version,
+                                                           config::Configuration Stored);
+  [[nodiscard]] boost::asio::awaitable<common::Outcome<config::StoreVersion>>
+  writeBack(config::StoreVersion Expected, const config::EditedDocument &Edited);
+  [[nodiscard]] std::vector<config::AnnouncedUpstream> announcedUpstreams() const;
   [[nodiscard]] boost::asio::awaitable<void> addStoreContacts();
   [[nodiscard]] boost::asio::awaitable<void> joinThroughStore();
   [[nodiscard]] boost::asio::awaitable<void> watchStore();
@@ -122,7 +131,11 @@
   bool Stopped = false;
   bool FetchRunning = false;
   std::optional<membership::FetchConfiguration> PendingFetch;
-  std::uint64_t RecordVersion = 0; ///< Version of this member's store record; 0 while unwritten.
+  config::StoreVersion RecordVersion; ///< Of this member's store record; 0 while unwritten.
+  std::uint64_t HeardStoreEra = 0;    ///< Named by a peer.
+  /// Era of the store in which it last had all edits that this node knows; 0 before.
+  std::uint64_t ConfigurationEra = 0;
+  bool RegistrationRunning = false;
   common::LogRateLimit RejectLog{RejectLogLimit};
 
   prometheus::Counter &ReceivedDatagrams;
--- a/include/galenarelay/node/impl/store_link.h
+++ b/include/galenarelay/node/impl/store_link.h
@@ -3,26 +3,31 @@
 
 #include "galenarelay/common/http.h"
 #include "galenarelay/common/metrics.h"
+#include "galenarelay/config/store_client.h"
 #include "galenarelay/membership/member.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace galenarelay::node::impl {
 
 /// Value and version of a key in the store.
 struct StoreEntry {
-  std::uint64_t Version = 0;
+  config::StoreVersion Version;
   std::string Value;
 
   friend bool operator==(const StoreEntry &, const StoreEntry &) = default;
 };
 
 /// HTTP client for the calls that a node makes to the platform's key-value store. Counts all calls
-/// and those without a response.
+/// and those without a response. Every call may also fail with StoreEraEnded: its response is of
+/// before a restore of the store, or the version that it names is.
 class NodeStoreClient {
 public:
   /// Maximum time that the store holds a watch open until the key changes.
@@ -33,30 +38,47 @@
 
   NodeStoreClient(common::Endpoint Store, common::Metrics &Metrics);
 
-  /// Writes the member's record and returns its version. Replaces a record that an earlier run of
-  /// this member left. Errors: StoreUnavailable, StoreConflict, StoreRateLimited, StoreBadAnswer.
-  [[nodiscard]] boost::asio::awaitable<common::Outcome<std::uint64_t>>
+  /// The newest era that a response has named; 0 before the first one.
+  [[nodiscard]] std::uint64_t era() const noexcept { return NewestEra.value_or(0); }
+  /// Callback is called when a response shows that the store has been restored.
+  void onRestored(std::function<void()> Callback) { OnRestored = std::move(Callback); }
+
+  /// Writes the member's record, unless it is there already, and returns its version. Replaces a
+  /// record that an earlier run of this member left. Errors: StoreUnavailable, StoreConflict,
+  /// StoreRateLimited, StoreBadAnswer.
+  [[nodiscard]] boost::asio::awaitable<common::Outcome<config::StoreVersion>>
   registerMember(membership::Member Self);
   /// Deletes the member's record if it still has this version, which is returned. A record that is
   /// already deleted is no error. Errors: StoreUnavailable, StoreConflict (the record has another
   /// version), StoreRateLimited, StoreBadAnswer.
-  [[nodiscard]] boost::asio::awaitable<common::Outcome<std::uint64_t>>
-  removeMember(std::string Id, std::uint64_t Version);
+  [[nodiscard]] boost::asio::awaitable<common::Outcome<config::StoreVersion>>
+  removeMember(std::string Id, config::StoreVersion Version);
   /// Control addresses of all registered members. Errors: StoreUnavailable, StoreRateLimited,
   /// StoreBadAnswer.
   [[nodiscard]] boost::asio::awaitable<common::Outcome<std::vector<common::Endpoint>>>
   registeredContacts();
-  /// Waits for a version of the configuration key that is newer than After; 0 also returns the
-  /// current one. Errors: StoreUnavailable, StoreRateLimited, StoreBadAnswer, StoreKeyNotFound (the
-  /// key was deleted), NotInForce (no newer version within MaxWatchWait).
+  /// Waits for a version of the configuration key that is newer than After; without After, also
+  /// returns the current one. Errors: StoreUnavailable, StoreRateLimited, StoreBadAnswer,
+  /// StoreKeyNotFound (the key was deleted), StoreHistoryGone (the store doesn't know After),
+  /// NotInForce (no newer version within Wait, at most MaxWatchWait).
   [[nodiscard]] boost::asio::awaitable<common::Outcome<StoreEntry>>
-  watchConfiguration(std::uint64_t After);
+  watchConfiguration(std::optional<config::StoreVersion> After, std::chrono::milliseconds Wait);
+  /// Writes a key if it has the expected version. Errors: those of config::StoreClient::put.
+  [[nodiscard]] boost::asio::awaitable<common::Outcome<config::StoreVersion>>
+  write(std::string Key, config::StoreVersion Expected, std::string Value);
 
 private:
   [[nodiscard]] boost::asio::awaitable<common::Outcome<common::HttpResponse>>
   call(std::string Method, std::string Target, std::string Body, common::Duration Timeout);
 
+  /// Refuses a response of an earlier era, and notes a newer one.
+  [[nodiscard]] common::Outcome<common::HttpResponse> inNewestEra(common::HttpResponse Response);
+
+  void noteEra(std::uint64_t Era);
+
   common::Endpoint Store;
+  std::optional<std::uint64_t> NewestEra;
+  std::function<void()> OnRestored;
   prometheus::Counter &Calls;
   prometheus::Counter &Failures;
 };
--- a/src/config/edit.cpp
+++ b/src/config/edit.cpp
@@ -299,4 +299,66 @@
   return EditedDocument{std::move(Next), std::move(EntriesToArchive)};
 }
 
+namespace {
+
+bool hasEdit(const Configuration &Document, const std::string &EditId) {
+  return std::any_of(Document.AuditEntries.begin(), Document.AuditEntries.end(),
+                     [&](const AuditEntry &Entry) { return Entry.EditId == EditId; });
+}
+
+Result<Configuration> applyPatch(const Configuration &Base, const json &Patch,
+                                 const std::vector<AnnouncedUpstream> &Announced) {
+  json Document = servicesAndLabels(Base);
+  try {
+    Document = Document.patch(Patch);
+  } catch (const json::exception &Problem) {
+    return fail(ResultCode::EditConflict, Problem.what());
+  }
+  const json Whole = toJson(Base);
+  Document["edits"] = Whole.at("edits");
+  Document["revision"] = Whole.at("revision");
+  BOOST_LEAF_AUTO(Next, configurationFromJson(Document));
+  BOOST_LEAF_CHECK(checkEditedDocument(Base, Next, Announced));
+  return Next;
+}
+
+/// Records a lost edit under the next revision, with its change where that still applies.
+Configuration reapply(const Configuration &Base, AuditEntry Lost,
+                      const std::vector<AnnouncedUpstream> &Announced) {
+  const auto Applied = common::capture([&] { return applyPatch(Base, Lost.Patch, Announced); });
+  Configuration Next = Applied ? *Applied : Base;
+  if (!Applied)
+    Lost.Summary = "not reapplied after a restore of the store: " + Lost.Summary;
+  Lost.AcceptedRevision = ++Next.RevisionNumber;
+  Lost.Patch = diffContents(Base, Next);
+  Next.AuditEntries.push_back(std::move(Lost));
+  return Next;
+}
+
+} // namespace
+
+Result<EditedDocument> reapplyLostEdits(const Configuration &Stored, const Configuration &Known,
+                                        const std::vector<AnnouncedUpstream> &Announced) {
+  const Revision OldestKnown = Known.AuditEntries.empty()
+                                   ? Known.RevisionNumber + 1
+                                   : Known.AuditEntries.front().AcceptedRevision;
+  // Known no longer has the edits that follow the copy, and can only replace it.
+  if (OldestKnown > Stored.RevisionNumber + 1) {
+    EditedDocument Replacement{Known, {}};
+    for (const AuditEntry &Entry : Stored.AuditEntries)
+      if (!hasEdit(Known, Entry.EditId))
+        Replacement.EntriesToArchive.push_back(Entry);
+    return Replacement;
+  }
+  const Revision Archived = Stored.RevisionNumber - Stored.AuditEntries.size();
+  Configuration Next = Stored;
+  for (const AuditEntry &Entry : Known.AuditEntries)
+    if (Entry.AcceptedRevision > Archived && !hasEdit(Stored, Entry.EditId))
+      Next = reapply(Next, Entry, Announced);
+  if (Next == Stored)
+    return EditedDocument{Stored, {}};
+  BOOST_LEAF_AUTO(EntriesToArchive, removeOldestEntries(Next));
+  return EditedDocument{std::move(Next), std::move(EntriesToArchive)};
+}
+
 } // namespace galenarelay::config
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -215,6 +215,15 @@
   return takeActions();
 }
 
+GossipActions Gossip::setStoreEra(std::uint64_t NewEra, TimePoint Now) {
+  if (NewEra > StoreEra) {
+    StoreEra = NewEra;
+    RevisionPushRoundsLeft = PushRoundsPerChange;
+    NextPushAt = std::max(NextPushAt, Now);
+  }
+  return takeActions();
+}
+
 GossipActions Gossip::takeActions() {
   if (ViewChangePending)
     Actions.emplace_back(NotifyViewChanged{});
@@ -222,8 +231,9 @@
   return std::exchange(Actions, {});
 }
 
-/// Message fields: t type, f ID of the sender, rev configuration revision, d digest, u records, n
-/// sequence number of a probe, id target of a pingreq, j request for the receiver's own record.
+/// Message fields: t type, f ID of the sender, rev configuration revision, era of the store, d
+/// digest, u records, n sequence number of a probe, id target of a pingreq, j request for the
+/// receiver's own record.
 void Gossip::handleMessage(const json &Message, Endpoint From, TimePoint Now) {
   const auto Type = Message.at("t").get<std::string>();
   const auto Sender = Message.at("f").get<std::string>();
@@ -234,6 +244,10 @@
   const Peer *SenderPeer = Found == Peers.end() ? nullptr : &Found->second;
   if (SenderPeer != nullptr && SenderRevision > Revision)
     Actions.emplace_back(FetchConfiguration{SenderPeer->Record.Admin, SenderRevision});
+  // Earlier versions don't send it.
+  const std::uint64_t SenderEra = Message.contains("era") ? unsignedField(Message, "era") : 0;
+  if (SenderEra > StoreEra)
+    Actions.emplace_back(CheckStore{SenderEra});
   if (Type == "ping") {
     json Fields{{"n", unsignedField(Message, "n")}};
     if (Message.contains("j"))
@@ -611,6 +625,7 @@
   Message["t"] = Type;
   Message["f"] = OwnRecord.Id;
   Message["rev"] = Revision;
+  Message["era"] = StoreEra;
   Message["d"] = Digest;
   if (!Message.contains("u"))
     Message["u"] = json::array();
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -2,6 +2,7 @@
 
 #include "galenarelay/common/hash.h"
 #include "galenarelay/common/json_fields.h"
+#include "galenarelay/config/edit_loop.h"
 #include "galenarelay/node/impl/call_pause.h"
 #include "galenarelay/node/impl/configuration_difference.h"
 
@@ -9,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace galenarelay::node::impl {
@@ -104,6 +106,11 @@
   GossipCore.emplace(Self, Options.Seeds, Random());
   perform(GossipCore->start(steadyNow()));
   buildView();
+  Store.onRestored([this] {
+    perform(GossipCore->setStoreEra(Store.era(), steadyNow()));
+    registerAgain();
+  });
+  RegistrationRunning = true;
   asio::co_spawn(Io, registerInStore(), asio::detached);
   asio::co_spawn(Io, joinThroughStore(), asio::detached);
   asio::co_spawn(Io, watchStore(), asio::detached);
@@ -122,11 +129,19 @@
   const auto Deadline = steadyNow() + LeaveAnnouncementTimeout;
   while (!Stopped && GossipCore->hasPushRoundsLeft() && steadyNow() < Deadline)
     co_await sleepFor(std::chrono::milliseconds(10));
-  for (int Attempt = 0; Attempt < MaxRemoveAttempts && RecordVersion != 0 && !Stopped; ++Attempt) {
+  for (int Attempt = 0; Attempt < MaxRemoveAttempts && RecordVersion.Number != 0 && !Stopped;
+       ++Attempt) {
     const auto Removed = co_await Store.removeMember(Options.Self.Id, RecordVersion);
-    // A conflict means that a restarted member with this ID has replaced the record.
-    if (Removed || Removed.Failure.Code == ResultCode::StoreConflict)
+    if (Removed)
       co_return;
+    if (Removed.Failure.Code == ResultCode::StoreConflict) {
+      // In the same era, a restarted member with this ID has replaced the record.
+      if (RecordVersion.Era == Store.era())
+        co_return;
+      if (const auto Again = co_await Store.registerMember(self()))
+        RecordVersion = *Again;
+      continue;
+    }
     co_await sleepFor(jittered(MinStoreBackoff, Random));
   }
 }
@@ -202,6 +217,13 @@
     asio::co_spawn(Io, fetchConfiguration(), asio::detached);
 }
 
+void Runtime::performAction(const membership::CheckStore &Action) {
+  if (Action.Era > HeardStoreEra && Action.Era > Store.era()) {
+    HeardStoreEra = Action.Era;
+    registerAgain();
+  }
+}
+
 void Runtime::performAction(const membership::RejectInput &Action) { reject(Action.Reason, {}); }
 
 void Runtime::armGossipTimer() {
@@ -255,6 +277,8 @@
     return;
   log(LogLevel::Info, "configuration_accepted",
       {{"revision", OfferedRevision}, {"source", Source}});
+  if (ConfigurationEra == 0)
+    ConfigurationEra = Store.era();
   scheduleViewBuild();
   perform(GossipCore->setRevision(OfferedRevision, steadyNow()));
 }
@@ -266,6 +290,8 @@
     const auto Version = co_await Store.registerMember(GossipCore->self());
     if (Version) {
       RecordVersion = *Version;
+      RegistrationRunning = false;
+      perform(GossipCore->setStoreEra(Store.era(), steadyNow()));
       co_return co_await addStoreContacts();
     }
     log(LogLevel::Warning, "store_registration_failed",
@@ -274,6 +300,74 @@
   }
 }
 
+/// The store has been restored, so that this member's record may be missing or have another
+/// version.
+void Runtime::registerAgain() {
+  if (!Stopped && GossipCore->self().State != MemberState::Dead &&
+      !std::exchange(RegistrationRunning, true))
+    asio::co_spawn(Io, registerAfterPause(), asio::detached);
+}
+
+// All nodes register at that time, so that each waits for a random time.
+awaitable<void> Runtime::registerAfterPause() {
+  const auto Alive = shared_from_this();
+  co_await sleepFor(jittered(MinStoreBackoff, Random));
+  co_await registerInStore();
+}
+
+/// Takes what the store has for the configuration key. If the store has been restored since the
+/// configuration in force was accepted, first writes back the edits that it has lost: an accepted
+/// edit is not taken back. Returns false if the store has to be read again.
+awaitable<bool> Runtime::takeFromStore(config::StoreVersion Version, config::Configuration Stored) {
+  const auto InForce = Tracker.current();
+  if (InForce && ConfigurationEra != 0 && ConfigurationEra != Version.Era) {
+    auto Edited = common::capture(
+        [&] { return config::reapplyLostEdits(Stored, *InForce, announcedUpstreams()); });
+    if (!Edited) {
+      log(LogLevel::Error, "lost_edits_not_reapplied", {{"detail", Edited.Failure.Detail}});
+    } else if (Edited->Next != Stored) {
+      const auto Written = co_await writeBack(Version, *Edited);
+      log(Written ? LogLevel::Info : LogLevel::Warning, "configuration_written_back",
+          {{"revision", Edited->Next.RevisionNumber},
+           {"stored", Stored.RevisionNumber},
+           {"era", Version.Era},
+           {"result", name(Written ? ResultCode::Ok : Written.Failure.Code)}});
+      if (!Written)
+        co_return false;
+      Stored = std::move(Edited->Next);
+    }
+  }
+  if (Stored.RevisionNumber != 0) {
+    ConfigurationEra = Version.Era;
+    offerConfiguration(std::move(Stored), "store");
+  }
+  co_return true;
+}
+
+awaitable<Outcome<config::StoreVersion>> Runtime::writeBack(config::StoreVersion Expected,
+                                                            const config::EditedDocument &Edited) {
+  for (const auto &Entry : Edited.EntriesToArchive) {
+    const std::array Keys{config::editIdKey(Entry.EditId),
+                          config::auditKey(Entry.AcceptedRevision)};
+    for (const std::string &Key : Keys) {
+      auto Archived = co_await Store.write(Key, {}, config::toJson(Entry).dump());
+      // Each key is written only once, so that a conflict means that it has been.
+      if (!Archived && Archived.Failure.Code != ResultCode::StoreConflict)
+        co_return Archived;
+    }
+  }
+  co_return co_await Store.write(config::ConfigurationKey, Expected,
+                                 config::toJson(Edited.Next).dump());
+}
+
+std::vector<config::AnnouncedUpstream> Runtime::announcedUpstreams() const {
+  std::vector<config::AnnouncedUpstream> Announced;
+  for (const Member &Each : View->members())
+    if (Each.Kind == membership::MemberKind::Agent)
+      Announced.push_back({Each.Id, Each.Zone});
+  return Announced;
+}
+
 // Adds all registered members as gossip contacts; runs once this node's own record is
 // written. Of two nodes that start at the same time, the one that registers later therefore reads
 // the other's record. Without this read, nodes that had already joined others could form two
@@ -316,39 +410,59 @@
       steadyNow() + (Options.Seeds.empty() ? Duration::zero() : SeedJoinTimeout);
   while (!Stopped && !GossipCore->joined() && steadyNow() < JoinDeadline)
     co_await sleepFor(std::chrono::milliseconds(20));
-  std::uint64_t ConfigurationVersion = 0;
+  std::optional<config::StoreVersion> Known;
+  bool AfterFailure = false;
   Backoff Backoff(MinStoreBackoff, MaxStoreBackoff, Random);
   while (!Stopped) {
     if (!watchesStore()) {
+      Known.reset();
       co_await sleepFor(jittered(WatchRoleCheckInterval, Random));
       continue;
     }
-    const auto Entry = co_await Store.watchConfiguration(ConfigurationVersion);
+    // After a failure the store may have been restored. Without a wait, the answer tells at once.
+    const auto Wait = AfterFailure ? std::chrono::milliseconds(0) : NodeStoreClient::MaxWatchWait;
+    const auto Entry = co_await Store.watchConfiguration(Known, Wait);
     if (Stopped)
       co_return;
+    AfterFailure = !Entry && Entry.Failure.Code != ResultCode::NotInForce;
     if (!Entry && Entry.Failure.Code == ResultCode::NotInForce) {
       Backoff.reset();
+      if (Known)
+        continue;
+      // Without a known version, the store has none.
+      const config::StoreVersion Missing{Store.era(), 0};
+      config::Configuration Empty;
+      const bool Taken = co_await takeFromStore(Missing, std::move(Empty));
+      if (!Taken)
+        co_await sleepFor(Backoff.nextDelay());
       continue;
     }
     if (!Entry) {
       // The first configuration must be in force within 4 s, so a missing key restarts the backoff
       // from a short pause.
       const bool KeyMissing = Entry.Failure.Code == ResultCode::StoreKeyNotFound;
-      if (KeyMissing) {
-        ConfigurationVersion = 0;
+      const bool ReadsAfresh = Entry.Failure.Code == ResultCode::StoreEraEnded ||
+                               Entry.Failure.Code == ResultCode::StoreHistoryGone;
+      if (KeyMissing || ReadsAfresh)
+        Known.reset();
+      if (KeyMissing)
         Backoff.setNextBase(MissingKeyPause);
-      }
       co_await sleepFor(Backoff.nextDelay());
       continue;
     }
     Backoff.reset();
-    ConfigurationVersion = Entry->Version;
+    Known = Entry->Version;
     const json Document = common::parseJsonOrDiscard(Entry->Value);
     auto Parsed = common::capture([&] { return config::configurationFromJson(Document); });
-    if (Parsed)
-      offerConfiguration(std::move(*Parsed), "store");
-    else
+    if (!Parsed) {
       log(LogLevel::Error, "configuration_malformed", {{"detail", Parsed.Failure.Detail}});
+      continue;
+    }
+    const bool Taken = co_await takeFromStore(Entry->Version, std::move(*Parsed));
+    if (!Taken) {
+      Known.reset();
+      co_await sleepFor(Backoff.nextDelay());
+    }
   }
 }
 
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -14,13 +14,12 @@
 using common::HttpResponse;
 using common::Outcome;
 using common::ResultCode;
+using config::StoreVersion;
 using nlohmann::json;
 
 namespace {
 
-std::string memberTarget(const std::string &Id, std::uint64_t Version) {
-  return "/v1/kv/members/" + common::encodeQuery(Id) + "?version=" + std::to_string(Version);
-}
+std::string memberKey(const std::string &Id) { return "members/" + Id; }
 
 Error statusError(const HttpResponse &Response) {
   const std::string Detail =
@@ -30,6 +29,8 @@
     return {ResultCode::StoreKeyNotFound, Detail};
   case 409:
     return {ResultCode::StoreConflict, Detail};
+  case 410:
+    return {ResultCode::StoreHistoryGone, Detail};
   case 429:
     return {ResultCode::StoreRateLimited, Detail};
   default:
@@ -42,19 +43,20 @@
   return {ResultCode::StoreBadAnswer, Problem.what()};
 }
 
-Outcome<std::uint64_t> parseVersion(const HttpResponse &Response) {
+Outcome<StoreVersion> parseVersion(const HttpResponse &Response, std::uint64_t Era) {
   try {
-    return {common::readUnsigned<std::uint64_t>(common::parseJson(Response.Body).at("version")),
+    return {StoreVersion{Era, common::readUnsigned<std::uint64_t>(
+                                  common::parseJson(Response.Body).at("version"))},
             {}};
   } catch (const json::exception &Problem) {
     return {std::nullopt, malformedResponse(Problem)};
   }
 }
 
-Outcome<StoreEntry> parseEntry(const HttpResponse &Response) {
+Outcome<StoreEntry> parseEntry(const HttpResponse &Response, std::uint64_t Era) {
   try {
     const json Document = common::parseJson(Response.Body);
-    return {StoreEntry{common::readUnsigned<std::uint64_t>(Document.at("version")),
+    return {StoreEntry{{Era, common::readUnsigned<std::uint64_t>(Document.at("version"))},
                        Document.at("value").get<std::string>()},
             {}};
   } catch (const json::exception &Problem) {
@@ -89,6 +91,8 @@
   return {std::move(Contacts), {}};
 }
 
+Error eraEnded() { return {ResultCode::StoreEraEnded, "the store has been restored from a copy"}; }
+
 } // namespace
 
 NodeStoreClient::NodeStoreClient(Endpoint Store, common::Metrics &Metrics)
@@ -104,37 +108,73 @@
   if (!Response) {
     Failures.Increment();
     Response.Failure.Code = ResultCode::StoreUnavailable;
+    co_return Response;
   }
-  co_return Response;
+  co_return inNewestEra(std::move(*Response));
+}
+
+Outcome<HttpResponse> NodeStoreClient::inNewestEra(HttpResponse Response) {
+  const auto Named = config::readStoreEra(Response);
+  if (!Named)
+    return {std::nullopt, Named.Failure};
+  // A late response of before the restore.
+  if (*Named && **Named < era())
+    return {std::nullopt, eraEnded()};
+  if (*Named)
+    noteEra(**Named);
+  return {std::move(Response), {}};
+}
+
+void NodeStoreClient::noteEra(std::uint64_t Era) {
+  if (NewestEra && Era <= *NewestEra)
+    return;
+  const auto Previous = std::exchange(NewestEra, Era);
+  if (!Previous)
+    return;
+  common::log(common::LogLevel::Warning, "store_restored", {{"era", Era}, {"previous", *Previous}});
+  if (OnRestored)
+    OnRestored();
 }
 
-awaitable<Outcome<std::uint64_t>> NodeStoreClient::registerMember(membership::Member Self) {
+awaitable<Outcome<StoreVersion>> NodeStoreClient::registerMember(membership::Member Self) {
+  const std::string Key = memberKey(Self.Id);
   const std::string Value = membership::toJson(Self).dump();
-  auto Response = co_await call("PUT", memberTarget(Self.Id, 0), Value, CallTimeout);
+  const auto Response = co_await call("GET", config::impl::keyTarget(Key), "", CallTimeout);
   if (!Response)
-    co_return Outcome<std::uint64_t>{std::nullopt, Response.Failure};
-  if (Response->Status == 409) {
-    const auto Current = parseVersion(*Response);
-    if (!Current)
-      co_return Current;
-    Response = co_await call("PUT", memberTarget(Self.Id, *Current), Value, CallTimeout);
-    if (!Response)
-      co_return Outcome<std::uint64_t>{std::nullopt, Response.Failure};
-  }
+    co_return Outcome<StoreVersion>{std::nullopt, Response.Failure};
+  if (Response->Status == 404)
+    co_return co_await write(Key, {}, Value);
+  if (Response->Status != 200)
+    co_return Outcome<StoreVersion>{std::nullopt, statusError(*Response)};
+  const auto Current = parseEntry(*Response, era());
+  if (!Current)
+    co_return Outcome<StoreVersion>{std::nullopt, Current.Failure};
+  if (Current->Value == Value)
+    co_return Outcome<StoreVersion>{Current->Version, {}};
+  co_return co_await write(Key, Current->Version, Value);
+}
+
+awaitable<Outcome<StoreVersion>> NodeStoreClient::write(std::string Key, StoreVersion Expected,
+                                                        std::string Value) {
+  const auto Response =
+      co_await call("PUT", config::impl::keyTarget(Key, Expected), std::move(Value), CallTimeout);
+  if (!Response)
+    co_return Outcome<StoreVersion>{std::nullopt, Response.Failure};
   if (Response->Status != 200)
-    co_return Outcome<std::uint64_t>{std::nullopt, statusError(*Response)};
-  co_return parseVersion(*Response);
+    co_return Outcome<StoreVersion>{std::nullopt, statusError(*Response)};
+  co_return parseVersion(*Response, era());
 }
 
-awaitable<Outcome<std::uint64_t>> NodeStoreClient::removeMember(std::string Id,
-                                                                std::uint64_t Version) {
-  const auto Response = co_await call("DELETE", memberTarget(Id, Version), "", CallTimeout);
+awaitable<Outcome<StoreVersion>> NodeStoreClient::removeMember(std::string Id,
+                                                               StoreVersion Version) {
+  const auto Response =
+      co_await call("DELETE", config::impl::keyTarget(memberKey(Id), Version), "", CallTimeout);
   if (!Response)
-    co_return Outcome<std::uint64_t>{std::nullopt, Response.Failure};
+    co_return Outcome<StoreVersion>{std::nullopt, Response.Failure};
   // Status 404: an earlier delete took effect although its response was lost.
   if (Response->Status != 200 && Response->Status != 404)
-    co_return Outcome<std::uint64_t>{std::nullopt, statusError(*Response)};
-  co_return Outcome<std::uint64_t>{Version, {}};
+    co_return Outcome<StoreVersion>{std::nullopt, statusError(*Response)};
+  co_return Outcome<StoreVersion>{Version, {}};
 }
 
 awaitable<Outcome<std::vector<Endpoint>>> NodeStoreClient::registeredContacts() {
@@ -146,19 +186,26 @@
   co_return parseContacts(*Response);
 }
 
-awaitable<Outcome<StoreEntry>> NodeStoreClient::watchConfiguration(std::uint64_t After) {
+awaitable<Outcome<StoreEntry>>
+NodeStoreClient::watchConfiguration(std::optional<StoreVersion> After,
+                                    std::chrono::milliseconds Wait) {
+  if (After && After->Era != era())
+    co_return Outcome<StoreEntry>{std::nullopt, eraEnded()};
+  const std::uint64_t AfterNumber = After ? After->Number : 0;
   const std::string Target = std::string("/v1/watch/") + config::ConfigurationKey +
-                             "?after=" + std::to_string(After) +
-                             "&wait=" + std::to_string(MaxWatchWait.count());
-  const auto Response = co_await call("GET", Target, "", MaxWatchWait + CallTimeout);
+                             "?after=" + std::to_string(AfterNumber) +
+                             "&wait=" + std::to_string(Wait.count());
+  const auto Response = co_await call("GET", Target, "", Wait + CallTimeout);
   if (!Response)
     co_return Outcome<StoreEntry>{std::nullopt, Response.Failure};
+  if (After && After->Era != era())
+    co_return Outcome<StoreEntry>{std::nullopt, eraEnded()};
   if (Response->Status == 204)
     co_return Outcome<StoreEntry>{
         std::nullopt, {ResultCode::NotInForce, "no newer configuration within the wait time"}};
   if (Response->Status != 200)
     co_return Outcome<StoreEntry>{std::nullopt, statusError(*Response)};
-  co_return parseEntry(*Response);
+  co_return parseEntry(*Response, era());
 }
 
 } // namespace galenarelay::node::impl
--- a/tests/config_edit_test.cpp
+++ b/tests/config_edit_test.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(testApply_serviceWithoutUpstreamBefore_blocksNoOtherEdit);
   CPPUNIT_TEST(testConflicts_touchedPaths_decide);
   CPPUNIT_TEST(testTracker_olderDocument_isRefusedAndCounted);
+  CPPUNIT_TEST(testLostEdits_reapplied_changeWhatStillApplies);
+  CPPUNIT_TEST(testLostEdits_historyTooShort_replaceTheStored);
   CPPUNIT_TEST_SUITE_END();
 
   static Edit edit(EditAction Action, std::string Id = "e1") {
@@ -211,6 +213,52 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Tracker.refusals());
     CPPUNIT_ASSERT_EQUAL(Revision{7}, Tracker.revision());
   }
+
+  static Configuration edited(const Configuration &Base, const char *Id, EditAction Action) {
+    const auto Result =
+        common::capture([&] { return applyEdit(Base, edit(Action, Id), fourAnnounced()); });
+    CPPUNIT_ASSERT_MESSAGE(Result.Failure.Detail, Result);
+    return Result->Next;
+  }
+
+  static EditedDocument reapplied(const Configuration &Stored, const Configuration &Known) {
+    const auto Result =
+        common::capture([&] { return reapplyLostEdits(Stored, Known, fourAnnounced()); });
+    CPPUNIT_ASSERT_MESSAGE(Result.Failure.Detail, Result);
+    return *Result;
+  }
+
+  // Guards against an accepted edit that is taken back by a restore of the store.
+  void testLostEdits_reapplied_changeWhatStillApplies() {
+    const auto Copy = edited(deskAndWarranty(), "kept", SetLabels{"u3", {{"tier", "one"}}});
+    const auto Known = edited(edited(Copy, "lost", SetLabels{"u3", {{"tier", "two"}}}), "lost-too",
+                              RemoveLabels{"u3", {"tier"}});
+    CPPUNIT_ASSERT(reapplied(Known, Copy).Next == Known);
+    CPPUNIT_ASSERT(reapplied(Copy, Copy).Next == Copy);
+    CPPUNIT_ASSERT(reapplied(Copy, Known).Next == Known);
+    CPPUNIT_ASSERT(reapplied({}, Known).Next.RevisionNumber == Known.RevisionNumber);
+    const auto Since = edited(Copy, "since", SetLabels{"u4", {{"tier", "three"}}});
+    const auto Both = reapplied(Since, Known).Next;
+    CPPUNIT_ASSERT_EQUAL(Known.RevisionNumber + 1, Both.RevisionNumber);
+    CPPUNIT_ASSERT(!Both.UpstreamLabels.contains("u3"));
+    CPPUNIT_ASSERT_EQUAL(std::string("three"), Both.UpstreamLabels.at("u4").at("tier"));
+    const auto Removed = edited(Copy, "since", RemoveLabels{"u3", {"tier"}});
+    const auto Conflicting = reapplied(Removed, Known).Next;
+    CPPUNIT_ASSERT_EQUAL(Known.RevisionNumber + 1, Conflicting.RevisionNumber);
+    CPPUNIT_ASSERT(Conflicting.UpstreamLabels == Removed.UpstreamLabels);
+    CPPUNIT_ASSERT(Conflicting.AuditEntries.back().Summary.starts_with("not reapplied"));
+    CPPUNIT_ASSERT(Conflicting.AuditEntries.back().Patch.empty());
+  }
+
+  void testLostEdits_historyTooShort_replaceTheStored() {
+    const auto Copy = edited(deskAndWarranty(), "kept", SetLabels{"u3", {{"tier", "one"}}});
+    auto Known = edited(edited(Copy, "lost", SetLabels{"u3", {{"tier", "two"}}}), "lost-too",
+                        RemoveLabels{"u3", {"tier"}});
+    Known.AuditEntries.erase(Known.AuditEntries.begin(), Known.AuditEntries.begin() + 2);
+    const auto Result = reapplied(Copy, Known);
+    CPPUNIT_ASSERT(Result.Next == Known);
+    CPPUNIT_ASSERT(Result.EntriesToArchive == Copy.AuditEntries);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigEditTest);
--- a/tests/gossip_network.h
+++ b/tests/gossip_network.h
@@ -200,6 +200,11 @@
     });
   }
 
+  /// The store confirms each era.
+  void performOne(std::size_t I, const membership::CheckStore &Action) {
+    at(Now + delay() + delay(),
+       [this, I, Era = Action.Era] { perform(I, core(I).setStoreEra(Era, Now)); });
+  }
   void performOne(std::size_t I, const membership::RejectInput &) { ++Nodes[I].RejectedInputs; }
   void performOne(std::size_t, const membership::NotifyViewChanged &) {}
 
--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testSuspicion_false_isRefuted);
   CPPUNIT_TEST(testPause_resumedNode_declaresNoPeerDead);
   CPPUNIT_TEST(testRevision_raised_reachesEveryNode);
+  CPPUNIT_TEST(testStoreEra_seenByOne_reachesEveryNode);
   CPPUNIT_TEST(testSupersedes_allStatesAndIncarnations_followsPrecedence);
   CPPUNIT_TEST(testMessage_malformed_isRejectedAndViewUnchanged);
   CPPUNIT_TEST(testMessage_oddRecord_keepsOthers);
@@ -186,6 +187,17 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Network.core(9).revision());
   }
 
+  // Guards against a restore of the store that only the nodes notice that watch it.
+  void testStoreEra_seenByOne_reachesEveryNode() {
+    GossipNetwork Network(17, 0.05);
+    formCluster(Network);
+    Network.perform(9, Network.core(9).setStoreEra(2, Network.now()));
+    const auto AllKnowEra = [&] {
+      return Network.countUnless([](Gossip &Core) { return Core.storeEra() == 2; }) == 0;
+    };
+    CPPUNIT_ASSERT(Network.runUntil(PropagationLimit, AllKnowEra));
+  }
+
   // Guards against a precedence of states by which an older record supersedes a newer one.
   void testSupersedes_allStatesAndIncarnations_followsPrecedence() {
     constexpr MemberState AscendingStates[] = {MemberState::Joining, MemberState::Active,
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,3 +1,4 @@
+#include "galenarelay/config/edit.h"
 #include "galenarelay/node/balancer.h"
 #include "galenarelay/node/impl/configuration_difference.h"
 #include "galenarelay/standins/store/store_server.h"
@@ -54,6 +55,10 @@
   CPPUNIT_TEST(testNodes_sharedStore_reachSameView);
   CPPUNIT_TEST(testNode_storeDown_takesConfigurationFromPeer);
   CPPUNIT_TEST(testStore_lowerRevision_isRefused);
+  CPPUNIT_TEST(testStore_restoredWhileWatchIsCut_followsItsNewChanges);
+  CPPUNIT_TEST(testStore_restoredWithoutConfiguration_getsItBack);
+  CPPUNIT_TEST(testStore_restoredAndEdited_keepsBothEdits);
+  CPPUNIT_TEST(testStore_restoredWithoutRecords_getsThemBack);
   CPPUNIT_TEST(testControl_badInput_isCountedAndDropped);
   CPPUNIT_TEST(testBalancer_packets_reachHomeAgentWithInitialTtl);
   CPPUNIT_TEST(testBalancer_drain_forwardsUntilQuietPeriodEnds);
@@ -109,6 +114,28 @@
     static_cast<void>(call(Store->local(), "POST", "/v1/faults", json{{"outage", Outage}}.dump()));
   }
 
+  void setDelay(int Milliseconds) {
+    static_cast<void>(
+        call(Store->local(), "POST", "/v1/faults", json{{"delay_ms", Milliseconds}}.dump()));
+  }
+
+  /// Restores the store to its state at a version.
+  void restore(std::uint64_t Version) {
+    static_cast<void>(
+        call(Store->local(), "POST", "/v1/faults", json{{"restore_version", Version}}.dump()));
+  }
+
+  /// Writes the configuration whatever version it has.
+  void overwriteConfiguration(const Configuration &Document) {
+    runUntil([&] {
+      const auto Stored = call(Store->local(), "GET", "/v1/kv/config");
+      const auto Version = json::parse(Stored.Body).at("version").get<std::uint64_t>();
+      return call(Store->local(), "PUT", "/v1/kv/config?version=" + std::to_string(Version),
+                  toJson(Document).dump())
+                 .Status == 200;
+    });
+  }
+
   int storeCounter(const char *Counter) {
     return json::parse(call(Store->local(), "GET", "/v1/stats").Body).at(Counter).get<int>();
   }
@@ -208,6 +235,104 @@
     CPPUNIT_ASSERT_EQUAL(config::Revision{5}, revision(TestedNode));
   }
 
+  // Guards against a watch that goes on from a version that the store gives out again.
+  void testStore_restoredWhileWatchIsCut_followsItsNewChanges() {
+    common::Metrics Metrics;
+    putConfiguration(document(1));
+    const auto Restored = ConfigurationVersion;
+    Node TestedNode(*Io, options("agent-a", Store->local(), {}), Metrics);
+    TestedNode.start();
+    runUntil([&] { return isRegistered("agent-a") && storeCounter("waiting") == 1; });
+    putConfiguration(document(2));
+    runUntil([&] { return revision(TestedNode) == 2 && storeCounter("waiting") == 1; });
+    restore(Restored);
+    overwriteConfiguration(document(3));
+    for (const char *Other : {"a", "b", "c"})
+      CPPUNIT_ASSERT_EQUAL(
+          200U, call(Store->local(), "PUT", std::string("/v1/kv/") + Other + "?version=0").Status);
+    runUntil([&] { return revision(TestedNode) == 3; });
+  }
+
+  // Guards against an accepted configuration that new nodes don't get since the store has lost it.
+  void testStore_restoredWithoutConfiguration_getsItBack() {
+    for (const bool KeyIsLost : {false, true}) {
+      setUp();
+      common::Metrics Metrics;
+      const auto Empty = ConfigurationVersion;
+      putConfiguration(document(1));
+      const auto First = ConfigurationVersion;
+      Node TestedNode(*Io, options("agent-a", Store->local(), {}), Metrics);
+      TestedNode.start();
+      runUntil([&] { return storeCounter("waiting") == 1; });
+      putConfiguration(document(2));
+      runUntil([&] { return revision(TestedNode) == 2; });
+      restore(KeyIsLost ? Empty : First);
+      runUntil([&] {
+        const auto Stored = call(Store->local(), "GET", "/v1/kv/config");
+        return Stored.Status == 200 &&
+               json::parse(json::parse(Stored.Body).at("value").get<std::string>())
+                       .at("revision") == 2;
+      });
+      tearDown();
+    }
+    setUp();
+  }
+
+  // Guards against an edit of after a restore that isn't in force, or takes an accepted one back.
+  void testStore_restoredAndEdited_keepsBothEdits() {
+    common::Metrics Metrics;
+    const auto Edited = [](const Configuration &Base, const std::string &Id) {
+      const config::Edit Requested{Id, "rosa", 1, config::SetLabels{"agent-a", {{Id, "yes"}}}};
+      return common::capture([&] {
+               return config::applyEdit(Base, Requested, {{"agent-a", "zone-1"}});
+             })
+          ->Next;
+    };
+    const auto Copy = Edited(document(0), "kept");
+    putConfiguration(Copy);
+    const auto Restored = ConfigurationVersion;
+    Node TestedNode(*Io, options("agent-a", Store->local(), {}), Metrics);
+    TestedNode.start();
+    runUntil([&] { return revision(TestedNode) == 1; });
+    putConfiguration(Edited(Copy, "lost"));
+    runUntil([&] { return revision(TestedNode) == 2 && storeCounter("waiting") == 1; });
+    // The edit takes effect after the restore, and before any call that the node makes since.
+    setDelay(500);
+    std::optional<unsigned> Written;
+    asio::co_spawn(
+        *Io,
+        [&]() -> asio::awaitable<void> {
+          const auto Answer = co_await common::httpCall(
+              Store->local(), "PUT", "/v1/kv/config?version=" + std::to_string(Restored),
+              toJson(Edited(Copy, "since")).dump(), HangTimeout);
+          Written = Answer ? Answer->Status : 0;
+        },
+        asio::detached);
+    runUntil([&] { return storeCounter("delayed") == 1; });
+    restore(Restored);
+    runUntil([&] { return Written.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(200U, *Written);
+    setDelay(0);
+    runUntil([&] { return revision(TestedNode) == 3; });
+    const config::Labels Expected{
+        {"role", "desk"}, {"kept", "yes"}, {"lost", "yes"}, {"since", "yes"}};
+    CPPUNIT_ASSERT(TestedNode.view()->configuration().UpstreamLabels.at("agent-a") == Expected);
+  }
+
+  // Guards against members that stay unknown to editors and new nodes after a restore.
+  void testStore_restoredWithoutRecords_getsThemBack() {
+    common::Metrics Metrics[2];
+    putConfiguration(document(1));
+    Node First(*Io, options("agent-a", Store->local(), {}), Metrics[0]);
+    First.start();
+    Node Second(*Io, options("agent-b", Store->local(), {First.self().Control}), Metrics[1]);
+    Second.start();
+    const auto BothRegistered = [&] { return isRegistered("agent-a") && isRegistered("agent-b"); };
+    runUntil(BothRegistered);
+    restore(ConfigurationVersion);
+    runUntil(BothRegistered);
+  }
+
   // Guards against malformed or oversized datagrams that end the process or aren't counted.
   void testControl_badInput_isCountedAndDropped() {
     common::Metrics Metrics;
