Keep the lease over a renewal during which the record is removed

A balancer that drains removes its record while a renewal may be on its way, which resets the lease; the look-up after a restore then read an empty lease. Found by reading the change; no run showed it.

--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -286,12 +286,13 @@
   /// Renews the lease, or writes the record under a new lease. Returns true if the record is in the
   /// store.
   boost::asio::awaitable<bool> writeOrRenew() {
-    if (Lease) {
-      const auto Renewed = co_await Store.renewLease(*Lease);
+    // remove() may reset the member during the call.
+    if (const auto Held = Lease) {
+      const auto Renewed = co_await Store.renewLease(*Held);
       if (Renewed)
         co_return true;
       if (Renewed.Failure.Code == common::ResultCode::StoreEraEnded)
-        co_return co_await lookUpAfterRestore(*Lease);
+        co_return co_await lookUpAfterRestore(*Held);
       if (Renewed.Failure.Code != common::ResultCode::StoreKeyNotFound)
         co_return false;
       common::log(common::LogLevel::Warning, "record_lapsed", {{"key", Key}});
