Register a member again if the store was restored while it registered

A hint of a restore that came during a registration was dropped, and a member that left during the pause before the next one would have written its record again.

--- a/include/galenarelay/node/impl/runtime.h
+++ b/include/galenarelay/node/impl/runtime.h
@@ -136,6 +136,7 @@
   /// Era of the store in which it last had all edits that this node knows; 0 before.
   std::uint64_t ConfigurationEra = 0;
   bool RegistrationRunning = false;
+  bool RegistrationDoubted = false; ///< The store was restored while it ran.
   common::LogRateLimit RejectLog{RejectLogLimit};
 
   prometheus::Counter &ReceivedDatagrams;
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -291,6 +291,8 @@
     if (Version) {
       RecordVersion = *Version;
       RegistrationRunning = false;
+      if (std::exchange(RegistrationDoubted, false))
+        registerAgain();
       perform(GossipCore->setStoreEra(Store.era(), steadyNow()));
       co_return co_await addStoreContacts();
     }
@@ -303,8 +305,9 @@
 /// The store has been restored, so that this member's record may be missing or have another
 /// version.
 void Runtime::registerAgain() {
-  if (!Stopped && GossipCore->self().State != MemberState::Dead &&
-      !std::exchange(RegistrationRunning, true))
+  if (std::exchange(RegistrationRunning, true))
+    RegistrationDoubted = true;
+  else
     asio::co_spawn(Io, registerAfterPause(), asio::detached);
 }
 
@@ -312,7 +315,9 @@
 awaitable<void> Runtime::registerAfterPause() {
   const auto Alive = shared_from_this();
   co_await sleepFor(jittered(MinStoreBackoff, Random));
-  co_await registerInStore();
+  // A member that has left has removed its record.
+  if (!Stopped && self().State != MemberState::Dead)
+    co_await registerInStore();
 }
 
 /// Takes what the store has for the configuration key. If the store has been restored since the
