--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -234,6 +234,8 @@
   void send(const std::string &Type, common::Endpoint To, const Peer *Receiver,
             nlohmann::json Fields);
   void refillByteBudget(common::TimePoint Now);
+  /// Replaces a number that all messages carry by a higher one and pushes it to peers.
+  void pushIfNewer(std::uint64_t &Current, std::uint64_t Offered, common::TimePoint Now);
 
   Member OwnRecord;
   std::vector<common::Endpoint> Contacts;
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -207,23 +207,23 @@
 }
 
 GossipActions Gossip::setRevision(std::uint64_t NewRevision, TimePoint Now) {
-  if (NewRevision > Revision) {
-    Revision = NewRevision;
-    RevisionPushRoundsLeft = PushRoundsPerChange;
-    NextPushAt = std::max(NextPushAt, Now);
-  }
+  pushIfNewer(Revision, NewRevision, Now);
   return takeActions();
 }
 
 GossipActions Gossip::setStoreEra(std::uint64_t NewEra, TimePoint Now) {
-  if (NewEra > StoreEra) {
-    StoreEra = NewEra;
-    RevisionPushRoundsLeft = PushRoundsPerChange;
-    NextPushAt = std::max(NextPushAt, Now);
-  }
+  pushIfNewer(StoreEra, NewEra, Now);
   return takeActions();
 }
 
+void Gossip::pushIfNewer(std::uint64_t &Current, std::uint64_t Offered, TimePoint Now) {
+  if (Offered <= Current)
+    return;
+  Current = Offered;
+  RevisionPushRoundsLeft = PushRoundsPerChange;
+  NextPushAt = std::max(NextPushAt, Now);
+}
+
 GossipActions Gossip::takeActions() {
   if (ViewChangePending)
     Actions.emplace_back(NotifyViewChanged{});
