--- a/include/galenarelay/standins/store/store.h
+++ b/include/galenarelay/standins/store/store.h
@@ -59,8 +59,9 @@
 /// The store's state and answers. Versions rise over all keys, so that a key which is deleted and
 /// created again never gets an old version, unless the store is restored from a copy: the era in
 /// the header of each answer then rises by one, and a write may state the era of the version that
-/// it expects. Example: `Store S({}); S.handle({"GET", "/v1/kv/config", {}, ""}, Now).Status ==
-/// 404`
+/// it expects.
+///
+/// Example: `Store S({}); S.handle({"GET", "/v1/kv/config", {}, ""}, Now).Status == 404`
 class Store {
 public:
   explicit Store(StoreLimits Limits);
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -232,7 +232,7 @@
 
 void Fleet::writeConfiguration() { Store->put("op/config", Configuration); }
 
-boost::asio::awaitable<std::string> Fleet::outOfPlace() {
+boost::asio::awaitable<std::string> Fleet::missingState() {
   for (std::size_t I = 0; I < Nodes.size(); ++I) {
     const bool IsBalancer = I < Chosen.Balancers;
     const bool Serves = IsBalancer || (Hosts[I - Chosen.Balancers]->lives() &&
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -83,9 +83,9 @@
   boost::asio::awaitable<void> replaceHost(std::size_t Host);
   boost::asio::awaitable<void> crashHost(std::size_t Host, common::Duration Down);
 
-  /// What has not come back to its place yet, empty if nothing: the record of a running node, or
-  /// the newest configuration on a running balancer.
-  boost::asio::awaitable<std::string> outOfPlace();
+  /// Names what is missing, empty if nothing: the record of a running node in the store, or the
+  /// newest configuration on a running balancer.
+  boost::asio::awaitable<std::string> missingState();
 
   void onTimer(Clock::time_point Now);
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -28,7 +28,7 @@
 /// Without a check of times, recovery is awaited for this long.
 constexpr auto RecoveryPatience = std::chrono::seconds(60);
 constexpr auto RecoveryWindow = std::chrono::seconds(2);
-constexpr auto ComeBackStep = std::chrono::milliseconds(100);
+constexpr auto StateCheckInterval = std::chrono::milliseconds(100);
 /// Faults of single machines; the other kinds concern all of them.
 constexpr std::size_t MachineFaults = 6;
 constexpr std::size_t AllFaults = 11;
@@ -113,7 +113,7 @@
     Under.Link->setFault(LinkFault::None);
     Under.Links.disturb(0, {});
     co_await recover();
-    co_await comeBack();
+    co_await awaitState();
     Io.stop();
   }
 
@@ -304,16 +304,16 @@
     }
   }
 
-  /// Records and configurations come back to their places.
-  Task comeBack() {
+  /// Waits until no record and no configuration is missing.
+  Task awaitState() {
     const auto Begin = Clock::now();
     while (true) {
-      const std::string Missing = co_await Under.outOfPlace();
+      const std::string Missing = co_await Under.missingState();
       if (Missing.empty())
         co_return;
       if (Clock::now() - Begin > RecoveryPatience)
         co_return Seen.violation("records and configuration", Missing);
-      co_await sleepFor(ComeBackStep);
+      co_await sleepFor(StateCheckInterval);
     }
   }
 
