Write a member's record from one place

g++ 12 on x86-64 reports a false mismatched-new-delete for the coroutine frame of registerMember, which awaited the write in two places, and -Werror ended the build there. With one await the frame is allocated and freed alike. The build of store_link.cpp passes; behaviour is unchanged.

--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -142,16 +142,18 @@
   const auto Response = co_await call("GET", config::impl::keyTarget(Key), "", CallTimeout);
   if (!Response)
     co_return Outcome<StoreVersion>{std::nullopt, Response.Failure};
-  if (Response->Status == 404)
-    co_return co_await write(Key, {}, Value);
-  if (Response->Status != 200)
+  if (Response->Status != 200 && Response->Status != 404)
     co_return Outcome<StoreVersion>{std::nullopt, statusError(*Response)};
-  const auto Current = parseEntry(*Response, era());
-  if (!Current)
-    co_return Outcome<StoreVersion>{std::nullopt, Current.Failure};
-  if (Current->Value == Value)
-    co_return Outcome<StoreVersion>{Current->Version, {}};
-  co_return co_await write(Key, Current->Version, Value);
+  StoreVersion Expected;
+  if (Response->Status == 200) {
+    const auto Current = parseEntry(*Response, era());
+    if (!Current)
+      co_return Outcome<StoreVersion>{std::nullopt, Current.Failure};
+    if (Current->Value == Value)
+      co_return Outcome<StoreVersion>{Current->Version, {}};
+    Expected = Current->Version;
+  }
+  co_return co_await write(Key, Expected, Value);
 }
 
 awaitable<Outcome<StoreVersion>> NodeStoreClient::write(std::string Key, StoreVersion Expected,
