Decide placements in values of their own, and prefer free slots of the own zone

Cause: three random candidates of all zones leave the own zone out by chance, so that most bytes of a four-zone deployment cross zones though the own zone has room; and the comparison of upstreams was spread over UpstreamDirectory.

LeastLoad is the comparison so far, OwnZoneWhileFree the new one, used with the optional mechanism zone_placement. [policy] with names optional mechanisms.

--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -134,8 +134,8 @@
     Fields["zone"] = Options.Zone;
     Fields["incarnation"] = Incarnation;
     Fields["version"] = GALENARELAY_VERSION;
-    if (!Options.EnabledMechanisms.all())
-      Fields["without"] = disabledNames(Options.EnabledMechanisms);
+    if (!Options.EnabledMechanisms.areDefault())
+      Fields["policy_changes"] = changedNames(Options.EnabledMechanisms);
     common::log(common::LogLevel::Info, "started", Fields);
   }
 
--- a/include/galenarelay/relay/candidates.h
+++ b/include/galenarelay/relay/candidates.h
@@ -24,6 +24,13 @@
 [[nodiscard]] std::vector<NodeAddress>
 rankCandidates(const packet::FlowKey &Key, std::span<const NodeAddress> Agents, std::size_t Count);
 
+/// The same, with agents of Near first. Half of the result is kept for agents of Far, so that a
+/// flow is found there as well, unless there are fewer of them.
+[[nodiscard]] std::vector<NodeAddress> rankZoneCandidates(const packet::FlowKey &Key,
+                                                          std::span<const NodeAddress> Near,
+                                                          std::span<const NodeAddress> Far,
+                                                          std::size_t Count);
+
 /// The first Count of Nodes for a hash value by rendezvous hashing.
 [[nodiscard]] std::vector<NodeAddress>
 rankNodes(std::uint64_t Hash, std::span<const NodeAddress> Nodes, std::size_t Count);
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -257,7 +257,8 @@
   void releaseHeld(common::TimePoint Now, SteeringActions &Actions);
   template <policy::ReleaseOrder Order>
   void releaseInOrder(const Order &Policy, common::TimePoint Now, SteeringActions &Actions);
-  [[nodiscard]] std::optional<NodeAddress> takeLeastBusy(PendingFlow &Pending) const;
+  [[nodiscard]] std::optional<NodeAddress> takeLeastBusy(PendingFlow &Pending,
+                                                         common::TimePoint Now) const;
   /// The entry of a flow that waits in HeldFlows; null for other flows.
   [[nodiscard]] FlowEntry *heldFlow(const packet::FlowKey &Key);
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Actions);
--- a/include/galenarelay/relay/policy/mechanism.h
+++ b/include/galenarelay/relay/policy/mechanism.h
@@ -38,39 +38,57 @@
   PredictedWait,   ///< Flows that would expire while they wait are refused at once; off: when they
                    ///< expire.
   RequestPatience, ///< An open flow counts as load for a learned time; off: for a fixed time.
-  BroadcastPace ///< Small fleets are searched at shorter intervals; off: at the interval of large
-                ///< fleets.
+  BroadcastPace, ///< Small fleets are searched at shorter intervals; off: at the interval of large
+                 ///< fleets.
+  // Optional mechanisms, off by default.
+  UpstreamDamping,  ///< Upstreams that lose flows again and again get fewer new ones.
+  SharedContention, ///< Waiting flows are placed or refused by their callers' shares and by what
+                    ///< remains of their time.
+  ZonePlacement,   ///< New flows leave the own zone only if waiting here takes longer than the way.
+  RestartRecovery, ///< After a loss of everything, searches end early and only free places are
+                   ///< taken.
+  LearnedCapacity  ///< Upstreams are loaded by what they have proved to take well.
 };
-inline constexpr std::size_t MechanismCount = 17;
+inline constexpr std::size_t MechanismCount = 22;
+inline constexpr Mechanism FirstOptionalMechanism = Mechanism::UpstreamDamping;
 
 /// The name of a mechanism in settings, for example "load_questions".
 [[nodiscard]] std::string_view name(Mechanism Which) noexcept;
 /// The mechanism with a name; empty if there is none.
 [[nodiscard]] std::optional<Mechanism> parseMechanism(std::string_view Name) noexcept;
 
-/// The set of mechanisms in use. All are by default.
+/// Whether a mechanism is off by default.
+[[nodiscard]] constexpr bool isOptional(Mechanism Which) noexcept {
+  return Which >= FirstOptionalMechanism;
+}
+
+/// The set of mechanisms in use: by default all that aren't optional.
 class Mechanisms {
 public:
   Mechanisms() = default;
 
-  [[nodiscard]] Mechanisms without(Mechanism Which) const {
-    Mechanisms Fewer = *this;
-    Fewer.Off.set(static_cast<std::size_t>(Which));
-    return Fewer;
-  }
+  [[nodiscard]] Mechanisms without(Mechanism Which) const { return changed(Which, false); }
+  [[nodiscard]] Mechanisms with(Mechanism Which) const { return changed(Which, true); }
   [[nodiscard]] bool uses(Mechanism Which) const noexcept {
-    return !Off[static_cast<std::size_t>(Which)];
+    return Changed[static_cast<std::size_t>(Which)] == isOptional(Which);
   }
-  [[nodiscard]] bool all() const noexcept { return Off.none(); }
+  /// Whether these are the mechanisms that are in use by default.
+  [[nodiscard]] bool areDefault() const noexcept { return Changed.none(); }
 
   friend bool operator==(const Mechanisms &, const Mechanisms &) = default;
 
 private:
-  std::bitset<MechanismCount> Off;
+  [[nodiscard]] Mechanisms changed(Mechanism Which, bool Used) const {
+    Mechanisms Result = *this;
+    Result.Changed.set(static_cast<std::size_t>(Which), Used == isOptional(Which));
+    return Result;
+  }
+
+  std::bitset<MechanismCount> Changed; ///< Those that differ from the default.
 };
 
-/// The names of the mechanisms that are switched off.
-[[nodiscard]] std::vector<std::string> disabledNames(const Mechanisms &InUse);
+/// The names of the mechanisms whose use differs from the default.
+[[nodiscard]] std::vector<std::string> changedNames(const Mechanisms &InUse);
 
 } // namespace galenarelay::relay::policy
 
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -5,7 +5,7 @@
 #include "galenarelay/common/time.h"
 #include "galenarelay/relay/candidates.h"
 #include "galenarelay/relay/peer_message.h"
-#include "galenarelay/relay/policy/mechanism.h"
+#include "galenarelay/relay/policy/placement.h"
 #include "galenarelay/relay/response_time.h"
 
 #include <algorithm>
@@ -85,11 +85,7 @@
 /// says nothing about the others.
 inline constexpr std::size_t MinStartedTogether = 3;
 
-/// Expected number of requests of a new flow.
-enum class FlowKind : std::uint8_t {
-  Short, ///< One request.
-  Long   ///< Many requests over its life.
-};
+using policy::FlowKind;
 
 /// State of an agent as known to a balancer.
 struct AgentView {
@@ -133,7 +129,8 @@
   /// anew.
   void onResume(common::TimePoint Now) noexcept { ListeningSince = Now; }
 
-  /// The MaxCandidates first agents of a service for a flow by rendezvous hashing.
+  /// The MaxCandidates first agents of a service for a flow by rendezvous hashing; with
+  /// Mechanism::ZonePlacement those of the own zone come first.
   [[nodiscard]] std::vector<NodeAddress> candidates(const std::string &Service,
                                                     const packet::FlowKey &Key) const;
   /// The first NearCandidates of each service, for a flow whose service is unknown. Empty if these
@@ -172,9 +169,9 @@
   /// Whether an agent of the service, except Excluded, would be usable if it weren't full.
   [[nodiscard]] bool hasFullAgent(const std::string &Service, std::span<const NodeAddress> Excluded,
                                   common::TimePoint Now) const;
-  [[nodiscard]] bool isFull(NodeAddress Agent) const;
+  [[nodiscard]] bool isFull(NodeAddress Agent, common::TimePoint Now) const;
   /// Whether all slots of the agent's upstream are taken.
-  [[nodiscard]] bool isBusy(NodeAddress Agent) const;
+  [[nodiscard]] bool isBusy(NodeAddress Agent, common::TimePoint Now) const;
   /// Adds a flow that is sent to the agent to its load until a load figure includes it.
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
@@ -246,17 +243,15 @@
     common::TimePoint LastQueryAt{};
     std::uint32_t Queries = 0;
   };
-  /// Agents of a worse fitness are chosen only if none of a better one is available. Unfit agents
-  /// are never chosen.
-  enum class Fitness : std::uint8_t { Good, Doubtful, Unfit };
-
   /// Whether a report takes the place of the agent's last one. Notes one that doesn't, but may be
   /// that of the running process.
   [[nodiscard]] static bool succeeds(AgentEntry &Agent, const AgentReport &Report,
                                      common::TimePoint Now);
-  [[nodiscard]] Fitness fitness(const AgentEntry &Agent, common::TimePoint Now) const;
-  [[nodiscard]] static bool full(const AgentEntry &Agent);
-  [[nodiscard]] double score(const AgentEntry &Agent, FlowKind Kind, common::TimePoint Now) const;
+  [[nodiscard]] policy::Fitness fitness(const AgentEntry &Agent, common::TimePoint Now) const;
+  [[nodiscard]] policy::UpstreamStatus statusOf(const AgentEntry &Agent,
+                                                common::TimePoint Now) const;
+  [[nodiscard]] policy::PlacementRank rank(const policy::UpstreamStatus &Status,
+                                           FlowKind Kind) const noexcept;
   /// Whether the agent has left a query unanswered for AnswerTimeout, or longer while answers are
   /// slow.
   [[nodiscard]] bool answerOverdue(const AgentEntry &Agent, common::TimePoint Now) const;
--- a/src/node/relay_settings.cpp
+++ b/src/node/relay_settings.cpp
@@ -7,10 +7,13 @@
 
 namespace {
 
-std::vector<std::string> mechanismNames() {
+std::vector<std::string> mechanismNames(bool Optional) {
   std::vector<std::string> Names;
-  for (std::size_t I = 0; I < relay::policy::MechanismCount; ++I)
-    Names.emplace_back(relay::policy::name(static_cast<relay::policy::Mechanism>(I)));
+  for (std::size_t I = 0; I < relay::policy::MechanismCount; ++I) {
+    const auto Which = static_cast<relay::policy::Mechanism>(I);
+    if (relay::policy::isOptional(Which) == Optional)
+      Names.emplace_back(relay::policy::name(Which));
+  }
   return Names;
 }
 
@@ -34,7 +37,9 @@
           {"store", "address", SettingKind::Address, std::nullopt, 0, 0,
            "address of the key-value store"},
           {"policy", "without", SettingKind::NameList, "", 0, 0,
-           "mechanisms switched off for an experiment, comma-separated", mechanismNames()}};
+           "mechanisms switched off for an experiment, comma-separated", mechanismNames(false)},
+          {"policy", "with", SettingKind::NameList, "", 0, 0,
+           "optional mechanisms to use, comma-separated", mechanismNames(true)}};
 }
 
 std::vector<SettingRule> relayAgentSettingRules() {
@@ -65,6 +70,9 @@
   for (const std::string &Name : Values.names("policy", "without"))
     if (const auto Disabled = relay::policy::parseMechanism(Name))
       Options.EnabledMechanisms = Options.EnabledMechanisms.without(*Disabled);
+  for (const std::string &Name : Values.names("policy", "with"))
+    if (const auto Enabled = relay::policy::parseMechanism(Name))
+      Options.EnabledMechanisms = Options.EnabledMechanisms.with(*Enabled);
   return Options;
 }
 
--- a/src/relay/candidates.cpp
+++ b/src/relay/candidates.cpp
@@ -28,6 +28,16 @@
   return rankNodes(packet::hash(Key), Agents, Count);
 }
 
+std::vector<NodeAddress> rankZoneCandidates(const packet::FlowKey &Key,
+                                            std::span<const NodeAddress> Near,
+                                            std::span<const NodeAddress> Far, std::size_t Count) {
+  const std::size_t FarCount = std::min(Count / 2, Far.size());
+  auto Ranked = rankCandidates(Key, Near, Count - FarCount);
+  const auto Others = rankCandidates(Key, Far, Count - Ranked.size());
+  Ranked.insert(Ranked.end(), Others.begin(), Others.end());
+  return Ranked;
+}
+
 std::optional<NodeAddress> Rotation::next(std::span<const NodeAddress> Sorted) {
   if (Sorted.empty())
     return std::nullopt;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -161,9 +161,9 @@
   if (!Chosen && Pending.AwaitingAnswer)
     return;
   // If all candidates are busy, the least busy one has to queue the flow's requests.
-  bool Insist = Chosen && PlacementScope == Scope::Candidates && Directory.isBusy(*Chosen);
+  bool Insist = Chosen && PlacementScope == Scope::Candidates && Directory.isBusy(*Chosen, Now);
   if (!Chosen) {
-    Chosen = takeLeastBusy(Pending);
+    Chosen = takeLeastBusy(Pending, Now);
     Insist = true;
   }
   const bool ViewSettled = Now - StartedAt >= ViewSettleTime;
@@ -222,7 +222,7 @@
             .first(std::min(Pending.ConsideredCount, Pending.Candidates.size()));
     const auto Best =
         Directory.chooseAmong(ConsideredAgents, Pending.Kind, Pending.TriedAgents, Now);
-    const bool HasFreeSlot = Best && !Directory.isBusy(*Best);
+    const bool HasFreeSlot = Best && !Directory.isBusy(*Best, Now);
     if (HasFreeSlot || ConsideredAgents.size() == Pending.Candidates.size())
       return Best;
     Pending.ConsideredCount += NearCandidates;
@@ -289,8 +289,10 @@
                      .SavedPacket = Pending.Packet});
 }
 
-std::optional<NodeAddress> FlowSteering::takeLeastBusy(PendingFlow &Pending) const {
-  std::erase_if(Pending.BusyAgents, [this](NodeAddress Agent) { return Directory.isFull(Agent); });
+std::optional<NodeAddress> FlowSteering::takeLeastBusy(PendingFlow &Pending,
+                                                       common::TimePoint Now) const {
+  std::erase_if(Pending.BusyAgents,
+                [&](NodeAddress Agent) { return Directory.isFull(Agent, Now); });
   const auto Load = [this](NodeAddress Agent) {
     const AgentView *View = Directory.find(Agent);
     return View != nullptr ? View->Load.Unanswered : UINT32_MAX;
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -7,15 +7,11 @@
 
 namespace galenarelay::relay {
 
+using policy::Fitness;
+using policy::Mechanism;
+
 namespace {
 
-/// Slots of a cold upstream count as this fraction, since it takes longer for each request.
-constexpr double ColdSlotShare = 0.5;
-/// Penalty for another availability zone, in requests per slot. Traffic between zones is charged
-/// for, so that it decides between equal upstreams, but is too small to outweigh one request.
-constexpr double OtherZoneCost = 0.15;
-/// Weight of the requests in progress for a long flow, which lasts long after these have ended.
-constexpr double PresentWorkWeight = 0.3;
 /// Maximum number of placements kept for an agent. Beyond it the oldest are taken as included in
 /// its load figure.
 constexpr std::size_t MaxUnreportedPlacements = 256;
@@ -164,7 +160,14 @@
 
 std::vector<NodeAddress> UpstreamDirectory::candidates(const std::string &Service,
                                                        const packet::FlowKey &Key) const {
-  return rankCandidates(Key, agentsOf(Service), MaxCandidates);
+  const auto ServiceAgents = agentsOf(Service);
+  if (!InUse.uses(Mechanism::ZonePlacement))
+    return rankCandidates(Key, ServiceAgents, MaxCandidates);
+  std::vector<NodeAddress> Near;
+  std::vector<NodeAddress> Far;
+  for (const NodeAddress Agent : ServiceAgents)
+    (Agents.at(Agent).View.Report.Zone == OwnZone ? Near : Far).push_back(Agent);
+  return rankZoneCandidates(Key, Near, Far, MaxCandidates);
 }
 
 std::vector<NodeAddress> UpstreamDirectory::candidatesOfAll(const packet::FlowKey &Key) const {
@@ -255,8 +258,7 @@
     Placements.pop_front();
 }
 
-UpstreamDirectory::Fitness UpstreamDirectory::fitness(const AgentEntry &Agent,
-                                                      common::TimePoint Now) const {
+Fitness UpstreamDirectory::fitness(const AgentEntry &Agent, common::TimePoint Now) const {
   const AgentView &View = Agent.View;
   switch (View.Report.State) {
   case UpstreamState::Draining:
@@ -273,68 +275,72 @@
   return Doubtful ? Fitness::Doubtful : Fitness::Good;
 }
 
-double UpstreamDirectory::score(const AgentEntry &Agent, FlowKind Kind,
-                                common::TimePoint Now) const {
+policy::UpstreamStatus UpstreamDirectory::statusOf(const AgentEntry &Agent,
+                                                   common::TimePoint Now) const {
   const AgentView &View = Agent.View;
-  const auto PlacedFlows = [&Agent](FlowKind Which) {
-    return static_cast<double>(
-        std::count_if(Agent.Placements.begin(), Agent.Placements.end(),
-                      [Which](const Placement &Placed) { return Placed.Kind == Which; }));
-  };
-  double Slots = std::max<std::uint32_t>(1, View.Report.Slots);
-  if (View.ColdUntil > Now && InUse.uses(policy::Mechanism::ColdDiscount))
-    Slots *= ColdSlotShare;
-  const double RequestLoad = (View.Load.Unanswered + PlacedFlows(FlowKind::Short)) / Slots;
-  const bool SameZone = View.Report.Zone == OwnZone || !InUse.uses(policy::Mechanism::OwnZone);
-  const double ZoneCost = SameZone ? 0 : OtherZoneCost;
-  if (Kind == FlowKind::Short || !InUse.uses(policy::Mechanism::LongFlowBalance))
-    return RequestLoad + ZoneCost;
-  const double LongFlowLoad = (View.Load.LongFlows + PlacedFlows(FlowKind::Long)) / Slots;
-  return LongFlowLoad + PresentWorkWeight * RequestLoad + ZoneCost;
+  const auto PlacedLong =
+      std::count_if(Agent.Placements.begin(), Agent.Placements.end(),
+                    [](const Placement &Placed) { return Placed.Kind == FlowKind::Long; });
+  policy::UpstreamStatus Status;
+  Status.Availability = fitness(Agent, Now);
+  Status.Cold = View.ColdUntil > Now;
+  Status.OwnZone = View.Report.Zone == OwnZone;
+  Status.Slots = View.Report.Slots;
+  Status.Unanswered = View.Load.Unanswered;
+  Status.LongFlows = View.Load.LongFlows;
+  Status.PlacedLong = static_cast<std::uint32_t>(PlacedLong);
+  Status.PlacedShort = static_cast<std::uint32_t>(Agent.Placements.size()) - Status.PlacedLong;
+  return Status;
+}
+
+policy::PlacementRank UpstreamDirectory::rank(const policy::UpstreamStatus &Status,
+                                              FlowKind Kind) const noexcept {
+  if (InUse.uses(Mechanism::ZonePlacement))
+    return policy::OwnZoneWhileFree{InUse}.rank(Status, Kind);
+  return policy::LeastLoad{InUse}.rank(Status, Kind);
 }
 
 std::optional<NodeAddress> UpstreamDirectory::chooseAmong(std::span<const NodeAddress> Considered,
                                                           FlowKind Kind,
                                                           std::span<const NodeAddress> Excluded,
                                                           common::TimePoint Now) const {
-  const AgentEntry *Best = nullptr;
-  Fitness BestFitness = Fitness::Unfit;
-  double BestScore = 0;
+  std::optional<NodeAddress> Best;
+  policy::PlacementRank BestRank;
   for (const NodeAddress Address : Considered) {
     const auto It = Agents.find(Address);
     if (It == Agents.end() ||
         std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
       continue;
-    const AgentEntry &Agent = It->second;
-    const Fitness AgentFitness = fitness(Agent, Now);
-    if (AgentFitness == Fitness::Unfit || AgentFitness > BestFitness || full(Agent))
+    const auto Status = statusOf(It->second, Now);
+    if (Status.Availability == Fitness::Unfit || Status.full())
       continue;
-    const double Score = score(Agent, Kind, Now);
-    if (AgentFitness == BestFitness && Best != nullptr && Score >= BestScore)
+    const auto Rank = rank(Status, Kind);
+    if (Best && !(Rank < BestRank))
       continue;
-    Best = &Agent;
-    BestFitness = AgentFitness;
-    BestScore = Score;
+    Best = Address;
+    BestRank = Rank;
   }
-  if (Best == nullptr)
-    return std::nullopt;
-  return Best->View.Address;
+  return Best;
 }
 
 std::optional<NodeAddress> UpstreamDirectory::choose(const std::string &Service, FlowKind Kind,
                                                      std::span<const NodeAddress> Excluded,
                                                      common::TimePoint Now) {
+  // Equal but for their load, which the last comparison decides.
   std::vector<NodeAddress> Best;
-  Fitness BestFitness = Fitness::Unfit;
+  policy::PlacementRank BestRank;
   for (const NodeAddress Address : agentsOf(Service)) {
-    const AgentEntry &Agent = Agents.at(Address);
-    const Fitness AgentFitness = fitness(Agent, Now);
-    if (AgentFitness == Fitness::Unfit || AgentFitness > BestFitness || full(Agent) ||
+    const auto Status = statusOf(Agents.at(Address), Now);
+    if (Status.Availability == Fitness::Unfit || Status.full() ||
         std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
       continue;
-    if (AgentFitness < BestFitness)
+    auto Rank = rank(Status, Kind);
+    Rank.Load = 0;
+    if (!Best.empty() && BestRank < Rank)
+      continue;
+    if (Rank < BestRank)
       Best.clear();
-    BestFitness = AgentFitness;
+    BestRank = Rank;
     Best.push_back(Address);
   }
   // A long flow justifies a comparison of all agents. For short flows only a few are compared,
@@ -346,23 +352,14 @@
   return chooseAmong(std::span(Best).first(Compared), Kind, {}, Now);
 }
 
-bool UpstreamDirectory::full(const AgentEntry &Agent) {
-  const std::uint32_t Slots = Agent.View.Report.Slots;
-  return Slots != 0 && Agent.View.Load.Unanswered + Agent.Placements.size() >= requestLimit(Slots);
-}
-
-bool UpstreamDirectory::isFull(NodeAddress Agent) const {
+bool UpstreamDirectory::isFull(NodeAddress Agent, common::TimePoint Now) const {
   const auto It = Agents.find(Agent);
-  return It != Agents.end() && full(It->second);
+  return It != Agents.end() && statusOf(It->second, Now).full();
 }
 
-bool UpstreamDirectory::isBusy(NodeAddress Agent) const {
+bool UpstreamDirectory::isBusy(NodeAddress Agent, common::TimePoint Now) const {
   const auto It = Agents.find(Agent);
-  if (It == Agents.end())
-    return false;
-  const AgentView &View = It->second.View;
-  return View.Report.Slots != 0 &&
-         View.Load.Unanswered + It->second.Placements.size() >= View.Report.Slots;
+  return It != Agents.end() && statusOf(It->second, Now).busy();
 }
 
 bool UpstreamDirectory::hasFullAgent(const std::string &Service,
@@ -370,15 +367,15 @@
                                      common::TimePoint Now) const {
   const auto ServiceAgents = agentsOf(Service);
   return std::any_of(ServiceAgents.begin(), ServiceAgents.end(), [&](NodeAddress Address) {
-    const AgentEntry &Agent = Agents.at(Address);
-    return full(Agent) && fitness(Agent, Now) != Fitness::Unfit &&
+    const auto Status = statusOf(Agents.at(Address), Now);
+    return Status.full() && Status.Availability != Fitness::Unfit &&
            std::find(Excluded.begin(), Excluded.end(), Address) == Excluded.end();
   });
 }
 
 void UpstreamDirectory::notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now) {
   const auto It = Agents.find(Agent);
-  if (It == Agents.end() || !InUse.uses(policy::Mechanism::PlacementCount))
+  if (It == Agents.end() || !InUse.uses(Mechanism::PlacementCount))
     return;
   auto &Placements = It->second.Placements;
   Placements.push_back({Now, Kind});
@@ -592,7 +589,7 @@
   if (LostCount >= HeardCount)
     return LostAgents;
   const std::size_t RequiredWitnesses =
-      InUse.uses(policy::Mechanism::LossWitnesses) ? std::min(MinLossWitnesses, Balancers) : 0;
+      InUse.uses(Mechanism::LossWitnesses) ? std::min(MinLossWitnesses, Balancers) : 0;
   for (auto &[Address, Agent] : Agents)
     if (isLost(Agent, Now) && Agent.Witnesses.size() >= RequiredWitnesses &&
         !std::exchange(Agent.ReportedLost, true))
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -19,7 +19,7 @@
   CPPUNIT_TEST(testExpired_deadlineAndHoldTimeout_earlierOneCounts);
   CPPUNIT_TEST(testWouldExpire_flowsAheadAndRate_decide);
   CPPUNIT_TEST(testReleaseRate_oldReleases_areNotCounted);
-  CPPUNIT_TEST(testMechanisms_without_switchesOffOnlyThatOne);
+  CPPUNIT_TEST(testMechanisms_changed_differInOnlyThatOne);
   CPPUNIT_TEST(testMechanisms_unknownName_isRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,16 +93,19 @@
     CPPUNIT_ASSERT_EQUAL(0.0, Rate.perSecond(Now + 2s));
   }
 
-  void testMechanisms_without_switchesOffOnlyThatOne() {
+  void testMechanisms_changed_differInOnlyThatOne() {
     for (std::size_t I = 0; I < relay::policy::MechanismCount; ++I) {
       const auto Which = static_cast<Mechanism>(I);
       CPPUNIT_ASSERT(relay::policy::parseMechanism(name(Which)) == Which);
-      const auto Without = Mechanisms().without(Which);
-      CPPUNIT_ASSERT(!Without.uses(Which) && !Without.all());
-      CPPUNIT_ASSERT(Without != Mechanisms());
-      CPPUNIT_ASSERT(disabledNames(Without) == std::vector<std::string>{std::string(name(Which))});
+      const bool UsedByDefault = Mechanisms().uses(Which);
+      CPPUNIT_ASSERT_EQUAL(!isOptional(Which), UsedByDefault);
+      const auto Changed = UsedByDefault ? Mechanisms().without(Which) : Mechanisms().with(Which);
+      CPPUNIT_ASSERT(Changed.uses(Which) != UsedByDefault && !Changed.areDefault());
+      CPPUNIT_ASSERT(Changed != Mechanisms());
+      CPPUNIT_ASSERT(changedNames(Changed) == std::vector<std::string>{std::string(name(Which))});
+      CPPUNIT_ASSERT(Changed.with(Which).uses(Which) && !Changed.without(Which).uses(Which));
     }
-    CPPUNIT_ASSERT(Mechanisms().all());
+    CPPUNIT_ASSERT(Mechanisms().areDefault());
   }
 
   void testMechanisms_unknownName_isRejected() {
