--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/policy/cold_start_limit.h"
 #include "galenarelay/relay/policy/mechanism.h"
 #include "galenarelay/relay/registration.h"
 #include "galenarelay/relay/response_time.h"
@@ -64,9 +65,10 @@
   RoomAgain,      ///< The upstream can accept a flow again after it was full.
   LostByUpstream, ///< The upstream restarted or ended and lost a flow that it held.
   Adopted,        ///< The upstream holds a flow whose opening this process has not seen.
-  ToCaller
+  ToCaller,
+  ZoneEvacuated ///< SYN returned to the balancer, as the operator has evacuated the zone.
 };
-inline constexpr std::size_t FlowEventCount = 10;
+inline constexpr std::size_t FlowEventCount = 11;
 
 [[nodiscard]] std::string_view name(FlowEvent Event) noexcept;
 
@@ -120,6 +122,12 @@
   bool onDeparture(const Departure &Received, common::TimePoint Now);
   /// Declines new flows from now on, as this process is about to stop.
   void stop() noexcept { Stopping = true; }
+  /// Sets whether the operator has evacuated the upstream's zone. If so, new flows are declined;
+  /// open ones stay.
+  void setEvacuated(bool IsEvacuated) noexcept { Evacuated = IsEvacuated; }
+
+  /// Sets the bound of openings in any second while the upstream is cold; empty for none.
+  void setColdBound(std::optional<std::size_t> Openings) noexcept { ColdBound = Openings; }
 
   [[nodiscard]] FlowActions onBalancerPacket(const PacketHeader &Head, const Transit &Fields,
                                              std::span<const std::uint8_t> Raw,
@@ -193,7 +201,9 @@
   void onSyn(const PacketHeader &Head, const Transit &Fields, std::span<const std::uint8_t> Raw,
              NodeAddress Balancer, common::TimePoint Now, FlowActions &Actions);
   [[nodiscard]] std::optional<ReturnReason> declineReason(const Transit &Fields,
-                                                          common::TimePoint Now) const;
+                                                          common::TimePoint Now);
+  /// Whether one more opening would exceed the bound of a cold upstream.
+  [[nodiscard]] bool exceedsColdBound(common::TimePoint Now);
   /// Slots of the upstream; 0 if unknown.
   [[nodiscard]] std::uint32_t slots() const noexcept;
   [[nodiscard]] bool full() const noexcept;
@@ -226,6 +236,9 @@
   /// has not taken it for ended since.
   bool TableComplete = false;
   bool Stopping = false;
+  bool Evacuated = false;
+  std::optional<std::size_t> ColdBound;
+  policy::ColdStartLimit Openings;
   /// Until the first heartbeat the settings name the upstream's service; false after a suspension,
   /// or after a heartbeat that names another service.
   bool SettingsValid = true;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -24,8 +24,8 @@
 
 std::string_view name(FlowEvent Event) noexcept {
   constexpr std::array<std::string_view, FlowEventCount> Names{
-      "open_offered", "open_declined", "accepted",         "delivered", "doubted",
-      "not_held",     "room_again",    "lost_by_upstream", "adopted",   "to_caller"};
+      "open_offered", "open_declined",    "accepted", "delivered", "doubted",       "not_held",
+      "room_again",   "lost_by_upstream", "adopted",  "to_caller", "zone_evacuated"};
   return Names[static_cast<std::size_t>(Event)];
 }
 
@@ -176,7 +176,7 @@
 }
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
-                                                         common::TimePoint Now) const {
+                                                         common::TimePoint Now) {
   if (Fields.ServiceDigest != serviceDigest(Upstream.service()))
     return ReturnReason::WrongService;
   const UpstreamState State = state(Now);
@@ -184,7 +184,10 @@
     return ReturnReason::Unanswered;
   if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
     return ReturnReason::Leaving;
-  if (full())
+  // Balancers place a flow elsewhere for this reason, also those of earlier versions.
+  if (Evacuated)
+    return ReturnReason::Leaving;
+  if (full() || exceedsColdBound(Now))
     return ReturnReason::Full;
   if (InUse.uses(policy::Mechanism::BusyDecline) && !Fields.Insist && slots() != 0 &&
       Unanswered >= slots())
@@ -194,6 +197,12 @@
   return std::nullopt;
 }
 
+// Before its first heartbeat to this process the upstream may have just started.
+bool UpstreamFlows::exceedsColdBound(common::TimePoint Now) {
+  const bool MayBeCold = !Upstream.known() || Upstream.coldFor(Now) > common::Duration::zero();
+  return ColdBound && MayBeCold && !Openings.allows(*ColdBound, Now);
+}
+
 std::uint32_t UpstreamFlows::slots() const noexcept {
   return Upstream.last() ? Upstream.last()->Slots : 0;
 }
@@ -238,8 +247,9 @@
     if (Reason && !(MayBeRepeated && LacksCapacity)) {
       if (*Reason == ReturnReason::Full)
         addWaitingBalancer(Balancer);
+      const bool ByOperator = Evacuated && *Reason == ReturnReason::Leaving;
       Actions.push_back({.Operation = FlowAction::Kind::Return,
-                         .Event = FlowEvent::OpenDeclined,
+                         .Event = ByOperator ? FlowEvent::ZoneEvacuated : FlowEvent::OpenDeclined,
                          .Key = Head.Key,
                          .Balancer = Balancer,
                          .Reason = *Reason});
@@ -248,6 +258,8 @@
     if (It != Flows.end() && !MayBeRepeated)
       eraseFlow(It);
   }
+  if (!Repeated)
+    Openings.note(Now);
   Flow &Entry = Flows[Head.Key];
   Entry.Balancer = Balancer;
   Entry.LastPacketAt = Now;
