Spare upstreams that lose or fail their flows

Flows were sent to a flapping upstream as soon as it was up again, and lost with its next end. The agent now keeps a decaying penalty for its upstream's unannounced restarts and failed requests, tells it in its reports, and declines new flows above a threshold; balancers bound the share of a service that is spared, and exempt upstreams when it is short of places. In use with [policy] with = upstream_damping.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -46,6 +46,9 @@
               Options.EnabledMechanisms),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
+        PenaltyGauge(Metrics.gauge("upstream_penalty", "Penalty of the upstream for its faults")),
+        StandingGauge(Metrics.gauge("upstream_standing",
+                                    "New flows for the upstream: 0 any, 1 single ones, 2 none")),
         AnswerSeconds(Metrics.histogram("upstream_answer_seconds",
                                         "Time from a request to the first data of its answer",
                                         {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10})) {
@@ -235,6 +238,8 @@
     Report.Slots = LastHeartbeat ? LastHeartbeat->Slots : 0;
     Report.Load = Flows.load();
     Report.ColdFor = Flows.registration().coldFor(Now);
+    if (Options.EnabledMechanisms.uses(relay::policy::Mechanism::UpstreamDamping))
+      Report.Damping = Flows.damping();
     return Report;
   }
 
@@ -281,6 +286,7 @@
     checkUpstreamGone(Now);
     perform(Flows.onTimer(Now), {}, Now);
     checkState(Now);
+    checkStanding(Now);
     sendReports(Now);
     Peers.expirePeers(Now);
     for (const auto &Answer : Flows.takeAnswerTimes())
@@ -326,6 +332,31 @@
     reportToAllTwice(Now);
   }
 
+  /// Reports a change of the upstream's standing to all balancers at once.
+  void checkStanding(common::TimePoint Now) {
+    const auto Damping = Flows.damping();
+    PenaltyGauge.Set(Damping.Penalty);
+    StandingGauge.Set(static_cast<double>(Damping.Which));
+    if (!Options.EnabledMechanisms.uses(relay::policy::Mechanism::UpstreamDamping) ||
+        std::exchange(LastStanding, Damping.Which) == Damping.Which)
+      return;
+    std::string Causes;
+    for (std::size_t I = 0; I < relay::policy::UpstreamFaultCount; ++I) {
+      const auto Fault = static_cast<relay::policy::UpstreamFault>(I);
+      if (Flows.faults(Fault) > 0)
+        Causes += (Causes.empty() ? "" : " ") + std::string(name(Fault)) + "=" +
+                  std::to_string(Flows.faults(Fault));
+    }
+    const bool Restored = Damping.Which == relay::policy::Standing::Steady;
+    common::log(common::LogLevel::Info, Restored ? "upstream_restored" : "upstream_spared",
+                {{"standing", name(Damping.Which)},
+                 {"penalty", Damping.Penalty},
+                 {"causes", Causes},
+                 {"service", Flows.service()},
+                 {"flows", Flows.flows()}});
+    reportToAllTwice(Now);
+  }
+
   // --- heartbeats and admin
 
   Awaitable<common::HttpResponse> serve(common::HttpRequest Request) {
@@ -360,6 +391,7 @@
                    {"sequence", Heartbeat->Sequence},
                    {"effect", name(Result)}});
     checkState(Now);
+    checkStanding(Now);
     return Platform::Calls::acknowledge();
   }
 
@@ -418,9 +450,12 @@
   std::uint64_t ReportNumber = 0;
   bool UpstreamGone = false;
   relay::UpstreamState LastState = relay::UpstreamState::Unknown;
+  relay::policy::Standing LastStanding = relay::policy::Standing::Steady;
 
   std::array<prometheus::Counter *, relay::FlowEventCount> EventCounters{};
   prometheus::Gauge &UnansweredGauge;
+  prometheus::Gauge &PenaltyGauge;
+  prometheus::Gauge &StandingGauge;
   prometheus::Histogram &AnswerSeconds;
 };
 
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -56,6 +56,10 @@
         Steering(Options.Packets.Address, Directory, StartedAt, Options.EnabledMechanisms),
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
+        UnsteadyGauge(Metrics.gauge("unsteady_upstreams",
+                                    "Upstreams that are spared for their faults or tried again")),
+        ExemptGauge(Metrics.gauge("exempt_upstreams",
+                                  "Unsteady upstreams that get flows for lack of others")),
         OpeningSeconds(Metrics.histogram(
             "flow_opening_seconds", "Time from a flow's first packet to its acceptance",
             {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1})) {
@@ -442,6 +446,8 @@
     Peers.expirePeers(Now);
     logReadinessChange(Now);
     AgentGauge.Set(static_cast<double>(Directory.size()));
+    UnsteadyGauge.Set(static_cast<double>(Directory.sparing().unsteady()));
+    ExemptGauge.Set(static_cast<double>(Directory.sparing().exempted()));
     FlowGauge.Set(static_cast<double>(Steering.flows()));
   }
 
@@ -489,10 +495,26 @@
                 {"revision", Steering.routes().revision()},
                 {"route", Route == nullptr ? "" : Route->Name},
                 {"service", Route == nullptr ? "" : relay::RouteTable::serviceFor(*Route, *Key)},
-                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
+                {"agent", Agent == 0 ? "" : common::addressToString(Agent)},
+                {"unsteady", unsteadyUpstreams()}}
                 .dump()};
   }
 
+  /// The upstreams that get fewer flows for their faults, by the addresses of their agents.
+  nlohmann::json unsteadyUpstreams() const {
+    auto Rows = nlohmann::json::array();
+    for (const auto Agent : Directory.agents()) {
+      const auto Damping = Directory.sparing().state(Agent);
+      if (Damping.Penalty > 0)
+        Rows.push_back({{"agent", common::addressToString(Agent)},
+                        {"service", Directory.find(Agent)->Report.Service},
+                        {"standing", name(Damping.Which)},
+                        {"penalty", Damping.Penalty},
+                        {"exempt", Directory.sparing().exempt(Agent)}});
+    }
+    return Rows;
+  }
+
   // --- configuration
 
   /// Whether the configuration is known to be current: the store has answered lately or peers are
@@ -637,6 +659,8 @@
   std::array<prometheus::Counter *, relay::SteeringReasonCount> PacketCounters{};
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &AgentGauge;
+  prometheus::Gauge &UnsteadyGauge;
+  prometheus::Gauge &ExemptGauge;
   prometheus::Histogram &OpeningSeconds;
 };
 
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/common/error.h"
 #include "galenarelay/relay/packet_head.h"
+#include "galenarelay/relay/policy/upstream_damping.h"
 #include "galenarelay/relay/route_table.h"
 #include "galenarelay/relay/store_era.h"
 
@@ -48,7 +49,8 @@
   std::uint64_t UpstreamIncarnation = 0;
   std::uint32_t Slots = 0;
   UpstreamLoad Load;
-  common::Duration ColdFor{}; ///< How much longer the upstream is slow after its start.
+  common::Duration ColdFor{};   ///< How much longer the upstream is slow after its start.
+  policy::DampingState Damping; ///< For the upstream's faults; not encoded without a penalty.
 
   friend bool operator==(const AgentReport &, const AgentReport &) = default;
 };
@@ -83,7 +85,8 @@
   Leaving,      ///< The upstream is draining or has ended, or the agent is about to stop.
   Unanswered,   ///< The upstream did not answer the SYN in time.
   WrongService, ///< The upstream belongs to another service.
-  NotHeld       ///< The upstream has no such flow.
+  NotHeld,      ///< The upstream has no such flow.
+  Spared        ///< The upstream is spared for its faults; see policy::Standing.
 };
 
 /// Sent by an agent to a balancer: a packet that the balancer forwards to another agent.
--- a/include/galenarelay/relay/policy/placement.h
+++ b/include/galenarelay/relay/policy/placement.h
@@ -2,6 +2,7 @@
 #define GALENARELAY_RELAY_POLICY_PLACEMENT_H
 
 #include "galenarelay/relay/policy/mechanism.h"
+#include "galenarelay/relay/policy/upstream_damping.h"
 
 #include <concepts>
 #include <cstdint>
@@ -29,6 +30,8 @@
   std::uint32_t LongFlows = 0;   ///< By the same figure.
   std::uint32_t PlacedShort = 0; ///< Flows sent to it that the figure doesn't include yet.
   std::uint32_t PlacedLong = 0;
+  Standing Damping = Standing::Steady;
+  bool Exempt = false; ///< Gets flows whatever its standing; see agentsNotSpared().
 
   /// Whether all slots are taken.
   [[nodiscard]] bool busy() const noexcept;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -7,6 +7,7 @@
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/policy/placement.h"
 #include "galenarelay/relay/response_time.h"
+#include "galenarelay/relay/upstream_sparing.h"
 
 #include <algorithm>
 #include <deque>
@@ -119,6 +120,9 @@
   void onHeard(NodeAddress From, common::TimePoint Now);
   /// Suspects an agent for SuspicionTime because it has left a SYN unanswered.
   void suspect(NodeAddress Agent, common::TimePoint Now);
+  /// Notes that an agent declined a flow because its upstream is spared.
+  void noteSpared(NodeAddress Agent) { Sparing.onDeclined(Agent); }
+  [[nodiscard]] const UpstreamSparing &sparing() const noexcept { return Sparing; }
   void expireAgents(common::TimePoint Now);
   /// Notes an agent that the store or a peer knows. Without effect if it has reported here.
   void noteExpected(NodeAddress Agent, common::TimePoint Now);
@@ -166,7 +170,8 @@
   [[nodiscard]] std::optional<NodeAddress> choose(const std::string &Service, FlowKind Kind,
                                                   std::span<const NodeAddress> Excluded,
                                                   common::TimePoint Now);
-  /// Whether an agent of the service, except Excluded, would be usable if it weren't full.
+  /// Whether an agent of the service, except Excluded, would be usable if it weren't full or
+  /// spared.
   [[nodiscard]] bool hasFullAgent(const std::string &Service, std::span<const NodeAddress> Excluded,
                                   common::TimePoint Now) const;
   [[nodiscard]] bool isFull(NodeAddress Agent, common::TimePoint Now) const;
@@ -267,6 +272,7 @@
   [[nodiscard]] bool isAgreedLost(const AgentEntry &Agent, common::TimePoint Now) const;
   [[nodiscard]] bool mayHoldFlows(const AgentEntry &Agent, common::TimePoint Now) const;
   static void dropReportedPlacements(AgentEntry &Agent);
+  void refreshSparing(common::TimePoint Now);
 
   std::string OwnZone;
   common::Engine Random;
@@ -281,6 +287,7 @@
   common::TimePoint LastLossQueryAt{};
   ResponseTimeEstimator AnswerTimes;
   common::TimePoint ListeningSince{};
+  UpstreamSparing Sparing;
 };
 
 } // namespace galenarelay::relay
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -5,6 +5,7 @@
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/policy/mechanism.h"
+#include "galenarelay/relay/policy/upstream_damping.h"
 #include "galenarelay/relay/registration.h"
 #include "galenarelay/relay/response_time.h"
 
@@ -45,6 +46,11 @@
 /// Balancers that are notified when the upstream has room again; further ones learn it from the
 /// agent's next report.
 inline constexpr std::size_t MaxWaitingBalancers = 100;
+/// Bounds of the time after which a request without an answer counts as failed: more than a
+/// latency objective, and less than the time budgets of callers. Within them it is learned from the
+/// upstream's answers.
+inline constexpr common::Duration MinAnswerPatience = std::chrono::milliseconds(800);
+inline constexpr common::Duration MaxAnswerPatience = std::chrono::seconds(2);
 /// How long a flow that the upstream has not confirmed or accepted stays in the table.
 inline constexpr common::Duration UnconfirmedRetention = std::chrono::seconds(2);
 /// An upstream exits once its departure is acknowledged. Its flows count as ended after this time,
@@ -140,6 +146,7 @@
   void onResume(common::TimePoint Now) noexcept {
     ListeningSince = Now;
     SettingsValid = false;
+    OverdueRequests.clear(); // Answers may wait behind this process's own pause.
   }
   /// Returns unanswered SYNs, stops counting abandoned flows and erases expired ones.
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
@@ -154,6 +161,11 @@
   [[nodiscard]] UpstreamState state(common::TimePoint Now) const;
   [[nodiscard]] UpstreamLoad load() const noexcept { return {Unanswered, LongFlows}; }
   [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
+  /// Standing and penalty of the upstream for its faults, as of the last timer call or fault.
+  [[nodiscard]] const policy::DampingState &damping() const noexcept { return Damped; }
+  [[nodiscard]] std::uint32_t faults(policy::UpstreamFault Fault) const noexcept {
+    return Damping.faults(Fault);
+  }
 
 private:
   enum class Phase : std::uint8_t {
@@ -184,6 +196,7 @@
     std::uint32_t UpstreamDataEnd = 0; ///< Sequence number after the upstream's last data.
     common::TimePoint LastPacketAt{};
     common::TimePoint RequestStartedAt{};
+    common::TimePoint LastCallerDataAt{};
     common::TimePoint AcceptedAt{}; ///< Time of the upstream's SYN-ACK.
     /// The SYN while the flow is Offered; the first packet outside a search while Unconfirmed.
     std::shared_ptr<const Bytes> SavedPacket;
@@ -199,7 +212,8 @@
   [[nodiscard]] bool full() const noexcept;
   void addWaitingBalancer(NodeAddress Balancer);
   void notifyWaitingBalancer(FlowActions &Actions);
-  void onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields, FlowActions &Actions);
+  void onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields, common::TimePoint Now,
+                            FlowActions &Actions);
   static void saveUnlessSearched(Flow &Entry, std::span<const std::uint8_t> Raw);
   void noteCallerData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
   void noteUpstreamData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
@@ -210,6 +224,10 @@
   [[nodiscard]] common::Duration requestTimeout() const noexcept;
   void releaseAbandoned(common::TimePoint Now, FlowActions &Actions);
   void markLong(Flow &Entry);
+  /// Whether a fault of the upstream counts: it has not announced its end.
+  [[nodiscard]] bool faultsCount() const noexcept;
+  void noteFailure(policy::UpstreamFault Fault, const packet::FlowKey &Key, common::TimePoint Now);
+  void noteOverdueRequests(common::TimePoint Now);
   void unmarkLong(Flow &Entry);
   void close(Flow &Entry);
   void eraseFlow(FlowMap::iterator Position);
@@ -222,6 +240,8 @@
   common::TimePoint ListeningSince;
   std::optional<common::TimePoint> LastTimerAt;
   common::TimePoint DepartedAt{};
+  policy::UpstreamDamping Damping;
+  policy::DampingState Damped;
   /// True if the table has all flows of the upstream: this process has seen the upstream start, and
   /// has not taken it for ended since.
   bool TableComplete = false;
@@ -238,7 +258,15 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerDeadlines;
   /// Accepted flows with the time of their acceptance, the oldest one first.
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> FlowsAwaitingRequest;
-  ResponseTimeEstimator RequestDelay;       ///< From accepting a flow to its first request.
+  ResponseTimeEstimator RequestDelay; ///< From accepting a flow to its first request.
+  /// Requests with the time after which they count as failed, the earliest one first.
+  struct OverdueRequest {
+    common::TimePoint At{};
+    packet::FlowKey Key;
+    std::uint16_t Number = 0; ///< Flow::Requests of this request.
+  };
+  std::deque<OverdueRequest> OverdueRequests;
+  ResponseTimeEstimator RequestTimes;       ///< From a request to its answer.
   std::deque<NodeAddress> WaitingBalancers; ///< Balancers to notify of room, in order of arrival.
   std::vector<AnswerTime> AnswerTimes;
   common::BucketSweep Sweep;
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -166,6 +166,8 @@
     Chosen = takeLeastBusy(Pending, Now);
     Insist = true;
   }
+  // The agent would decline the flow, as it doesn't know how many of the service are spared.
+  Insist = Insist || (Chosen && Directory.sparing().exempt(*Chosen));
   const bool ViewSettled = Now - StartedAt >= ViewSettleTime;
   if (!Chosen && (!ViewSettled || Pending.MetFullAgent ||
                   Directory.hasFullAgent(Pending.Service, Pending.TriedAgents, Now))) {
@@ -643,7 +645,10 @@
       Directory.suspect(From, Now);
     if (Returned.Reason == ReturnReason::Busy)
       Pending.BusyAgents.push_back(From);
-    if (Returned.Reason == ReturnReason::Busy || Returned.Reason == ReturnReason::Full)
+    if (Returned.Reason == ReturnReason::Spared)
+      Directory.noteSpared(From);
+    if (Returned.Reason == ReturnReason::Busy || Returned.Reason == ReturnReason::Full ||
+        Returned.Reason == ReturnReason::Spared)
       Pending.MetFullAgent = true;
     if (!Pending.TriedAgents.empty() && Pending.TriedAgents.back() != From)
       return Actions; // The SYN has already been sent to a later agent.
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -47,9 +47,13 @@
 }
 
 json toJson(const AgentReport &Report) {
-  return json::array({MessageType::Report, Report.Id, Report.Zone, Report.Incarnation,
-                      Report.Sequence, Report.Service, Report.State, Report.UpstreamIncarnation,
-                      Report.Slots, loadToJson(Report.Load), Report.ColdFor.count()});
+  json Fields =
+      json::array({MessageType::Report, Report.Id, Report.Zone, Report.Incarnation, Report.Sequence,
+                   Report.Service, Report.State, Report.UpstreamIncarnation, Report.Slots,
+                   loadToJson(Report.Load), Report.ColdFor.count()});
+  if (Report.Damping != policy::DampingState{})
+    Fields.push_back(json::array({Report.Damping.Which, Report.Damping.Penalty}));
+  return Fields;
 }
 
 json toJson(const BalancerBeacon &Beacon) {
@@ -155,6 +159,9 @@
   Report.Load = loadFromJson(Fields.at(9));
   Report.ColdFor = common::Duration(
       readUnsigned(Fields.at(10), static_cast<std::uint64_t>(common::MaxStatedTime.count())));
+  if (Fields.size() > 11)
+    Report.Damping = {enumFromJson(Fields.at(11).at(0), policy::Standing::Spared),
+                      readUnsigned<std::uint32_t>(Fields.at(11).at(1))};
   return Report;
 }
 
@@ -205,7 +212,7 @@
   case MessageType::Notice:
     return FlowNotice{keyFromJson(Fields.at(1)), loadFromJson(Fields.at(2))};
   case MessageType::Returned:
-    return ReturnedPacket{enumFromJson(Fields.at(1), ReturnReason::NotHeld),
+    return ReturnedPacket{enumFromJson(Fields.at(1), ReturnReason::Spared),
                           loadFromJson(Fields.at(2)), Fields.at(3).get_binary()};
   case MessageType::Absence:
     return FlowAbsence{keyFromJson(Fields.at(1))};
@@ -242,8 +249,8 @@
 }
 
 std::string_view name(ReturnReason Reason) noexcept {
-  constexpr std::array<std::string_view, 7> Names{
-      "busy", "full", "refused", "leaving", "unanswered", "wrong_service", "not_held"};
+  constexpr std::array<std::string_view, 8> Names{
+      "busy", "full", "refused", "leaving", "unanswered", "wrong_service", "not_held", "spared"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/relay/upstream_directory.h"
 
 #include "galenarelay/common/hash_mix.h"
+#include "galenarelay/relay/policy/sparing.h"
 
 #include <algorithm>
 #include <utility>
@@ -55,6 +56,8 @@
     removeFromService(From, Previous.Service);
   if (Listed && (!WasListed || Previous.Service != Report.Service))
     addToService(From, Report.Service);
+  if (InUse.uses(Mechanism::UpstreamDamping))
+    Sparing.onReport(From, Added ? nullptr : &Previous, Agent.View.HeardAt, Report, Now);
   Agent.View.Address = From;
   Agent.View.Report = Report;
   Agent.View.Load = Report.Load;
@@ -62,6 +65,7 @@
   Agent.View.ColdUntil = Now + Report.ColdFor;
   noteHeard(Agent, Now);
   dropReportedPlacements(Agent);
+  refreshSparing(Now);
   if (!Changed)
     return Change::None;
   return Added ? Change::Appeared : Change::StateChanged;
@@ -147,6 +151,8 @@
   else if (const auto Since = It->second.UnansweredSince)
     AnswerTimes.onAnswer(Now - *Since, Now);
   onLoad(From, Answer.Load, Now);
+  if (InUse.uses(Mechanism::UpstreamDamping))
+    Sparing.onLoad(From, Answer.Load, Now);
   AgentReport &Report = It->second.View.Report;
   if (Report.State != UpstreamState::Ended && Answer.State != UpstreamState::Ended)
     Report.State = Answer.State;
@@ -219,7 +225,18 @@
          Now - Agent.View.HeardAt > UnfitQueryDelay;
 }
 
+void UpstreamDirectory::refreshSparing(common::TimePoint Now) {
+  if (!Sparing.refreshDue(Now))
+    return;
+  std::vector<UpstreamSparing::Upstream> Upstreams;
+  for (const auto &[Address, Agent] : Agents)
+    if (fitness(Agent, Now) != Fitness::Unfit)
+      Upstreams.push_back({Agent.View.Report.Service, Address, Agent.View.Report.Slots});
+  Sparing.refresh(Upstreams, Now);
+}
+
 std::vector<NodeAddress> UpstreamDirectory::takeRepeatedQueries(common::TimePoint Now) {
+  refreshSparing(Now);
   std::vector<NodeAddress> Due;
   for (const auto &[Address, Agent] : Agents) {
     if (Due.size() >= MaxRepeatedQueries)
@@ -248,6 +265,7 @@
     }
     if (View.Report.State != UpstreamState::Ended)
       removeFromService(It->first, View.Report.Service);
+    Sparing.forget(It->first);
     It = Agents.erase(It);
   }
 }
@@ -290,11 +308,15 @@
   Status.LongFlows = View.Load.LongFlows;
   Status.PlacedLong = static_cast<std::uint32_t>(PlacedLong);
   Status.PlacedShort = static_cast<std::uint32_t>(Agent.Placements.size()) - Status.PlacedLong;
+  Status.Damping = Sparing.state(View.Address).Which;
+  Status.Exempt = Sparing.exempt(View.Address);
   return Status;
 }
 
-policy::PlacementRank UpstreamDirectory::rank(const policy::UpstreamStatus &Status,
+policy::PlacementRank UpstreamDirectory::rank(const policy::UpstreamStatus &Known,
                                               FlowKind Kind) const noexcept {
+  policy::UpstreamStatus Status = Known;
+  Status.Availability = policy::availabilityFor(Known, Kind);
   if (InUse.uses(Mechanism::ZonePlacement))
     return policy::OwnZoneWhileFree{InUse}.rank(Status, Kind);
   return policy::LeastLoad{InUse}.rank(Status, Kind);
@@ -312,9 +334,9 @@
         std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
       continue;
     const auto Status = statusOf(It->second, Now);
-    if (Status.Availability == Fitness::Unfit || Status.full())
-      continue;
     const auto Rank = rank(Status, Kind);
+    if (Rank.Availability == Fitness::Unfit || Status.full())
+      continue;
     if (Best && !(Rank < BestRank))
       continue;
     Best = Address;
@@ -331,10 +353,10 @@
   policy::PlacementRank BestRank;
   for (const NodeAddress Address : agentsOf(Service)) {
     const auto Status = statusOf(Agents.at(Address), Now);
-    if (Status.Availability == Fitness::Unfit || Status.full() ||
+    auto Rank = rank(Status, Kind);
+    if (Rank.Availability == Fitness::Unfit || Status.full() ||
         std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end())
       continue;
-    auto Rank = rank(Status, Kind);
     Rank.Load = 0;
     if (!Best.empty() && BestRank < Rank)
       continue;
@@ -368,7 +390,8 @@
   const auto ServiceAgents = agentsOf(Service);
   return std::any_of(ServiceAgents.begin(), ServiceAgents.end(), [&](NodeAddress Address) {
     const auto Status = statusOf(Agents.at(Address), Now);
-    return Status.full() && Status.Availability != Fitness::Unfit &&
+    const bool Spared = Status.Damping != policy::Standing::Steady;
+    return (Status.full() || Spared) && Status.Availability != Fitness::Unfit &&
            std::find(Excluded.begin(), Excluded.end(), Address) == Excluded.end();
   });
 }
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -37,7 +37,16 @@
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
   const bool EndedBefore = upstreamEnded(Now);
+  const bool Unannounced = Upstream.known() && faultsCount();
+  // While this process was suspended, the upstream may have announced its end.
+  const bool Observed = LastSignAt >= ListeningSince;
+  const std::string ServiceBefore = Upstream.service();
   const auto Effect = Upstream.onHeartbeat(Received, Now);
+  if (Effect == HeartbeatEffect::NewIncarnation && Upstream.service() != ServiceBefore)
+    Damping = {};
+  else if (Effect == HeartbeatEffect::NewIncarnation && Unannounced && Observed)
+    Damping.noteLoss(LastSignAt, Now);
+  Damped = Damping.update(Now);
   // A heartbeat without effect may still be that of the running upstream, whose flows must stay.
   LastSignAt = Now;
   if (EndedBefore)
@@ -184,6 +193,11 @@
     return ReturnReason::Unanswered;
   if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
     return ReturnReason::Leaving;
+  const bool Probe = Damped.Which == policy::Standing::Probing && Fields.Long &&
+                     Unanswered < policy::MaxProbeRequests;
+  if (InUse.uses(policy::Mechanism::UpstreamDamping) && !Fields.Insist &&
+      Damped.Which != policy::Standing::Steady && !Probe)
+    return ReturnReason::Spared;
   if (full())
     return ReturnReason::Full;
   if (InUse.uses(policy::Mechanism::BusyDecline) && !Fields.Insist && slots() != 0 &&
@@ -276,7 +290,7 @@
   // A returned packet isn't a sign of life: it says nothing about the flows that the upstream
   // holds.
   if (Head.Returned) {
-    onReturnedByUpstream(Head, Fields, Actions);
+    onReturnedByUpstream(Head, Fields, Now, Actions);
     return Actions;
   }
   if (!Upstream.departed() && upstreamEnded(Now))
@@ -333,6 +347,11 @@
   }
   const bool WasPending = Entry.RequestPending;
   noteUpstreamData(Head, Entry, Now);
+  if (Entry.State == Phase::Open && Entry.RequestPending && Entry.Requests > 0 &&
+      !Entry.CallerFinSeen && !Entry.UpstreamFinSeen && (Head.Flags.Rst || Head.Flags.Fin))
+    noteFailure(Head.Flags.Rst ? policy::UpstreamFault::Reset
+                               : policy::UpstreamFault::ClosedUnanswered,
+                Head.Key, Now);
   Actions.push_back(
       {.Operation = FlowAction::Kind::SendToCaller, .Event = FlowEvent::ToCaller, .Key = Head.Key});
   if (WasPending && !Entry.RequestPending)
@@ -348,8 +367,37 @@
   return Actions;
 }
 
+bool UpstreamFlows::faultsCount() const noexcept { return !Upstream.leaving(); }
+
+void UpstreamFlows::noteFailure(policy::UpstreamFault Fault, const packet::FlowKey &Key,
+                                common::TimePoint Now) {
+  if (!faultsCount())
+    return;
+  Damping.noteFailure(Fault, Key.Caller.Address, Now);
+  Damped = Damping.update(Now);
+}
+
+// Only a request whose caller has sent no more data since is late: others may be incomplete.
+void UpstreamFlows::noteOverdueRequests(common::TimePoint Now) {
+  const auto Patience = RequestTimes.timeout(MinAnswerPatience, MaxAnswerPatience);
+  while (!OverdueRequests.empty() && OverdueRequests.front().At <= Now) {
+    OverdueRequest Request = OverdueRequests.front();
+    OverdueRequests.pop_front();
+    const auto It = Flows.find(Request.Key);
+    if (It == Flows.end() || It->second.State != Phase::Open || !It->second.RequestPending ||
+        It->second.Requests != Request.Number)
+      continue;
+    if (Now - It->second.LastCallerDataAt >= MinAnswerPatience) {
+      noteFailure(policy::UpstreamFault::RequestUnanswered, Request.Key, Now);
+      continue;
+    }
+    Request.At = Now + Patience;
+    OverdueRequests.push_back(Request);
+  }
+}
+
 void UpstreamFlows::onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields,
-                                         FlowActions &Actions) {
+                                         common::TimePoint Now, FlowActions &Actions) {
   const auto It = Flows.find(Head.Key);
   FlowAction ReturnAction{.Operation = FlowAction::Kind::Return,
                           .Event = FlowEvent::NotHeld,
@@ -361,8 +409,10 @@
     ReturnAction.Reason = ReturnReason::Refused;
     // An upstream that refuses flows and has sent no heartbeat to this agent yet is about to end.
     Unresponsive = Unresponsive || !Upstream.known();
-    if (It != Flows.end() && It->second.State == Phase::Offered)
+    if (It != Flows.end() && It->second.State == Phase::Offered) {
+      noteFailure(policy::UpstreamFault::OpeningRefused, Head.Key, Now);
       eraseFlow(It);
+    }
     Actions.push_back(std::move(ReturnAction));
     return;
   }
@@ -381,6 +431,7 @@
   // The upstream no longer holds a flow that it had, so it has restarted. A reset lets the caller
   // use the rest of its time elsewhere.
   if (Entry.State == Phase::Open && Entry.Established && matches(Head, Entry)) {
+    noteFailure(policy::UpstreamFault::FlowsLost, Head.Key, Now);
     ReturnAction.Operation = FlowAction::Kind::ResetCaller;
     ReturnAction.Event = FlowEvent::LostByUpstream;
     ReturnAction.Sequence = Head.Acknowledgement;
@@ -417,6 +468,7 @@
     return;
   Entry.HasCallerDataEnd = true;
   Entry.CallerDataEnd = End;
+  Entry.LastCallerDataAt = Now;
   if (Entry.State == Phase::Closed || (Entry.RequestPending && Entry.Requests > 0))
     return;
   expectRequest(Entry);
@@ -425,6 +477,9 @@
     RequestDelay.onAnswer(Now - Entry.AcceptedAt, Now);
   if (Entry.Requests < UINT16_MAX && ++Entry.Requests > 1)
     markLong(Entry);
+  if (InUse.uses(policy::Mechanism::UpstreamDamping))
+    OverdueRequests.push_back({Now + RequestTimes.timeout(MinAnswerPatience, MaxAnswerPatience),
+                               Head.Key, Entry.Requests});
 }
 
 common::Duration UpstreamFlows::requestTimeout() const noexcept {
@@ -464,8 +519,12 @@
     return;
   Entry.HasUpstreamDataEnd = true;
   Entry.UpstreamDataEnd = End;
-  if (Entry.RequestPending && Entry.Requests > 0 && AnswerTimes.size() < MaxAnswerTimes)
-    AnswerTimes.push_back({Head.Key, Now - Entry.RequestStartedAt});
+  if (Entry.RequestPending && Entry.Requests > 0) {
+    RequestTimes.onAnswer(Now - Entry.RequestStartedAt, Now);
+    Damping.noteAnswer(Now);
+    if (AnswerTimes.size() < MaxAnswerTimes)
+      AnswerTimes.push_back({Head.Key, Now - Entry.RequestStartedAt});
+  }
   endRequest(Entry);
 }
 
@@ -501,6 +560,7 @@
     if (It == Flows.end() || It->second.State != Phase::Offered)
       continue;
     Unresponsive = true;
+    noteFailure(policy::UpstreamFault::OpeningUnanswered, Key, Now);
     Actions.push_back({.Operation = FlowAction::Kind::Return,
                        .Event = FlowEvent::OpenDeclined,
                        .Key = Key,
@@ -508,6 +568,8 @@
                        .Reason = ReturnReason::Unanswered,
                        .SavedPacket = It->second.SavedPacket});
   }
+  noteOverdueRequests(Now);
+  Damped = Damping.update(Now);
   releaseAbandoned(Now, Actions);
   eraseExpired(Now);
   return Actions;
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <queue>
+#include <set>
 #include <tuple>
 
 namespace galenarelay::tests {
@@ -73,6 +74,39 @@
       fromCaller(firstPacket({{0x64500000U, ++NextPort}, DeskAddress}, 2));
   }
 
+  /// Ends an upstream with its flows, without notice.
+  void crashUpstream(std::size_t Agent) {
+    auto &Node = *Agents[Agent];
+    Node.Up = false;
+    ++Node.Crashes;
+    Node.Held.clear();
+    Node.Queue.clear();
+    Node.Running = 0;
+  }
+  /// Starts a crashed upstream as a new incarnation.
+  void startUpstream(std::size_t Agent) {
+    auto &Node = *Agents[Agent];
+    Node.Up = true;
+    Node.Sequence = 0;
+    (void)Node.Flows.onHeartbeat(upstreamHeartbeat(Node), Now);
+  }
+  /// Makes an upstream crash now, and then start and crash again each Gap until a time.
+  void flapUpstream(std::size_t Agent, common::Duration Gap, common::TimePoint Until) {
+    crashUpstream(Agent);
+    schedule(Gap, [this, Agent, Gap, Until] {
+      startUpstream(Agent);
+      if (Now + Gap < Until)
+        schedule(Gap, [this, Agent, Gap, Until] { flapUpstream(Agent, Gap, Until); });
+    });
+  }
+  /// Whether all balancers find the upstream in this standing.
+  [[nodiscard]] bool allFind(std::size_t Agent, relay::policy::Standing Which) const {
+    return std::all_of(Balancers.begin(), Balancers.end(), [&](const auto &Node) {
+      return Node->Directory.sparing().state(agentAddress(Agent)).Which == Which;
+    });
+  }
+  [[nodiscard]] common::TimePoint now() const noexcept { return Now; }
+
   void runUntil(common::TimePoint Until) {
     while (!Events.empty() && Events.top().At <= Until) {
       auto Next = Events.top();
@@ -145,6 +179,10 @@
     std::uint64_t Reports = 0;
     std::uint32_t Running = 0;
     std::deque<packet::FlowKey> Queue;
+    bool Up = true;
+    std::uint64_t Crashes = 0;
+    std::set<packet::FlowKey> Held; ///< Flows of the upstream.
+    std::pair<relay::UpstreamState, relay::policy::Standing> ReportedStatus;
   };
   struct Request {
     common::TimePoint StartedAt;
@@ -181,7 +219,7 @@
   }
 
   relay::Heartbeat upstreamHeartbeat(AgentNode &Node) const {
-    auto Message = heartbeat(++Node.Sequence);
+    auto Message = heartbeat(++Node.Sequence, 10 + Node.Crashes);
     Message.Slots = Config.Slots;
     return Message;
   }
@@ -247,6 +285,8 @@
       const auto Load = agent(Address).Flows.load();
       if (Action.Operation == Kind::Deliver)
         toUpstream(Address, loadPacket(Packet));
+      else if (Action.Operation == Kind::ResetCaller)
+        Requests.erase(Action.Key);
       else if (Action.Operation == Kind::SendToCaller)
         schedule(CallerDelay, [this, Head = loadPacket(Packet)] { toCaller(Head); });
       else if (Action.Operation == Kind::Report)
@@ -271,15 +311,23 @@
 
   void fromUpstream(relay::NodeAddress Address, const relay::PacketHeader &Head) {
     const auto Raw = storePacket(Head);
-    performFlowActions(Address, agent(Address).Flows.onUpstreamPacket(Head, {}, Now), Raw);
+    relay::Transit Fields;
+    Fields.Balancer = routerChoice(Head.Key);
+    performFlowActions(Address, agent(Address).Flows.onUpstreamPacket(Head, Fields, Now), Raw);
   }
 
   void toUpstream(relay::NodeAddress Address, const relay::PacketHeader &Head) {
-    if (Head.opensFlow())
-      return fromUpstream(Address, upstreamAccept(Head.Key, FirstSequence));
     auto &Node = agent(Address);
+    if (!Node.Up)
+      return;
+    if (Head.opensFlow()) {
+      Node.Held.insert(Head.Key);
+      return fromUpstream(Address, upstreamAccept(Head.Key, FirstSequence));
+    }
     if (Head.PayloadBytes == 0)
       return;
+    if (!Node.Held.contains(Head.Key))
+      return fromUpstream(Address, returned(Head));
     if (Node.Running < Config.Slots)
       return startWork(Address, Head.Key);
     if (Node.Queue.size() < Config.QueuePerSlot * Config.Slots)
@@ -293,9 +341,12 @@
     // Uniformly distributed between 0.5 and 1.5 times the mean.
     const auto Time = std::chrono::duration_cast<common::Duration>(
         Config.Work * (0.5 + common::uniformUnit(Random)));
-    schedule(Time, [this, Address, Key] {
+    schedule(Time, [this, Address, Key, Crashes = agent(Address).Crashes] {
       auto &Node = agent(Address);
+      if (Node.Crashes != Crashes)
+        return;
       --Node.Running;
+      Node.Held.erase(Key);
       sendAnswer(Address, Key, true);
       if (Node.Queue.empty())
         return;
@@ -356,6 +407,9 @@
     Report.State = Node.Flows.state(Now);
     Report.Slots = Config.Slots;
     Report.Load = Node.Flows.load();
+    Report.UpstreamIncarnation = 10 + Node.Crashes;
+    if (Config.InUse.uses(relay::policy::Mechanism::UpstreamDamping))
+      Report.Damping = Node.Flows.damping();
     schedule(NodeDelay, [this, From, To, Report] {
       (void)balancer(To).Directory.onReport(From, Report, Now);
       performSteering(To, balancer(To).Steering.onLoadReported(Now), {});
@@ -368,10 +422,12 @@
     const bool Reports = ++Ticks % 10 == 1; // Every 200 ms.
     for (std::size_t I = 0; I < Agents.size(); ++I) {
       auto &Node = *Agents[I];
-      if (Ticks % 50 == 0)
+      if (Ticks % 50 == 0 && Node.Up)
         (void)Node.Flows.onHeartbeat(upstreamHeartbeat(Node), Now);
       performFlowActions(agentAddress(I), Node.Flows.onTimer(Now), {});
-      if (Ticks == 1) {
+      const auto Status = std::pair(Node.Flows.state(Now), Node.Flows.damping().Which);
+      const bool Changed = std::exchange(Node.ReportedStatus, Status) != Status;
+      if (Ticks == 1 || Changed) {
         for (std::size_t B = 0; B < Balancers.size(); ++B)
           report(agentAddress(I), balancerAddress(B));
       } else if (Reports) {
