Spare an upstream after consecutive failures, and exempt it with a hysteresis

A long history of answers delayed the sparing of an upstream that had just gone down: it reset 11 to 14 requests first. From the third failure without an answer between on, all requests count as failing.

--- a/include/galenarelay/relay/policy/sparing.h
+++ b/include/galenarelay/relay/policy/sparing.h
@@ -22,11 +22,12 @@
   DampingState Damping;
   std::uint32_t Slots = 0;
   double Requests = 0; ///< Mean number in progress; 0 if it gets no flows now.
+  bool Exempt = false; ///< By the decision before.
 };
 
 /// The agents of a service that get flows though their upstreams are unsteady: those with the
-/// lowest penalties beyond MaxSparedShare, as many as it takes if the requests in progress exceed
-/// the slots of the others, and all if more than CommonFaultShare are unsteady. The result is in
+/// lowest penalties beyond MaxSparedShare, as many as it takes if the others can't carry the
+/// requests in progress, and all if more than CommonFaultShare are unsteady. The result is in
 /// ascending order, and the same on all balancers with the same figures.
 [[nodiscard]] std::vector<std::uint32_t> agentsNotSpared(std::span<const SparingInput> Upstreams);
 
--- a/include/galenarelay/relay/policy/upstream_damping.h
+++ b/include/galenarelay/relay/policy/upstream_damping.h
@@ -26,6 +26,9 @@
 /// Penalty for a failed request of an upstream that fails all of them. The penalty for a failure is
 /// this times the share of failures among the latest requests.
 inline constexpr double FailurePenalty = 350;
+/// After this many failures of different callers without an answer between them, all requests count
+/// as failing: an upstream that has just gone down has a long history of answers.
+inline constexpr std::uint32_t MinConsecutiveFailures = 3;
 /// Bound of the penalty for failed requests: less than two losses, as other requests may succeed.
 inline constexpr double MaxFailurePenalty = 1000;
 /// An upstream is spared at this penalty: after one loss, or after the failures of three callers.
@@ -106,6 +109,7 @@
   DecayingValue Failures;
   DecayingValue RecentFailures; ///< Number of failed requests.
   DecayingValue RecentAnswers;  ///< Number of answered requests.
+  std::uint32_t ConsecutiveFailures = 0;
   std::deque<std::pair<std::uint32_t, common::TimePoint>> FailedCallers;
   std::array<std::uint32_t, UpstreamFaultCount> Faults{};
   Standing Current = Standing::Steady;
--- a/src/relay/policy/sparing.cpp
+++ b/src/relay/policy/sparing.cpp
@@ -1,18 +1,32 @@
 #include "galenarelay/relay/policy/sparing.h"
 
+#include "galenarelay/relay/packet_head.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace galenarelay::relay::policy {
 
+namespace {
+
+/// Requests that an upstream carries on average before its service is short of places: half of
+/// those that may wait at it do. A service that was short no longer is if none has to wait.
+double placesOf(const SparingInput &Upstream, bool WasShort) noexcept {
+  return WasShort ? Upstream.Slots : (Upstream.Slots + requestLimit(Upstream.Slots)) / 2.0;
+}
+
+} // namespace
+
 std::vector<std::uint32_t> agentsNotSpared(std::span<const SparingInput> Upstreams) {
   std::vector<const SparingInput *> Unsteady;
+  const bool WasShort = std::any_of(Upstreams.begin(), Upstreams.end(),
+                                    [](const SparingInput &Each) { return Each.Exempt; });
   double Requests = 0;
   double Places = 0;
   for (const SparingInput &Each : Upstreams) {
     Requests += Each.Requests;
     if (Each.Damping.Which == Standing::Steady)
-      Places += Each.Slots;
+      Places += placesOf(Each, WasShort);
     else
       Unsteady.push_back(&Each);
   }
@@ -27,9 +41,9 @@
   if (Unsteady.size() > ShareOfAll(CommonFaultShare))
     SparedCount = 0;
   for (std::size_t I = SparedCount; I < Unsteady.size(); ++I)
-    Places += Unsteady[I]->Slots;
+    Places += placesOf(*Unsteady[I], WasShort);
   while (SparedCount > 0 && Requests > Places)
-    Places += Unsteady[--SparedCount]->Slots;
+    Places += placesOf(*Unsteady[--SparedCount], WasShort);
   std::vector<std::uint32_t> NotSpared;
   for (std::size_t I = SparedCount; I < Unsteady.size(); ++I)
     NotSpared.push_back(Unsteady[I]->Agent);
--- a/src/relay/policy/upstream_damping.cpp
+++ b/src/relay/policy/upstream_damping.cpp
@@ -51,11 +51,15 @@
   countFault(Fault, Now);
   RecentFailures.add(1, UINT32_MAX, Now);
   const double Failed = RecentFailures.at(Now);
-  Failures.add(FailurePenalty * Failed / (Failed + RecentAnswers.at(Now)), MaxFailurePenalty, Now);
+  const double Share = ++ConsecutiveFailures >= MinConsecutiveFailures
+                           ? 1
+                           : Failed / (Failed + RecentAnswers.at(Now));
+  Failures.add(FailurePenalty * Share, MaxFailurePenalty, Now);
 }
 
 void UpstreamDamping::noteAnswer(common::TimePoint Now) noexcept {
   RecentAnswers.add(1, UINT32_MAX, Now);
+  ConsecutiveFailures = 0;
 }
 
 void UpstreamDamping::countFault(UpstreamFault Fault, common::TimePoint Now) noexcept {
--- a/src/relay/upstream_sparing.cpp
+++ b/src/relay/upstream_sparing.cpp
@@ -82,9 +82,10 @@
     Known.OwnState = Known.Machine.update(Now);
     // Requests at a spared upstream may be those of flows that it has lost.
     const auto Damping = Known.state();
-    const bool GetsFlows = Damping.Which == Standing::Steady || Exempt.contains(Each.Agent);
-    Services[Each.Service].push_back(
-        {Each.Agent, Damping, Each.Slots, GetsFlows ? std::max(0.0, Known.Requests) : 0});
+    const bool WasExempt = Exempt.contains(Each.Agent);
+    const bool GetsFlows = Damping.Which == Standing::Steady || WasExempt;
+    Services[Each.Service].push_back({Each.Agent, Damping, Each.Slots,
+                                      GetsFlows ? std::max(0.0, Known.Requests) : 0, WasExempt});
   }
   Exempt.clear();
   for (const auto &[Service, Inputs] : Services)
--- a/tests/relay_damping_test.cpp
+++ b/tests/relay_damping_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(testPenalty_ofLongAbsence_isSmall);
   CPPUNIT_TEST(testPenalty_ofFlapping_dependsOnPeriod);
   CPPUNIT_TEST(testPenalty_ofFailedRequests_followsTheirShare);
+  CPPUNIT_TEST(testPenalty_ofSuddenFailures_sparesAfterFive);
   CPPUNIT_TEST(testPenalty_ofOneCaller_neverSpares);
   CPPUNIT_TEST(testSparing_ofServices_isBounded);
   CPPUNIT_TEST(testSparing_shortOfPlaces_exemptsLowestPenalty);
@@ -172,6 +173,18 @@
     CPPUNIT_ASSERT(StandingAt(100) == Standing::Spared);
   }
 
+  // An upstream that goes down after a thousand answers.
+  void testPenalty_ofSuddenFailures_sparesAfterFive() {
+    UpstreamDamping Damping;
+    for (std::uint32_t I = 0; I < 1000; ++I)
+      Damping.noteAnswer(Start);
+    for (std::uint32_t I = 1; I <= 5; ++I) {
+      CPPUNIT_ASSERT(Damping.update(Start).Which == Standing::Steady);
+      Damping.noteFailure(UpstreamFault::Reset, I, Start);
+    }
+    CPPUNIT_ASSERT(Damping.update(Start).Which == Standing::Spared);
+  }
+
   void testPenalty_ofOneCaller_neverSpares() {
     UpstreamDamping Damping;
     for (std::uint32_t I = 0; I < 2000; ++I) {
@@ -194,13 +207,20 @@
 
   void testSparing_shortOfPlaces_exemptsLowestPenalty() {
     using relay::policy::agentsNotSpared;
-    // Seven steady upstreams with two slots each, and two spared ones.
-    auto Upstreams = serviceOf(7, 2, 2);
+    // Seven steady upstreams, each with two slots and a limit of four requests, and two spared
+    // ones.
+    auto Upstreams = serviceOf(7, 2, 3);
     Upstreams[7].Requests = Upstreams[8].Requests = 0;
     CPPUNIT_ASSERT(agentsNotSpared(Upstreams).empty());
     Upstreams[0].Requests += 2;
     CPPUNIT_ASSERT((agentsNotSpared(Upstreams) == std::vector<std::uint32_t>{7}));
-    Upstreams[0].Requests += 2;
+    // Once exempt, it stays so until the others have a slot for each request.
+    Upstreams[0].Requests -= 7;
+    CPPUNIT_ASSERT(agentsNotSpared(Upstreams).empty());
+    Upstreams[7].Exempt = true;
+    CPPUNIT_ASSERT((agentsNotSpared(Upstreams) == std::vector<std::uint32_t>{7}));
+    Upstreams[7].Exempt = false;
+    Upstreams[0].Requests += 10;
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, agentsNotSpared(Upstreams).size());
   }
 
