Move the callers' ledger to where both schedulers find it

The order of waiting flows asks the same question as the product's own queue: which caller is furthest behind its share. The ledger doesn't depend on requests, so that one class serves both. No change of behaviour.

--- a/include/galenarelay/schedule/impl/scheduler_state.h
+++ b/include/galenarelay/schedule/impl/scheduler_state.h
@@ -1,7 +1,7 @@
 #ifndef GALENARELAY_SCHEDULE_IMPL_SCHEDULER_STATE_H
 #define GALENARELAY_SCHEDULE_IMPL_SCHEDULER_STATE_H
 
-#include "galenarelay/schedule/impl/caller_ledger.h"
+#include "galenarelay/common/caller_ledger.h"
 #include "galenarelay/schedule/impl/concurrency_limit.h"
 #include "galenarelay/schedule/impl/duration_estimates.h"
 #include "galenarelay/schedule/impl/fair_queue.h"
@@ -28,7 +28,7 @@
 /// separately so that a caller's stragglers don't delay its short requests.
 struct Lane {
   FairQueue Queue;
-  CallerLedger Ledger;
+  common::CallerLedger Ledger;
 };
 
 /// Implementation of Scheduler: owns the queues, estimates and limits, and decides which request
--- a/src/schedule/caller_ledger.cpp
+++ b/src/common/caller_ledger.cpp
@@ -1,12 +1,10 @@
-#include "galenarelay/schedule/impl/caller_ledger.h"
+#include "galenarelay/common/caller_ledger.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
-namespace galenarelay::schedule::impl {
-
-using common::Duration;
+namespace galenarelay::common {
 
 Duration CallerLedger::startTag(std::uint32_t Caller) const noexcept {
   return boundedFinishTag(Caller, Duration{});
@@ -49,4 +47,4 @@
     FinishTags.erase(It->second);
 }
 
-} // namespace galenarelay::schedule::impl
+} // namespace galenarelay::common
