Decide on waiting flows by their callers' shares and tries

A balancer looked at one flow only, refused it some 0.3 s after its SYN, and a caller's three tries were gone in a second.

Change: waiting flows leave FlowSteering for WaitingFlows. With the mechanism shared_contention each try may wait for an equal part of what is left of the time budget, a request that no try can get placed is refused at once, and equal flows are released by their callers' turns, with a floor for less urgent ones. Balancers tell each other of refused tries, so that a returning one doesn't count as new.

--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -182,6 +182,24 @@
         break;
       }
     }
+    exchangeTries(Now);
+  }
+
+  /// Sends what is known about callers' tries to the balancers that keep it: the first of the live
+  /// ones for the address by rendezvous hashing.
+  void exchangeTries(common::TimePoint Now) {
+    const auto Messages = Steering.takeTryMessages();
+    if (Messages.empty())
+      return;
+    auto Balancers = Peers.live(Now);
+    Balancers.push_back(Options.Packets.Address);
+    for (const auto &Message : Messages) {
+      const auto Keeper = relay::rankNodes(Message.Key.Caller.Address, Balancers, 1).front();
+      if (Keeper != Options.Packets.Address)
+        sendTo(Keeper, Message);
+      else if (const auto Answer = Steering.onCallerTries(Message, Now))
+        (void)Steering.onCallerTries(*Answer, Now);
+    }
   }
 
   void forward(const relay::SteeringAction &Action, std::span<std::uint8_t> Raw) {
@@ -196,6 +214,32 @@
     PacketSocket->send(Copy, To);
   }
 
+  /// Adds what is known about the wait of a flow. A wait that can't be predicted yet is left out.
+  static void addWait(const relay::WaitState &Wait, nlohmann::json &Fields) {
+    Fields["flows_ahead"] = Wait.Forecast.FlowsAhead;
+    Fields["waited_ms"] = common::wholeMilliseconds(Wait.Age);
+    Fields["earlier_tries"] = Wait.EarlierTries;
+    if (const auto Predicted = Wait.Forecast.leastWait())
+      Fields["predicted_wait_ms"] = common::wholeMilliseconds(*Predicted);
+  }
+
+  /// Brings the counters of decisions on waiting flows up to date.
+  void countWaitingDecisions() {
+    for (const auto &[Service, Counts] : Steering.waitingDecisions()) {
+      const std::array<std::pair<const char *, std::uint64_t>, 4> Named{
+          {{"waited", Counts.Waited},
+           {"released", Counts.Released},
+           {"refused_at_once", Counts.RefusedAtOnce},
+           {"refused_for_retry", Counts.RefusedForRetry}}};
+      for (const auto &[Decision, Count] : Named) {
+        auto &Counter = this->Metrics.counter("waiting_flows_total",
+                                              "Flows that found all upstreams full, by decision",
+                                              {{"service", Service}, {"decision", Decision}});
+        Counter.Increment(static_cast<double>(Count) - Counter.Value());
+      }
+    }
+  }
+
   void logDecision(const relay::SteeringAction &Action, common::TimePoint Now) {
     const bool ResetsOpenFlow = Action.Reason == relay::SteeringReason::HeldNowhere;
     if (!(ResetsOpenFlow ? mayLogReset(Now) : mayLogFlow(Now)))
@@ -209,6 +253,8 @@
       Fields["agents_known"] = Directory.size();
       Fields["uptime_ms"] = common::wholeMilliseconds(Now - StartedAt);
     }
+    if (Action.Wait)
+      addWait(*Action.Wait, Fields);
     if (const relay::AgentView *View = Directory.find(Action.Agent)) {
       Fields["agent"] = View->Report.Id;
       Fields["attempt"] = Action.Attempt;
@@ -299,6 +345,11 @@
     Directory.onLossAnswer(Answer, From);
   }
 
+  void handle(const relay::CallerTries &Message, relay::NodeAddress From, common::TimePoint Now) {
+    if (const auto Answer = Steering.onCallerTries(Message, Now))
+      sendTo(From, *Answer);
+  }
+
   void handle(const relay::HolderQuery &Query, relay::NodeAddress From, common::TimePoint Now) {
     const bool Settled = Steering.agentsKnown(Now);
     const auto Holders = Query.Digest == Directory.holderDigest(Now)
@@ -472,6 +523,7 @@
       co_return common::HttpResponse{200, ConfigurationText};
     if (Request.Path == "/v1/explain")
       co_return explain(Request);
+    countWaitingDecisions();
     co_return this->serveCommonPath(Request.Path);
   }
 
@@ -484,13 +536,14 @@
       return {400, nlohmann::json{{"error", Key.Failure.Detail}}.dump()};
     const relay::Route *Route = Steering.routes().find(Key->Service);
     const auto Agent = Steering.agentOf(*Key);
-    return {200,
-            nlohmann::json{
-                {"revision", Steering.routes().revision()},
-                {"route", Route == nullptr ? "" : Route->Name},
-                {"service", Route == nullptr ? "" : relay::RouteTable::serviceFor(*Route, *Key)},
-                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
-                .dump()};
+    nlohmann::json Fields{
+        {"revision", Steering.routes().revision()},
+        {"route", Route == nullptr ? "" : Route->Name},
+        {"service", Route == nullptr ? "" : relay::RouteTable::serviceFor(*Route, *Key)},
+        {"agent", Agent == 0 ? "" : common::addressToString(Agent)}};
+    if (const auto Wait = Steering.waitOf(*Key, common::suspendAwareNow()))
+      addWait(*Wait, Fields);
+    return {200, Fields.dump()};
   }
 
   // --- configuration
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -5,16 +5,16 @@
 #include "galenarelay/relay/flow_search.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
-#include "galenarelay/relay/policy/admission.h"
 #include "galenarelay/relay/policy/mechanism.h"
-#include "galenarelay/relay/policy/release_order.h"
 #include "galenarelay/relay/route_table.h"
 #include "galenarelay/relay/upstream_directory.h"
+#include "galenarelay/relay/waiting_flows.h"
 
 #include <boost/container/small_vector.hpp>
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -37,8 +37,6 @@
 /// Time after the store's list of agents is read in which peers may name agents that are missing
 /// from it.
 inline constexpr common::Duration AgentListSettleTime = std::chrono::milliseconds(300);
-/// Maximum number of held SYNs. At the bound a new SYN is refused at once.
-inline constexpr std::size_t MaxHeldFlows = 1000;
 /// A caller's retransmission is taken as a sign that the flow's agent may be lost if the agent has
 /// not been heard for this time: half of a caller's first retransmission interval.
 inline constexpr common::Duration RetransmissionDoubt = std::chrono::milliseconds(100);
@@ -81,12 +79,23 @@
   SearchLimited, ///< Too many packets wait for searches.
   TableFull,     ///< MaxSteeredFlows flows are in the table.
   HeldNowhere,   ///< All agents deny that they hold the flow: its upstream has ended.
-  CallerGone     ///< A waiting SYN is dropped: its caller has given up or reaches another node.
+  CallerGone,    ///< A waiting SYN is dropped: its caller has given up or reaches another node.
+  RetryExpected  ///< The flow has waited for its part of the caller's time; the next try may be
+                 ///< placed.
 };
-inline constexpr std::size_t SteeringReasonCount = 15;
+inline constexpr std::size_t SteeringReasonCount = 16;
 
 [[nodiscard]] std::string_view name(SteeringReason Reason) noexcept;
 
+/// The wait of a flow, for logs and explanations.
+struct WaitState {
+  policy::WaitForecast Forecast;
+  common::Duration Age{};         ///< Since the first SYN of this try.
+  std::uint32_t EarlierTries = 0; ///< Refused tries of the request, as far as they are known.
+
+  friend bool operator==(const WaitState &, const WaitState &) = default;
+};
+
 /// What the balancer does with one packet.
 struct SteeringAction {
   enum class Kind : std::uint8_t {
@@ -105,6 +114,8 @@
   std::uint8_t Attempt = 0;   ///< Agents that have been sent the SYN so far.
   /// For a Reset with HeldNowhere: the search that found no agent.
   FlowSearch::Progress SearchProgress;
+  /// For a flow that waits or has waited.
+  std::optional<WaitState> Wait;
   /// The packet to forward, if it isn't the one just received.
   std::shared_ptr<const Bytes> SavedPacket;
 };
@@ -146,6 +157,18 @@
   [[nodiscard]] std::size_t searches() const noexcept { return Search.size(); }
   /// The agent that holds a flow; 0 if it isn't known.
   [[nodiscard]] NodeAddress agentOf(const packet::FlowKey &Key) const;
+  /// The wait of a flow; empty if it doesn't wait.
+  [[nodiscard]] std::optional<WaitState> waitOf(const packet::FlowKey &Key,
+                                                common::TimePoint Now) const;
+  /// Messages on refused tries, each for the balancer that keeps those of its caller's address.
+  [[nodiscard]] std::vector<CallerTries> takeTryMessages() { return HeldFlows.takeMessages(); }
+  /// Handles such a message, or the answer to one. Returns the answer to a query, if there is one.
+  [[nodiscard]] std::optional<CallerTries> onCallerTries(const CallerTries &Message,
+                                                         common::TimePoint Now);
+  /// Number of decisions on waiting flows, by service.
+  [[nodiscard]] const std::map<std::string, WaitingDecisions> &waitingDecisions() const noexcept {
+    return HeldFlows.decisions();
+  }
 
   [[nodiscard]] SteeringActions onPacket(const PacketHeader &Head,
                                          std::span<const std::uint8_t> Raw, common::TimePoint Now);
@@ -188,20 +211,16 @@
 private:
   /// A new flow that no upstream has accepted yet.
   struct PendingFlow {
-    std::string Service;
     FlowKind Kind = FlowKind::Short;
-    policy::WaitingFlow ReleaseInput;
+    WaitingEntry Waiting; ///< Its service, and its wait for capacity.
     std::shared_ptr<const Bytes> Packet;
     std::vector<NodeAddress> Candidates;          ///< Best first.
     std::size_t ConsideredCount = NearCandidates; ///< Of Candidates, so far.
     std::vector<NodeAddress> TriedAgents;         ///< In order; the last one has the SYN.
     std::vector<NodeAddress> BusyAgents;          ///< Those of TriedAgents that declined as busy.
     std::uint32_t Placement = 0;                  ///< LastPlacement when the SYN was last sent.
-    bool AwaitingAnswer = false; ///< The last one of TriedAgents has not answered yet.
-    bool AwaitingLoad = false;   ///< Waits for load answers; its key is in LoadQueryFlows.
-    bool Held = false;           ///< Waits for capacity; its key is in HeldFlows.
-    bool WasHeld = false;
-    bool OthersWait = false;        ///< Further flows are held for the same service.
+    bool AwaitingAnswer = false;    ///< The last one of TriedAgents has not answered yet.
+    bool AwaitingLoad = false;      ///< Waits for load answers; its key is in LoadQueryFlows.
     bool MetFullAgent = false;      ///< An agent declined as busy or full.
     bool SentToTriedAgents = false; ///< A packet after the SYN was sent to all TriedAgents.
   };
@@ -251,16 +270,14 @@
   void hold(const packet::FlowKey &Key, FlowEntry &Entry, common::TimePoint Now,
             SteeringActions &Actions);
   /// Removes a flow that can't be placed in time, and refuses it unless its caller is gone.
-  void refuseWaitingFlow(const packet::FlowKey &Key, common::TimePoint Now,
-                         SteeringActions &Actions);
-  void enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry, SteeringActions &Actions);
-  void releaseHeld(common::TimePoint Now, SteeringActions &Actions);
-  template <policy::ReleaseOrder Order>
-  void releaseInOrder(const Order &Policy, common::TimePoint Now, SteeringActions &Actions);
+  void refuseWaitingFlow(const packet::FlowKey &Key, policy::AdmissionVerdict Verdict,
+                         common::TimePoint Now, SteeringActions &Actions);
+  static void noteHeld(const packet::FlowKey &Key, const PendingFlow &Pending,
+                       common::TimePoint Now, SteeringActions &Actions);
+  void releaseHeld(bool ByTimer, common::TimePoint Now, SteeringActions &Actions);
   [[nodiscard]] std::optional<NodeAddress> takeLeastBusy(PendingFlow &Pending,
                                                          common::TimePoint Now) const;
-  /// The entry of a flow that waits in HeldFlows; null for other flows.
-  [[nodiscard]] FlowEntry *heldFlow(const packet::FlowKey &Key);
+  [[nodiscard]] static WaitState waitState(const PendingFlow &Pending, common::TimePoint Now);
   void refuse(const packet::FlowKey &Key, SteeringReason Reason, SteeringActions &Actions);
   /// Forwards the packet just received, or a saved one, to the agent of its flow.
   void forwardKnown(const packet::FlowKey &Key, const FlowEntry &Entry, SteeringActions &Actions,
@@ -314,8 +331,7 @@
   bool SurveyPossible = false;
   common::TimePoint HoldersConfirmedAt{};
   bool DenialUnconfirmed = false; ///< All agents known here deny a flow; others may know more.
-  std::vector<packet::FlowKey> HeldFlows;
-  std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
+  WaitingFlows HeldFlows;
   std::vector<packet::FlowKey> LoadQueryFlows;
   std::size_t UnsurePackets = 0; ///< Sent since the last timer call; see MaxUnsurePackets.
   std::vector<common::Duration> OpeningTimes;
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -188,9 +188,27 @@
   friend bool operator==(const HolderAnswer &, const HolderAnswer &) = default;
 };
 
+/// Earlier tries of a caller's request. Balancers send each other's refusals and questions to the
+/// balancer that keeps those of the caller's address.
+struct CallerTries {
+  enum class Purpose : std::uint8_t {
+    Refused, ///< The flow was refused; Count includes it.
+    Query,   ///< The flow waits: which tries were before it?
+    Answer   ///< The answer to a query, if there were any.
+  };
+
+  Purpose Use = Purpose::Refused;
+  packet::FlowKey Key;
+  std::uint32_t Count = 0;
+  /// Time since the first SYN of the first known try; for a Query, since the flow's first SYN.
+  std::chrono::milliseconds Age{};
+
+  friend bool operator==(const CallerTries &, const CallerTries &) = default;
+};
+
 using PeerMessage = std::variant<AgentReport, BalancerBeacon, FlowNotice, ReturnedPacket,
                                  FlowAbsence, FlowQuery, FlowAnswer, LoadQuery, LoadAnswer,
-                                 LossQuery, LossAnswer, HolderQuery, HolderAnswer>;
+                                 LossQuery, LossAnswer, HolderQuery, HolderAnswer, CallerTries>;
 
 /// Maximum number of flows in a FlowQuery, so that it fits into one Ethernet frame.
 inline constexpr std::size_t MaxQueriedFlows = 40;
--- a/include/galenarelay/relay/policy/waiting_flow.h
+++ b/include/galenarelay/relay/policy/waiting_flow.h
@@ -32,10 +32,19 @@
   common::Duration LatencyObjective{};
   common::Duration Deadline{}; ///< Deadline of the flow's first request; 0 if it has none.
   std::uint32_t Priority = 0;  ///< 0 is the most urgent.
+  std::uint32_t Caller = 0;    ///< Address of the caller.
+  /// Tries of the request that were refused before, as far as they are known, and the time from
+  /// the first SYN of the first try to FirstSynAt.
+  std::uint32_t EarlierTries = 0;
+  common::Duration EarlierTime{};
 
   [[nodiscard]] common::Duration age(common::TimePoint Now) const noexcept {
     return Now - FirstSynAt;
   }
+  /// Time since the first SYN of the request's first known try.
+  [[nodiscard]] common::Duration requestAge(common::TimePoint Now) const noexcept {
+    return age(Now) + EarlierTime;
+  }
   /// Whether the next retransmission is overdue: the caller has given up, or its packets reach
   /// another node.
   [[nodiscard]] bool callerProbablyGone(common::TimePoint Now) const noexcept {
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <map>
-#include <set>
 #include <utility>
 
 namespace galenarelay::relay {
@@ -17,15 +15,15 @@
 
 std::string_view name(SteeringReason Reason) noexcept {
   constexpr std::array<std::string_view, SteeringReasonCount> Names{
-      "placed",    "placed_again",   "insisted",   "known",        "searched",
-      "no_route",  "no_upstream",    "held",       "asked",        "overloaded",
-      "not_ready", "search_limited", "table_full", "held_nowhere", "caller_gone"};
+      "placed",      "placed_again", "insisted",    "known",         "searched",  "no_route",
+      "no_upstream", "held",         "asked",       "overloaded",    "not_ready", "search_limited",
+      "table_full",  "held_nowhere", "caller_gone", "retry_expected"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
 FlowSteering::FlowSteering(NodeAddress Self, UpstreamDirectory &Directory,
                            common::TimePoint StartedAt, policy::Mechanisms InUse)
-    : Self(Self), Directory(Directory), StartedAt(StartedAt), InUse(InUse) {
+    : Self(Self), Directory(Directory), StartedAt(StartedAt), InUse(InUse), HeldFlows(InUse) {
   Search.setPacedByFleetSize(InUse.uses(policy::Mechanism::BroadcastPace));
 }
 
@@ -101,7 +99,7 @@
   Entry.LastUsedAt = Now;
   Entry.InitialSequence = Head.Sequence;
   Entry.Pending = std::make_unique<PendingFlow>();
-  Entry.Pending->Service = RouteTable::serviceFor(*MatchedRoute, Head.Key);
+  Entry.Pending->Waiting.Service = RouteTable::serviceFor(*MatchedRoute, Head.Key);
   // Callers reuse a flow for idempotent requests, and open a flow for each other request.
   Entry.Pending->Kind = MatchedRoute->Idempotent ? FlowKind::Long : FlowKind::Short;
   Entry.Pending->Packet = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
@@ -109,15 +107,15 @@
   // another balancer.
   const std::uint32_t Retransmissions =
       InUse.uses(policy::Mechanism::FirstSynAge) ? Head.Acknowledgement : 0;
-  Entry.Pending->ReleaseInput = {Now - policy::retransmissionTime(Retransmissions),
-                                 Head.Acknowledgement, MatchedRoute->LatencyObjective,
-                                 MatchedRoute->Deadline, MatchedRoute->Priority};
+  Entry.Pending->Waiting.Input = {Now - policy::retransmissionTime(Retransmissions),
+                                  Head.Acknowledgement, MatchedRoute->LatencyObjective,
+                                  MatchedRoute->Deadline, MatchedRoute->Priority};
+  Entry.Pending->Waiting.Input.Caller = Head.Key.Caller.Address;
   if (HeldFlows.empty())
     return place(Head.Key, Entry, Scope::Candidates, Now, Actions);
   // Other flows are held already: which one is placed next is decided among all of them.
-  Entry.Pending->Held = true;
-  HeldFlows.push_back(Head.Key);
-  releaseHeld(Now, Actions);
+  HeldFlows.enqueueUnoffered(Head.Key, Entry.Pending->Waiting);
+  releaseHeld(false, Now, Actions);
 }
 
 // A caller retransmits its SYN if it has seen no answer. An upstream that has accepted the flow
@@ -134,11 +132,12 @@
                          .TransitFields = {Self, Entry.ServiceDigest, false, true}});
     return;
   }
-  Entry.Pending->ReleaseInput.Retransmissions =
-      std::max(Entry.Pending->ReleaseInput.Retransmissions, Head.Acknowledgement);
-  if (Entry.Pending->Held || Entry.Pending->AwaitingLoad) {
-    Actions.push_back({.Reason = Entry.Pending->Held ? SteeringReason::Held : SteeringReason::Asked,
-                       .Key = Head.Key});
+  Entry.Pending->Waiting.Input.Retransmissions =
+      std::max(Entry.Pending->Waiting.Input.Retransmissions, Head.Acknowledgement);
+  if (Entry.Pending->Waiting.Waits || Entry.Pending->AwaitingLoad) {
+    Actions.push_back(
+        {.Reason = Entry.Pending->Waiting.Waits ? SteeringReason::Held : SteeringReason::Asked,
+         .Key = Head.Key});
     return;
   }
   if (std::exchange(Entry.Pending->AwaitingAnswer, false) && !Entry.Pending->TriedAgents.empty())
@@ -168,7 +167,7 @@
   }
   const bool ViewSettled = Now - StartedAt >= ViewSettleTime;
   if (!Chosen && (!ViewSettled || Pending.MetFullAgent ||
-                  Directory.hasFullAgent(Pending.Service, Pending.TriedAgents, Now))) {
+                  Directory.hasFullAgent(Pending.Waiting.Service, Pending.TriedAgents, Now))) {
     hold(Key, Entry, Now, Actions);
     return;
   }
@@ -186,9 +185,9 @@
   if (MatchedRoute == nullptr)
     return false;
   const std::string &Service = RouteTable::serviceFor(*MatchedRoute, Key);
-  if (Pending.Service == Service)
+  if (Pending.Waiting.Service == Service)
     return true;
-  Pending.Service = Service;
+  Pending.Waiting.Service = Service;
   Pending.Candidates.clear();
   Pending.ConsideredCount = NearCandidates;
   Pending.TriedAgents.clear();
@@ -208,9 +207,9 @@
   if (Pending.TriedAgents.size() >= MaxPlacements || Pending.BusyAgents.size() > MaxBusyDeclines)
     return std::nullopt;
   if (PlacementScope == Scope::Service)
-    return Directory.choose(Pending.Service, Pending.Kind, Pending.TriedAgents, Now);
+    return Directory.choose(Pending.Waiting.Service, Pending.Kind, Pending.TriedAgents, Now);
   if (Pending.Candidates.empty())
-    Pending.Candidates = Directory.candidates(Pending.Service, Key);
+    Pending.Candidates = Directory.candidates(Pending.Waiting.Service, Key);
   while (true) {
     if (queryConsidered(Key, Pending, Now, Actions)) {
       Pending.AwaitingLoad = true;
@@ -276,10 +275,10 @@
   Pending.Placement = ++LastPlacement;
   PlacementChecks.push_back(
       {Now + Directory.answerTimeout(PlacementTimeout), Key, Pending.Placement});
-  Transit Fields = transitTo(Pending.Service, false, Insist);
+  Transit Fields = transitTo(Pending.Waiting.Service, false, Insist);
   Entry.ServiceDigest = Fields.ServiceDigest;
   Fields.Long = Pending.Kind == FlowKind::Long;
-  Fields.OthersWait = Pending.OthersWait && InUse.uses(policy::Mechanism::SlotNotices);
+  Fields.OthersWait = Pending.Waiting.OthersWait && InUse.uses(policy::Mechanism::SlotNotices);
   Actions.push_back({.Operation = SteeringAction::Kind::Forward,
                      .Reason = Reason,
                      .Key = Key,
@@ -309,104 +308,101 @@
 
 void FlowSteering::hold(const packet::FlowKey &Key, FlowEntry &Entry, common::TimePoint Now,
                         SteeringActions &Actions) {
-  if (HeldFlows.size() >= MaxHeldFlows || policy::expired(Entry.Pending->ReleaseInput, Now) ||
-      !InUse.uses(policy::Mechanism::Holding)) {
-    refuseWaitingFlow(Key, Now, Actions);
+  PendingFlow &Pending = *Entry.Pending;
+  const auto Verdict = HeldFlows.atBound() || !InUse.uses(policy::Mechanism::Holding)
+                           ? policy::AdmissionVerdict::RefuseAtOnce
+                           : HeldFlows.judge(Pending.Waiting.Input, {}, Now);
+  if (Verdict != policy::AdmissionVerdict::Wait) {
+    refuseWaitingFlow(Key, Verdict, Now, Actions);
     return;
   }
   Entry.Agent = 0;
-  Entry.Pending->AwaitingAnswer = false;
-  Entry.Pending->MetFullAgent = false;
-  Entry.Pending->TriedAgents.clear();
-  Entry.Pending->BusyAgents.clear();
-  enqueueHeld(Key, Entry, Actions);
-}
-
-void FlowSteering::releaseHeld(common::TimePoint Now, SteeringActions &Actions) {
-  using policy::Mechanism;
-  if (InUse.uses(Mechanism::ReleaseOrder))
-    releaseInOrder(policy::UrgentAndFreshFirst{InUse.uses(Mechanism::GoneCallersLast)}, Now,
-                   Actions);
-  else
-    releaseInOrder(policy::OldestFirst{}, Now, Actions);
-}
-
-template <policy::ReleaseOrder Order>
-void FlowSteering::releaseInOrder(const Order &Policy, common::TimePoint Now,
-                                  SteeringActions &Actions) {
-  struct RankedFlow {
-    policy::ReleaseRank Rank;
-    packet::FlowKey Key;
-  };
-  std::vector<RankedFlow> Waiting;
-  Waiting.reserve(HeldFlows.size());
-  for (const auto &Key : HeldFlows)
-    if (const FlowEntry *Entry = heldFlow(Key))
-      Waiting.push_back({Policy.rank(Entry->Pending->ReleaseInput, Now), Key});
-  HeldFlows.clear();
-  std::map<std::string, std::size_t> Remaining;
-  for (const auto &Ranked : Waiting)
-    ++Remaining[heldFlow(Ranked.Key)->Pending->Service];
-  std::sort(Waiting.begin(), Waiting.end(),
-            [](const RankedFlow &A, const RankedFlow &B) { return A.Rank < B.Rank; });
-  std::map<std::string, std::size_t> StillWaiting; // Flows per service that stay held.
-  std::set<std::string> FullServices; // Services without an agent that could take another flow now.
-  for (const auto &[Rank, Key] : Waiting) {
-    FlowEntry *Entry = heldFlow(Key);
-    // A key is listed twice if its caller has reused it.
-    if (Entry == nullptr)
-      continue;
-    const std::string Service = Entry->Pending->Service;
-    Entry->Pending->OthersWait = --Remaining[Service] > 0;
-    const double ReleasesPerSecond =
-        InUse.uses(policy::Mechanism::PredictedWait) ? Releases[Service].perSecond(Now) : 0;
-    if (policy::expired(Entry->Pending->ReleaseInput, Now) ||
-        policy::wouldExpire(Entry->Pending->ReleaseInput, StillWaiting[Service], ReleasesPerSecond,
-                            Now)) {
-      refuseWaitingFlow(Key, Now, Actions);
-      continue;
+  Pending.AwaitingAnswer = false;
+  Pending.MetFullAgent = false;
+  Pending.TriedAgents.clear();
+  Pending.BusyAgents.clear();
+  if (HeldFlows.enqueue(Key, Pending.Waiting, Now))
+    noteHeld(Key, Pending, Now, Actions);
+}
+
+void FlowSteering::noteHeld(const packet::FlowKey &Key, const PendingFlow &Pending,
+                            common::TimePoint Now, SteeringActions &Actions) {
+  Actions.push_back({.Reason = SteeringReason::Held, .Key = Key, .Wait = waitState(Pending, Now)});
+}
+
+void FlowSteering::releaseHeld(bool ByTimer, common::TimePoint Now, SteeringActions &Actions) {
+  struct Host {
+    FlowSteering &Steering;
+    common::TimePoint Now;
+    SteeringActions &Actions;
+
+    [[nodiscard]] WaitingEntry *waiting(const packet::FlowKey &Key) const {
+      const auto It = Steering.Flows.find(Key);
+      const bool Waits = It != Steering.Flows.end() && It->second.Pending != nullptr &&
+                         It->second.Pending->Waiting.Waits;
+      return Waits ? &It->second.Pending->Waiting : nullptr;
     }
-    if (FullServices.contains(Service)) {
-      ++StillWaiting[Service];
-      enqueueHeld(Key, *Entry, Actions);
-      continue;
+    void place(const packet::FlowKey &Key) const {
+      Steering.place(Key, Steering.Flows.at(Key), Scope::Service, Now, Actions);
     }
-    Entry->Pending->Held = false;
-    place(Key, *Entry, Scope::Service, Now, Actions);
-    if (heldFlow(Key) != nullptr) {
-      ++StillWaiting[Service];
-      FullServices.insert(Service);
-    } else {
-      Releases[Service].note(Now);
+    [[nodiscard]] bool hasRoom(const std::string &Service) const {
+      return Steering.Directory.choose(Service, FlowKind::Short, {}, Now).has_value();
     }
-  }
+    void refuse(const packet::FlowKey &Key, policy::AdmissionVerdict Verdict) const {
+      Steering.refuseWaitingFlow(Key, Verdict, Now, Actions);
+    }
+    void noteWaiting(const packet::FlowKey &Key) const {
+      Steering.noteHeld(Key, *Steering.Flows.at(Key).Pending, Now, Actions);
+    }
+  };
+  HeldFlows.release(Host{*this, Now, Actions}, ByTimer, Now);
 }
 
 // A caller that doesn't retransmit its SYN here any more may have opened the flow through another
 // balancer: a reset would then strike an open flow.
-void FlowSteering::refuseWaitingFlow(const packet::FlowKey &Key, common::TimePoint Now,
-                                     SteeringActions &Actions) {
+void FlowSteering::refuseWaitingFlow(const packet::FlowKey &Key, policy::AdmissionVerdict Verdict,
+                                     common::TimePoint Now, SteeringActions &Actions) {
   const auto It = Flows.find(Key);
-  if (It->second.Pending->ReleaseInput.callerProbablyGone(Now))
-    Actions.push_back({.Reason = SteeringReason::CallerGone, .Key = Key});
-  else
-    refuse(Key, SteeringReason::Overloaded, Actions);
+  const PendingFlow &Pending = *It->second.Pending;
+  const bool Gone = Pending.Waiting.Input.callerProbablyGone(Now);
+  SteeringAction Action{.Key = Key, .Wait = waitState(Pending, Now)};
+  if (Gone) {
+    Action.Reason = SteeringReason::CallerGone;
+  } else {
+    Action.Operation = SteeringAction::Kind::Reset;
+    Action.Reason = Verdict == policy::AdmissionVerdict::RefuseForRetry
+                        ? SteeringReason::RetryExpected
+                        : SteeringReason::Overloaded;
+    HeldFlows.onRefused(Key, Pending.Waiting, Verdict, Now);
+  }
+  Actions.push_back(std::move(Action));
   Flows.erase(It);
 }
 
-void FlowSteering::enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry,
-                               SteeringActions &Actions) {
-  Entry.Pending->Held = true;
-  HeldFlows.push_back(Key);
-  if (!std::exchange(Entry.Pending->WasHeld, true))
-    Actions.push_back({.Reason = SteeringReason::Held, .Key = Key});
+std::optional<CallerTries> FlowSteering::onCallerTries(const CallerTries &Message,
+                                                       common::TimePoint Now) {
+  if (Message.Use != CallerTries::Purpose::Answer)
+    return HeldFlows.onCallerTries(Message, Now);
+  const auto It = Flows.find(Message.Key);
+  if (It == Flows.end() || It->second.Pending == nullptr)
+    return std::nullopt;
+  auto &Input = It->second.Pending->Waiting.Input;
+  Input.EarlierTries = std::min(Message.Count, policy::MaxCallerTries);
+  Input.EarlierTime = std::max(common::Duration::zero(), Message.Age - Input.age(Now));
+  return std::nullopt;
 }
 
-FlowSteering::FlowEntry *FlowSteering::heldFlow(const packet::FlowKey &Key) {
+WaitState FlowSteering::waitState(const PendingFlow &Pending, common::TimePoint Now) {
+  return {Pending.Waiting.Forecast, Pending.Waiting.Input.age(Now),
+          Pending.Waiting.Input.EarlierTries};
+}
+
+std::optional<WaitState> FlowSteering::waitOf(const packet::FlowKey &Key,
+                                              common::TimePoint Now) const {
   const auto It = Flows.find(Key);
-  const bool IsHeld =
-      It != Flows.end() && It->second.Pending != nullptr && It->second.Pending->Held;
-  return IsHeld ? &It->second : nullptr;
+  if (It == Flows.end() || It->second.Pending == nullptr || !It->second.Pending->Waiting.Waits)
+    return std::nullopt;
+  return waitState(*It->second.Pending, Now);
 }
 
 void FlowSteering::forwardKnown(const packet::FlowKey &Key, const FlowEntry &Entry,
@@ -680,7 +676,7 @@
   }
   const bool NewlyOpen = Entry.State != Phase::Open;
   if (Entry.Pending != nullptr && OpeningTimes.size() < MaxOpeningTimes)
-    OpeningTimes.push_back(Entry.Pending->ReleaseInput.age(Now));
+    OpeningTimes.push_back(Entry.Pending->Waiting.Input.age(Now));
   Entry.Agent = From;
   Entry.Pending.reset();
   Entry.LastUsedAt = Now;
@@ -694,19 +690,19 @@
   SteeringActions Actions;
   placeAfterLoadAnswers(Now, Actions);
   if (!HeldFlows.empty())
-    releaseHeld(Now, Actions);
+    releaseHeld(false, Now, Actions);
   return Actions;
 }
 
 SteeringActions FlowSteering::refuseWaiting() {
   SteeringActions Actions;
-  std::vector<packet::FlowKey> WaitingKeys = std::exchange(HeldFlows, {});
+  std::vector<packet::FlowKey> WaitingKeys = HeldFlows.takeAll();
   const auto LoadQueryKeys = std::exchange(LoadQueryFlows, {});
   WaitingKeys.insert(WaitingKeys.end(), LoadQueryKeys.begin(), LoadQueryKeys.end());
   for (const auto &Key : WaitingKeys) {
     const auto It = Flows.find(Key);
     if (It == Flows.end() || It->second.Pending == nullptr ||
-        !(It->second.Pending->Held || It->second.Pending->AwaitingLoad))
+        !(It->second.Pending->Waiting.Waits || It->second.Pending->AwaitingLoad))
       continue;
     // An agent that still has the SYN may answer.
     if (It->second.Pending->AwaitingAnswer)
@@ -728,8 +724,8 @@
       continue;
     FlowEntry &Entry = It->second;
     const bool Unanswered = Entry.State == Phase::Opening && Entry.Pending->AwaitingAnswer &&
-                            !Entry.Pending->Held &&
-                            Entry.Pending->ReleaseInput.age(Now) < CallerConnectTimeout;
+                            !Entry.Pending->Waiting.Waits &&
+                            Entry.Pending->Waiting.Input.age(Now) < CallerConnectTimeout;
     if (!Unanswered)
       continue;
     Directory.suspect(Entry.Pending->TriedAgents.back(), Now);
@@ -738,7 +734,7 @@
   }
   UnsurePackets = 0;
   placeAfterLoadAnswers(Now, Actions);
-  releaseHeld(Now, Actions);
+  releaseHeld(true, Now, Actions);
   expireFlows(Now);
   Search.onTimer(Now);
   return Actions;
@@ -751,7 +747,7 @@
   if (Position->second.State == Phase::Searching)
     (void)Search.finish(Key); // Its packets are late ones of the ended flow.
   if (Position->second.Pending != nullptr) {
-    std::erase(HeldFlows, Key);
+    HeldFlows.remove(Key);
     std::erase(LoadQueryFlows, Key);
   }
   Flows.erase(Position);
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -27,7 +27,8 @@
   LossQuery,
   LossAnswer,
   HolderQuery,
-  HolderAnswer
+  HolderAnswer,
+  CallerTries
 };
 
 json loadToJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
@@ -114,6 +115,11 @@
                       Answer.Parts, std::move(Rows)});
 }
 
+json toJson(const CallerTries &Tries) {
+  return json::array(
+      {MessageType::CallerTries, Tries.Use, keyToJson(Tries.Key), Tries.Count, Tries.Age.count()});
+}
+
 /// Returns the stamp at an index, or 0 if the array ends before it.
 std::uint16_t stampFromJson(const json &Fields, std::size_t Index) {
   return Fields.size() > Index ? readUnsigned<std::uint16_t>(Fields.at(Index)) : 0;
@@ -197,7 +203,7 @@
 }
 
 PeerMessage messageFromJson(const json &Fields) {
-  switch (enumFromJson(Fields.at(0), MessageType::HolderAnswer)) {
+  switch (enumFromJson(Fields.at(0), MessageType::CallerTries)) {
   case MessageType::Report:
     return reportFromJson(Fields);
   case MessageType::Beacon:
@@ -229,6 +235,10 @@
                        readUnsigned<std::uint64_t>(Fields.at(2))};
   case MessageType::HolderAnswer:
     return holderAnswerFromJson(Fields);
+  case MessageType::CallerTries:
+    return CallerTries{enumFromJson(Fields.at(1), CallerTries::Purpose::Answer),
+                       keyFromJson(Fields.at(2)), readUnsigned<std::uint32_t>(Fields.at(3)),
+                       std::chrono::milliseconds(readUnsigned<std::uint32_t>(Fields.at(4)))};
   }
   throw std::out_of_range("unknown message type");
 }
