--- a/tests/odd_documents_test.cpp
+++ b/tests/odd_documents_test.cpp
@@ -122,7 +122,8 @@
         relay::LossQuery{{1, 2}},
         relay::LossAnswer{{1, 2}},
         relay::HolderQuery{7, 8},
-        relay::HolderAnswer{7, true, 0, 1, {{1, 2, 3}}}};
+        relay::HolderAnswer{7, true, 0, 1, {{1, 2, 3}}},
+        relay::CallerTries{relay::CallerTries::Purpose::Answer, key(), 2, std::chrono::seconds(3)}};
     for (const auto &Message : Messages) {
       const auto Raw = relay::encode(Message);
       CPPUNIT_ASSERT(*relay::decodeMessage(Raw) == Message);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -105,12 +105,13 @@
 }
 
 /// Routes to two services, "desk" and "intake". Only requests to DeskAddress may be repeated.
-inline std::shared_ptr<const relay::RouteTable> relayRoutes(relay::Revision Number = 1) {
+inline std::shared_ptr<const relay::RouteTable> relayRoutes(relay::Revision Number = 1,
+                                                            common::Duration Deadline = 3s) {
   relay::Configuration Config;
   Config.Number = Number;
-  Config.Routes.push_back({"desk", DeskAddress, {{"desk", 1}}, true, 3s, 200ms, 1});
-  Config.Routes.push_back({"orders", OrdersAddress, {{"desk", 1}}, false, 3s, 200ms, 0});
-  Config.Routes.push_back({"intake", IntakeAddress, {{"intake", 1}}, false, 3s, 200ms, 1});
+  Config.Routes.push_back({"desk", DeskAddress, {{"desk", 1}}, true, Deadline, 200ms, 1});
+  Config.Routes.push_back({"orders", OrdersAddress, {{"desk", 1}}, false, Deadline, 200ms, 0});
+  Config.Routes.push_back({"intake", IntakeAddress, {{"intake", 1}}, false, Deadline, 200ms, 1});
   return std::make_shared<const relay::RouteTable>(std::move(Config));
 }
 
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -24,19 +24,29 @@
     std::size_t QueuePerSlot = 4; ///< Queue limit per slot; the upstream sheds further requests.
     common::Duration Work = 40ms; ///< Mean service time of a request.
     double UrgentShare = 0;       ///< Fraction of the requests that goes to OrdersAddress.
+    double HeavyShare = 0;        ///< Fraction of the requests that HeavyCaller makes.
+    std::size_t Tries = 1;        ///< Flows that a caller opens for a request before it gives up.
+    common::Duration Deadline = 3s;
+    bool LoseTryMessages = false; ///< Messages between balancers on refused tries are lost.
+    std::size_t Zones = 1; ///< Balancers and agents alternate between these; callers by account.
     std::uint64_t Seed = 1;
     relay::policy::Mechanisms InUse;
   };
 
+  static constexpr std::uint32_t HeavyCaller = 0x6440ffff;
+
   /// Counts of the requests of one caller or to one endpoint.
   struct RequestCounts {
     std::size_t Asked = 0;
     std::size_t Served = 0;
     std::size_t InTime = 0;
-    std::size_t Refused = 0;         ///< Reset before the flow opened.
+    std::size_t Refused = 0;         ///< All tries were reset before their flows opened.
     std::size_t Shed = 0;            ///< Rejected by an upstream whose queue was full.
     common::Duration RefusedAfter{}; ///< Sum of the times from a request to its refusal.
 
+    RequestCounts &operator+=(const RequestCounts &B) {
+      return *this = *this - (RequestCounts{} - B);
+    }
     friend RequestCounts operator-(const RequestCounts &A, const RequestCounts &B) {
       return {A.Asked - B.Asked,     A.Served - B.Served, A.InTime - B.InTime,
               A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter};
@@ -46,7 +56,7 @@
   explicit RelayFleet(Options Config) : Config(Config), Random(Config.Seed) {
     for (std::size_t I = 0; I < Config.Balancers; ++I)
       Balancers.push_back(
-          std::make_unique<BalancerNode>(balancerAddress(I), Random(), Config.InUse));
+          std::make_unique<BalancerNode>(balancerAddress(I), Random(), Config, zoneOf(I)));
     for (std::size_t I = 0; I < Config.Agents; ++I)
       Agents.push_back(std::make_unique<AgentNode>(Config.InUse));
     for (auto &Node : Agents)
@@ -63,7 +73,9 @@
                          std::chrono::duration<double>(SecondsToNext)));
       const auto Account = static_cast<std::uint32_t>(common::uniformBelow(Random, CallerCount));
       const bool Urgent = common::uniformUnit(Random) < Config.UrgentShare;
-      startRequest({{0x64400000U + Account, ++NextPort}, Urgent ? OrdersAddress : DeskAddress});
+      const bool Heavy = Config.HeavyShare > 0 && common::uniformUnit(Random) < Config.HeavyShare;
+      startRequest({{Heavy ? HeavyCaller : 0x64400000U + Account, ++NextPort},
+                    Urgent ? OrdersAddress : DeskAddress});
     }
   }
 
@@ -106,6 +118,8 @@
   }
   /// Control messages so far: load queries, their answers and reports.
   [[nodiscard]] std::size_t messages() const { return 2 * LoadQueries + ReportsSent; }
+  /// Messages between balancers on refused tries so far.
+  [[nodiscard]] std::size_t tryMessages() const { return TryMessages; }
   /// Bytes of these messages with their IPv4 and UDP headers.
   [[nodiscard]] std::size_t controlBytes() const {
     constexpr std::size_t HeaderBytes = 28;
@@ -126,12 +140,15 @@
   static constexpr common::Duration NodeDelay = 500us;
   static constexpr common::Duration CallerDelay = 1ms;
   static constexpr common::Duration LatencyObjective = 200ms;
-  static constexpr common::Duration Deadline = 3s;
+  /// Time from the end of a try to the first SYN of the next one.
+  static constexpr common::Duration RetryDelay = 10ms;
 
   struct BalancerNode {
-    BalancerNode(relay::NodeAddress Address, std::uint64_t Seed, relay::policy::Mechanisms InUse)
-        : Directory("a", Seed, InUse), Steering(Address, Directory, RelayStart - 60s, InUse) {
-      Steering.setRoutes(relayRoutes());
+    BalancerNode(relay::NodeAddress Address, std::uint64_t Seed, const Options &Config,
+                 std::string Zone)
+        : Directory(std::move(Zone), Seed, Config.InUse),
+          Steering(Address, Directory, RelayStart - 60s, Config.InUse) {
+      Steering.setRoutes(relayRoutes(1, Config.Deadline));
       Steering.setRoutesCurrent(true);
     }
     relay::UpstreamDirectory Directory;
@@ -147,8 +164,9 @@
     std::deque<packet::FlowKey> Queue;
   };
   struct Request {
-    common::TimePoint StartedAt;
+    common::TimePoint StartedAt; ///< First SYN of the first try.
     bool Opened = false;
+    std::size_t Try = 1;
   };
   struct Event {
     common::TimePoint At;
@@ -167,8 +185,10 @@
   }
   AgentNode &agent(relay::NodeAddress Address) { return *Agents[Address - 0x0a020000U]; }
   BalancerNode &balancer(relay::NodeAddress Address) { return *Balancers[Address - 0x0a010000U]; }
+  std::string zoneOf(std::size_t I) const { return std::string(1, "abcd"[I % Config.Zones]); }
   relay::NodeAddress routerChoice(const packet::FlowKey &Key) const {
-    return balancerAddress(packet::hash(Key) % Config.Balancers);
+    const auto InZone = packet::hash(Key) % (Config.Balancers / Config.Zones);
+    return balancerAddress(InZone * Config.Zones + Key.Caller.Address % Config.Zones);
   }
 
   void schedule(common::Duration Delay, std::function<void()> Callback) {
@@ -202,7 +222,17 @@
 
   void startRequest(const packet::FlowKey &Key) {
     count(Key, &RequestCounts::Asked);
-    Requests[Key] = {Now, false};
+    startTry(Key, {Now});
+  }
+
+  void startTry(const packet::FlowKey &Key, const Request &Asked) {
+    Requests[Key] = Asked;
+    if (Config.Tries > 1)
+      schedule(relay::CallerConnectTimeout, [this, Key] {
+        const auto It = Requests.find(Key);
+        if (It != Requests.end() && !It->second.Opened)
+          onReset(Key);
+      });
     for (std::uint32_t Copy = 0; Copy < 3; ++Copy)
       schedule(Copy == 0 ? 0ms : (Copy == 1 ? 200ms : 600ms), [this, Key, Copy] {
         const auto It = Requests.find(Key);
@@ -237,6 +267,19 @@
                            Packet);
       });
     }
+    for (const auto &Message : balancer(From).Steering.takeTryMessages())
+      exchangeTries(From, balancerAddress(Message.Key.Caller.Address % Config.Balancers), Message);
+  }
+
+  void exchangeTries(relay::NodeAddress From, relay::NodeAddress To,
+                     const relay::CallerTries &Message) {
+    ++TryMessages;
+    if (Config.LoseTryMessages)
+      return;
+    schedule(NodeDelay, [this, From, To, Message] {
+      if (const auto Answer = balancer(To).Steering.onCallerTries(Message, Now))
+        exchangeTries(To, From, *Answer);
+    });
   }
 
   void performFlowActions(relay::NodeAddress Address, const relay::FlowActions &Actions,
@@ -322,7 +365,7 @@
     }
     const auto Latency = Now - It->second.StartedAt;
     Requests.erase(It);
-    if (Head.PayloadBytes < 100 || Latency > Deadline)
+    if (Head.PayloadBytes < 100 || Latency > Config.Deadline)
       return;
     count(Head.Key, &RequestCounts::Served);
     if (Latency <= LatencyObjective)
@@ -333,9 +376,17 @@
     const auto It = Requests.find(Key);
     if (It == Requests.end())
       return;
-    count(Key, &RequestCounts::Refused);
-    CallerCounts[Key.Caller.Address].RefusedAfter += Now - It->second.StartedAt;
+    const Request Asked = It->second;
     Requests.erase(It);
+    if (Asked.Try < Config.Tries && Now + RetryDelay < Asked.StartedAt + Config.Deadline) {
+      schedule(RetryDelay, [this, Asked,
+                            Next = packet::FlowKey{{Key.Caller.Address, ++NextPort}, Key.Service}] {
+        startTry(Next, {Asked.StartedAt, false, Asked.Try + 1});
+      });
+      return;
+    }
+    count(Key, &RequestCounts::Refused);
+    CallerCounts[Key.Caller.Address].RefusedAfter += Now - Asked.StartedAt;
   }
 
   void queryLoad(relay::NodeAddress From, relay::NodeAddress To) {
@@ -355,6 +406,7 @@
     auto Report = agentReport(++Node.Reports);
     Report.State = Node.Flows.state(Now);
     Report.Slots = Config.Slots;
+    Report.Zone = zoneOf(From - agentAddress(0));
     Report.Load = Node.Flows.load();
     schedule(NodeDelay, [this, From, To, Report] {
       (void)balancer(To).Directory.onReport(From, Report, Now);
@@ -396,6 +448,7 @@
   std::uint64_t Ticks = 0;
   std::size_t LoadQueries = 0;
   std::size_t ReportsSent = 0;
+  std::size_t TryMessages = 0;
   std::uint16_t NextPort = 0;
   std::vector<std::unique_ptr<BalancerNode>> Balancers;
   std::vector<std::unique_ptr<AgentNode>> Agents;
