--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -579,6 +579,11 @@
         {"agent_zone_evacuated", View != nullptr && Zones.current().contains(View->Report.Zone)},
         {"evacuated_zones", Zones.current().zones()},
         {"unsteady", unsteadyUpstreams()}};
+    if (const auto Search = Steering.searchOf(*Key))
+      Fields["search"] = {{"denials", Search->Denials},
+                          {"agents_awaited", Search->Awaited},
+                          {"searched_ms", common::wholeMilliseconds(common::suspendAwareNow() -
+                                                                    Search->StartedAt)}};
     if (const auto Wait = Steering.waitOf(*Key, common::suspendAwareNow()))
       addWait(*Wait, Fields);
     return {200, Fields.dump()};
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -170,6 +170,11 @@
     return HeldFlows.decisions();
   }
 
+  /// The search for a flow; empty if it isn't searched.
+  [[nodiscard]] std::optional<FlowSearch::Progress> searchOf(const packet::FlowKey &Key) const {
+    return Search.contains(Key) ? std::optional(Search.progress(Key)) : std::nullopt;
+  }
+
   [[nodiscard]] SteeringActions onPacket(const PacketHeader &Head,
                                          std::span<const std::uint8_t> Raw, common::TimePoint Now);
   /// Handles a packet that an agent returned. Returned.Packet doesn't carry the mark of its
@@ -290,6 +295,8 @@
                           SteeringActions &Actions);
   void addToSearch(const packet::FlowKey &Key, FlowEntry &Entry, std::span<const std::uint8_t> Raw,
                    common::TimePoint Now, SteeringActions &Actions);
+  /// Sends packets of searched flows to agents that need them to ask their upstreams.
+  void sendCopies(common::TimePoint Now, SteeringActions &Actions);
   void finishSearch(const packet::FlowKey &Key, FlowEntry &Entry, SteeringActions &Actions);
   void resetIfDeniedByAll(const packet::FlowKey &Key, common::TimePoint Now,
                           SteeringActions &Actions);
--- a/include/galenarelay/relay/waiting_flows.h
+++ b/include/galenarelay/relay/waiting_flows.h
@@ -29,6 +29,10 @@
 /// time: several times the time that a request with all its tries takes.
 inline constexpr common::Duration ShareMemory = std::chrono::seconds(10);
 
+/// Minimum time between two passes over the waiting SYNs for each of them, except by the timer:
+/// several times what ranking one takes, so that a full queue leaves the processor to the packets
+/// that wait in the socket.
+inline constexpr common::Duration RankingPause = std::chrono::microseconds(10);
 /// Maximum number of messages on refused tries that wait to be sent; further ones are left out.
 inline constexpr std::size_t MaxTryMessages = 2 * MaxHeldFlows;
 
@@ -107,6 +111,9 @@
   /// room, as the order needn't be known then.
   template <WaitingFlowHost Host> void release(Host &&Target, bool ByTimer, common::TimePoint Now) {
     using policy::Mechanism;
+    if (!ByTimer && Now - ReleasedAt < RankingPause * static_cast<std::int64_t>(Keys.size()))
+      return;
+    ReleasedAt = Now;
     if (InUse.uses(Mechanism::SharedContention)) {
       const bool HasRoom = std::any_of(WaitingServices.begin(), WaitingServices.end(),
                                        [&](const auto &Name) { return Target.hasRoom(Name); });
@@ -239,6 +246,7 @@
 
   policy::Mechanisms InUse;
   std::vector<packet::FlowKey> Keys;
+  common::TimePoint ReleasedAt{};        ///< Time of the latest pass.
   std::set<std::string> WaitingServices; ///< Of the flows of Keys, and of earlier ones.
   std::map<std::string, ServiceReleases> ByServiceName;
   std::map<std::string, WaitingDecisions> Decisions; ///< By service.
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -160,7 +160,9 @@
   if (!Chosen && Pending.AwaitingAnswer)
     return;
   // If all candidates are busy, the least busy one has to queue the flow's requests.
-  bool Insist = Chosen && PlacementScope == Scope::Candidates && Directory.isBusy(*Chosen, Now);
+  const bool BusyKnown =
+      PlacementScope == Scope::Candidates || InUse.uses(policy::Mechanism::RestartRecovery);
+  bool Insist = Chosen && BusyKnown && Directory.isBusy(*Chosen, Now);
   if (!Chosen) {
     Chosen = takeLeastBusy(Pending, Now);
     Insist = true;
@@ -538,19 +540,19 @@
     const auto NoticeActions = onFlowNotice({Key, {}}, From, Now);
     Actions.insert(Actions.end(), NoticeActions.begin(), NoticeActions.end());
   }
-  for (const auto &Key : Result.Unsure) {
-    if (UnsurePackets >= MaxUnsurePackets)
-      break;
-    if (auto Packet = Search.oldestPacket(Key)) {
-      ++UnsurePackets;
-      forwardSearch(Key, From, Actions, std::move(Packet));
-    }
-  }
+  sendCopies(Now, Actions);
   for (const auto &Key : Result.DeniedByAll)
     resetIfDeniedByAll(Key, Now, Actions);
   return Actions;
 }
 
+void FlowSteering::sendCopies(common::TimePoint Now, SteeringActions &Actions) {
+  for (auto &Copy : Search.takeCopies(MaxUnsurePackets - UnsurePackets, Now)) {
+    ++UnsurePackets;
+    forwardSearch(Copy.Key, Copy.Agent, Actions, std::move(Copy.Packet));
+  }
+}
+
 /// Forwards the waiting packets of a flow to the agent that a search has found.
 void FlowSteering::finishSearch(const packet::FlowKey &Key, FlowEntry &Entry,
                                 SteeringActions &Actions) {
@@ -574,6 +576,7 @@
   Directory.onHeard(From, Now);
   if (Search.onAbsence(Absence.Key, From))
     resetIfDeniedByAll(Absence.Key, Now, Actions);
+  sendCopies(Now, Actions);
   return Actions;
 }
 
@@ -743,6 +746,7 @@
   releaseHeld(true, Now, Actions);
   expireFlows(Now);
   Search.onTimer(Now);
+  sendCopies(Now, Actions);
   return Actions;
 }
 
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/relay/upstream_directory.h"
 
 #include "galenarelay/common/hash_mix.h"
+#include "galenarelay/relay/policy/restart_recovery.h"
 #include "galenarelay/relay/policy/sparing.h"
 
 #include <algorithm>
@@ -17,6 +18,9 @@
 /// Maximum number of placements kept for an agent. Beyond it the oldest are taken as included in
 /// its load figure.
 constexpr std::size_t MaxUnreportedPlacements = 256;
+/// Queries to an agent that has announced a stop, before they are sent at MaxQueryRepeat: those of
+/// 2.5 s at twice QueryRepeat. A restart takes a second.
+constexpr std::uint32_t MaxRestartQueries = 12;
 /// Number of agents queried at a time while none is heard.
 constexpr std::size_t IsolationQueries = 3;
 
@@ -63,6 +67,7 @@
   Agent.View.Report = Report;
   Agent.View.Load = Report.Load;
   Agent.View.LoadAt = Now;
+  Agent.PlaceReported = true;
   Agent.View.ColdUntil = Now + Report.ColdFor;
   noteHeard(Agent, Now);
   dropReportedPlacements(Agent);
@@ -170,9 +175,8 @@
   return rankByZone(Key, agentsOf(Service));
 }
 
-std::vector<NodeAddress>
-UpstreamDirectory::placementCandidates(const std::string &Service,
-                                       const packet::FlowKey &Key) const {
+std::vector<NodeAddress> UpstreamDirectory::placementCandidates(const std::string &Service,
+                                                                const packet::FlowKey &Key) const {
   const auto ServiceAgents = agentsOf(Service);
   if (EvacuatedZones.zones().empty())
     return rankByZone(Key, ServiceAgents);
@@ -234,8 +238,12 @@
   constexpr std::uint32_t MaxDoublings = 4; // MaxQueryRepeat / QueryRepeat
   if (Agent.UnansweredSince) {
     // Until an agent is reported lost, it is queried often enough to reach MinUnansweredQueries.
-    const std::uint32_t Doublings =
-        Agent.ReportedLost ? MaxDoublings : std::min(std::max(Agent.UnansweredQueries, 1U) - 1, 1U);
+    // One that has announced its stop and is silent for longer than a restart takes stays away.
+    const bool StaysAway = Agent.View.Report.State == UpstreamState::Stopping &&
+                           Agent.UnansweredQueries > MaxRestartQueries;
+    const std::uint32_t Doublings = Agent.ReportedLost || StaysAway
+                                        ? MaxDoublings
+                                        : std::min(std::max(Agent.UnansweredQueries, 1U) - 1, 1U);
     return Now - Agent.LastQueryAt >= QueryRepeat * (1U << Doublings);
   }
   const UpstreamState State = Agent.View.Report.State;
@@ -330,6 +338,15 @@
   Status.PlacedShort = static_cast<std::uint32_t>(Agent.Placements.size()) - Status.PlacedLong;
   Status.Damping = Sparing.state(View.Address).Which;
   Status.Exempt = Sparing.exempt(View.Address);
+  if (InUse.uses(Mechanism::RestartRecovery)) {
+    const auto UnderWay = std::count_if(
+        Agent.Placements.begin(), Agent.Placements.end(), [&](const Placement &Placed) {
+          return Now - Placed.At < answerTimeout(policy::PlaceFreshness);
+        });
+    Status.UnderWay = static_cast<std::uint32_t>(UnderWay);
+    Status.MaxUnderWay = policy::maxUnderWay(
+        {Status.Slots, Status.Unanswered, Now - View.LoadAt, Agent.PlaceReported});
+  }
   return Status;
 }
 
@@ -420,6 +437,7 @@
   const auto It = Agents.find(Agent);
   if (It == Agents.end() || !InUse.uses(Mechanism::PlacementCount))
     return;
+  It->second.PlaceReported = false;
   auto &Placements = It->second.Placements;
   Placements.push_back({Now, Kind});
   if (Placements.size() > MaxUnreportedPlacements)
@@ -484,7 +502,7 @@
     return false;
   const bool Announced = Agent.View.Report.State == UpstreamState::Stopping;
   return Now - std::max(*Agent.UnansweredSince, ListeningSince) >
-         (Announced ? StoppingLostTime : LostTime) + 2 * AnswerTimes.slowest(Now);
+         (Announced ? StoppedHolderRetention : LostTime) + 2 * AnswerTimes.slowest(Now);
 }
 
 // An agent that is silent towards this balancer only may hold flows: it counts as lost once other
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/relay/upstream_flows.h"
 
+#include "galenarelay/relay/policy/restart_recovery.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -184,6 +186,12 @@
   return Departed || ListenedUntil - std::max(LastSignAt, ListeningSince) > Silence;
 }
 
+bool UpstreamFlows::upstreamJudged(common::TimePoint Now) const {
+  const auto HeartbeatDue =
+      std::chrono::duration_cast<common::Duration>(HeartbeatInterval * UnheardIntervals);
+  return Upstream.known() || Now - ListeningSince > HeartbeatDue;
+}
+
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
                                                          common::TimePoint Now) {
   if (Fields.ServiceDigest != serviceDigest(Upstream.service()))
@@ -222,7 +230,10 @@
 }
 
 bool UpstreamFlows::full() const noexcept {
-  return slots() != 0 && Unanswered >= requestLimit(slots());
+  if (slots() != 0)
+    return Unanswered >= requestLimit(slots());
+  return InUse.uses(policy::Mechanism::RestartRecovery) &&
+         Unanswered >= policy::UnreportedRequestLimit;
 }
 
 void UpstreamFlows::addWaitingBalancer(NodeAddress Balancer) {
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -41,16 +41,21 @@
     std::size_t Asked = 0;
     std::size_t Served = 0;
     std::size_t InTime = 0;
-    std::size_t Refused = 0;         ///< All tries were reset before their flows opened.
-    std::size_t Shed = 0;            ///< Rejected by an upstream whose queue was full.
-    common::Duration RefusedAfter{}; ///< Sum of the times from a request to its refusal.
+    std::size_t Refused = 0;          ///< All tries were reset before their flows opened.
+    std::size_t Shed = 0;             ///< Rejected by an upstream whose queue was full.
+    common::Duration RefusedAfter{};  ///< Sum of the times from a request to its refusal.
+    common::Duration LatestRefusal{}; ///< The longest of these times.
 
     RequestCounts &operator+=(const RequestCounts &B) {
-      return *this = *this - (RequestCounts{} - B);
+      const auto Latest = std::max(LatestRefusal, B.LatestRefusal);
+      *this = *this - (RequestCounts{} - B);
+      LatestRefusal = Latest;
+      return *this;
     }
     friend RequestCounts operator-(const RequestCounts &A, const RequestCounts &B) {
       return {A.Asked - B.Asked,     A.Served - B.Served, A.InTime - B.InTime,
-              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter};
+              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter,
+              A.LatestRefusal};
     }
   };
 
@@ -118,6 +123,29 @@
     });
   }
   [[nodiscard]] common::TimePoint now() const noexcept { return Now; }
+  /// All nodes and upstreams lose power for a time. Agents and upstreams then start one after the
+  /// other within AgentsWithin, balancers as soon as the power is back.
+  void loseEverything(common::Duration Down, common::Duration AgentsWithin) {
+    ++Epoch;
+    for (auto &Node : Balancers)
+      Node.reset();
+    for (auto &Node : Agents)
+      Node.reset();
+    schedule(Down, [this] {
+      for (std::size_t I = 0; I < Balancers.size(); ++I) {
+        Balancers[I] =
+            std::make_unique<BalancerNode>(balancerAddress(I), Random(), Config, zoneOf(I));
+        Balancers[I]->Steering.restartSettling(Now);
+        Balancers[I]->Steering.noteAgentsListed(Now);
+        for (std::size_t A = 0; A < Agents.size(); ++A)
+          Balancers[I]->Directory.noteExpected(agentAddress(A), Now);
+      }
+    });
+    for (std::size_t I = 0; I < Agents.size(); ++I)
+      schedule(Down + AgentsWithin * static_cast<std::int64_t>(I) /
+                          static_cast<std::int64_t>(Agents.size()),
+               [this, I] { startAgent(I); });
+  }
 
   void runUntil(common::TimePoint Until) {
     while (!Events.empty() && Events.top().At <= Until) {
@@ -147,6 +175,7 @@
       Sum.Refused += Counts.Refused;
       Sum.Shed += Counts.Shed;
       Sum.RefusedAfter += Counts.RefusedAfter;
+      Sum.LatestRefusal = std::max(Sum.LatestRefusal, Counts.LatestRefusal);
     }
     return Sum;
   }
@@ -154,6 +183,12 @@
   [[nodiscard]] std::size_t messages() const { return 2 * LoadQueries + ReportsSent; }
   /// Messages between balancers on refused tries so far.
   [[nodiscard]] std::size_t tryMessages() const { return TryMessages; }
+  /// SYNs that agents have returned since their upstreams were full or busy.
+  struct DeclineCounts {
+    std::size_t Full = 0;
+    std::size_t Busy = 0;
+  };
+  [[nodiscard]] DeclineCounts declines() const { return Declines; }
   /// Bytes of these messages with their IPv4 and UDP headers.
   [[nodiscard]] std::size_t controlBytes() const {
     constexpr std::size_t HeaderBytes = 28;
@@ -176,6 +211,8 @@
   static constexpr common::Duration LatencyObjective = 200ms;
   /// Time from the end of a try to the first SYN of the next one.
   static constexpr common::Duration RetryDelay = 10ms;
+  static constexpr common::Duration ColdTime = 2s;
+  static constexpr double ColdFactor = 1.6;
 
   struct BalancerNode {
     BalancerNode(relay::NodeAddress Address, std::uint64_t Seed, const Options &Config,
@@ -189,11 +226,14 @@
     relay::FlowSteering Steering;
   };
   struct AgentNode {
-    explicit AgentNode(relay::policy::Mechanisms InUse)
-        : Flows("desk", 1200ms, RelayStart - 60s, InUse) {}
+    explicit AgentNode(relay::policy::Mechanisms InUse,
+                       common::TimePoint StartedAt = RelayStart - 60s)
+        : Flows("desk", 1200ms, StartedAt, InUse) {}
     relay::UpstreamFlows Flows;
     std::uint64_t Sequence = 0;
     std::uint64_t Reports = 0;
+    std::uint64_t Incarnation = 10;
+    common::TimePoint ColdUntil{}; ///< The upstream takes longer for its work until then.
     std::uint32_t Running = 0;
     std::deque<packet::FlowKey> Queue;
     bool Up = true;
@@ -232,6 +272,26 @@
   void schedule(common::Duration Delay, std::function<void()> Callback) {
     Events.push({Now + Delay, ++EventOrder, std::move(Callback)});
   }
+  /// Schedules an event of the nodes and upstreams, which doesn't happen if they lose power before.
+  void scheduleNode(common::Duration Delay, std::function<void()> Callback) {
+    schedule(Delay, [this, In = Epoch, Callback = std::move(Callback)] {
+      if (In == Epoch)
+        Callback();
+    });
+  }
+
+  void startAgent(std::size_t I) {
+    Agents[I] = std::make_unique<AgentNode>(Config.InUse, Now);
+    Agents[I]->Incarnation = 11 + Epoch;
+    Agents[I]->ColdUntil = Now + ColdTime;
+    (void)Agents[I]->Flows.onHeartbeat(upstreamHeartbeat(*Agents[I]), Now);
+    for (std::size_t B = 0; B < Balancers.size(); ++B)
+      report(agentAddress(I), balancerAddress(B));
+  }
+  [[nodiscard]] bool runs(relay::NodeAddress Address) const {
+    return Address >= agentAddress(0) ? Agents[Address - agentAddress(0)] != nullptr
+                                      : Balancers[Address - balancerAddress(0)] != nullptr;
+  }
 
   void count(const packet::FlowKey &Key, std::size_t RequestCounts::*Field) {
     ++(CallerCounts[Key.Caller.Address].*Field);
@@ -239,8 +299,9 @@
   }
 
   relay::Heartbeat upstreamHeartbeat(AgentNode &Node) const {
-    auto Message = heartbeat(++Node.Sequence, 10 + Node.Crashes);
+    auto Message = heartbeat(++Node.Sequence, Node.Incarnation + Node.Crashes);
     Message.Slots = Config.Slots;
+    Message.ColdFor = std::max<common::Duration>(0ms, Node.ColdUntil - Now);
     return Message;
   }
 
@@ -282,6 +343,8 @@
   void fromCaller(const relay::PacketHeader &Head) {
     schedule(CallerDelay, [this, Head] {
       const auto Address = routerChoice(Head.Key);
+      if (!runs(Address))
+        return;
       const auto Raw = storePacket(Head);
       performSteering(Address, balancer(Address).Steering.onPacket(Head, Raw, Now), Raw);
     });
@@ -297,7 +360,9 @@
       if (Action.Operation != relay::SteeringAction::Kind::Forward)
         continue;
       const auto Packet = Action.SavedPacket ? *Action.SavedPacket : Raw;
-      schedule(NodeDelay, [this, From, Action, Packet] {
+      scheduleNode(NodeDelay, [this, From, Action, Packet] {
+        if (!runs(Action.Agent))
+          return;
         auto &Node = agent(Action.Agent);
         performFlowActions(Action.Agent,
                            Node.Flows.onBalancerPacket(loadPacket(Packet), Action.TransitFields,
@@ -335,20 +400,23 @@
       else if (Action.Operation == Kind::Report)
         report(Address, Action.Balancer);
       else if (Action.Operation == Kind::Notify)
-        schedule(NodeDelay, [this, Address, Action, Load] {
+        scheduleNode(NodeDelay, [this, Address, Action, Load] {
           auto &Node = balancer(Action.Balancer);
           Node.Directory.onLoad(Address, Load, Now);
           performSteering(Action.Balancer,
                           Node.Steering.onFlowNotice({Action.Key, Load}, Address, Now), {});
         });
-      else if (Action.Operation == Kind::Return)
-        schedule(NodeDelay, [this, Address, Action, Load, Packet] {
+      else if (Action.Operation == Kind::Return) {
+        Declines.Full += Action.Reason == relay::ReturnReason::Full ? 1 : 0;
+        Declines.Busy += Action.Reason == relay::ReturnReason::Busy ? 1 : 0;
+        scheduleNode(NodeDelay, [this, Address, Action, Load, Packet] {
           performSteering(Action.Balancer,
                           balancer(Action.Balancer)
                               .Steering.onReturned(loadPacket(Packet),
                                                    {Action.Reason, Load, Packet}, Address, Now),
                           {});
         });
+      }
     }
   }
 
@@ -383,8 +451,9 @@
     ++agent(Address).Running;
     // Uniformly distributed between 0.5 and 1.5 times the mean.
     const auto Time = std::chrono::duration_cast<common::Duration>(
-        Config.Work * (0.5 + common::uniformUnit(Random)));
-    schedule(Time, [this, Address, Key, Crashes = agent(Address).Crashes] {
+        Config.Work * (0.5 + common::uniformUnit(Random)) *
+        (agent(Address).ColdUntil > Now ? ColdFactor : 1));
+    scheduleNode(Time, [this, Address, Key, Crashes = agent(Address).Crashes] {
       auto &Node = agent(Address);
       if (Node.Crashes != Crashes)
         return;
@@ -437,14 +506,18 @@
       return;
     }
     count(Key, &RequestCounts::Refused);
-    CallerCounts[Key.Caller.Address].RefusedAfter += Now - Asked.StartedAt;
+    auto &Counts = CallerCounts[Key.Caller.Address];
+    Counts.RefusedAfter += Now - Asked.StartedAt;
+    Counts.LatestRefusal = std::max(Counts.LatestRefusal, Now - Asked.StartedAt);
   }
 
   void queryLoad(relay::NodeAddress From, relay::NodeAddress To) {
     ++LoadQueries;
-    schedule(NodeDelay, [this, From, To] {
+    scheduleNode(NodeDelay, [this, From, To] {
+      if (!runs(To))
+        return;
       const auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
-      schedule(NodeDelay, [this, From, To, Answer] {
+      scheduleNode(NodeDelay, [this, From, To, Answer] {
         balancer(From).Directory.onAnswer(To, Answer, Now);
         performSteering(From, balancer(From).Steering.onLoadReported(Now), {});
       });
@@ -452,6 +525,8 @@
   }
 
   void report(relay::NodeAddress From, relay::NodeAddress To) {
+    if (!runs(To))
+      return;
     ++ReportsSent;
     auto &Node = agent(From);
     auto Report = agentReport(++Node.Reports);
@@ -459,10 +534,12 @@
     Report.Slots = Config.Slots;
     Report.Zone = zoneOf(From - agentAddress(0));
     Report.Load = Node.Flows.load();
-    Report.UpstreamIncarnation = 10 + Node.Crashes;
+    Report.Incarnation = 1 + Epoch;
+    Report.UpstreamIncarnation = Node.Incarnation + Node.Crashes;
+    Report.ColdFor = Node.Flows.registration().coldFor(Now);
     if (Config.InUse.uses(relay::policy::Mechanism::UpstreamDamping))
       Report.Damping = Node.Flows.damping();
-    schedule(NodeDelay, [this, From, To, Report] {
+    scheduleNode(NodeDelay, [this, From, To, Report] {
       (void)balancer(To).Directory.onReport(From, Report, Now);
       performSteering(To, balancer(To).Steering.onLoadReported(Now), {});
     });
@@ -473,6 +550,8 @@
   void onTick() {
     const bool Reports = ++Ticks % 10 == 1; // Every 200 ms.
     for (std::size_t I = 0; I < Agents.size(); ++I) {
+      if (Agents[I] == nullptr)
+        continue;
       auto &Node = *Agents[I];
       if (Ticks % 50 == 0 && Node.Up)
         (void)Node.Flows.onHeartbeat(upstreamHeartbeat(Node), Now);
@@ -487,6 +566,8 @@
       }
     }
     for (std::size_t I = 0; I < Balancers.size(); ++I) {
+      if (Balancers[I] == nullptr)
+        continue;
       performSteering(balancerAddress(I), Balancers[I]->Steering.onTimer(Now), {});
       for (const auto Agent : Balancers[I]->Directory.takeRepeatedQueries(Now))
         queryLoad(balancerAddress(I), Agent);
@@ -505,6 +586,8 @@
   std::size_t LoadQueries = 0;
   std::size_t ReportsSent = 0;
   std::size_t TryMessages = 0;
+  DeclineCounts Declines;
+  std::uint64_t Epoch = 0; ///< Number of losses of power so far.
   std::uint16_t NextPort = 0;
   std::vector<std::unique_ptr<BalancerNode>> Balancers;
   std::vector<std::unique_ptr<AgentNode>> Agents;
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testLoad_backlogOfGoneCallers_doesNotDelayOthers);
   CPPUNIT_TEST(testLoad_threeTimesCapacity_refusesExcessEarly);
   CPPUNIT_TEST(testLoad_anyFleetSize_isServedInTime);
+  CPPUNIT_TEST(testRestart_backlogAfterLossOfEverything_takesFreePlacesOnly);
   CPPUNIT_TEST(testLoad_designRatios_staysBelowControlTrafficTarget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -153,6 +154,44 @@
     });
   }
 
+  // Guards against flows that travel to places that aren't free: after a loss of all power 24
+  // balancers have a backlog for the same upstreams, and agents declined about as many flows as
+  // they took (seen in teranga-hq-grown trouble-1).
+  void testRestart_backlogAfterLossOfEverything_takesFreePlacesOnly() {
+    using relay::policy::Mechanism;
+    constexpr double MaxFullDeclinesPerServed = 0.2;
+    for (const std::uint64_t Seed : {1, 2, 3}) {
+      const auto Measure = [Seed](relay::policy::Mechanisms InUse) {
+        RelayFleet Fleet({.Balancers = 24,
+                          .Agents = 50,
+                          .Slots = 3,
+                          .Work = 50ms,
+                          .Seed = Seed,
+                          .InUse = InUse});
+        Fleet.runFor(200ms);
+        Fleet.offer(0.7 * Fleet.capacity(), 500ms, CallerCount);
+        Fleet.loseEverything(1s, 500ms);
+        const auto Before = Fleet.total();
+        // More than the cold upstreams can serve.
+        Fleet.offer(0.9 * Fleet.capacity(), 3s, CallerCount);
+        Fleet.runFor(2s);
+        return std::pair(Fleet.declines(), Fleet.total() - Before);
+      };
+      const auto [Declines, Counts] =
+          Measure(relay::policy::Mechanisms().with(Mechanism::RestartRecovery));
+      const auto [TwinDeclines, TwinCounts] = Measure({});
+      CPPUNIT_ASSERT(static_cast<double>(Declines.Full) <=
+                     MaxFullDeclinesPerServed * static_cast<double>(Counts.Served));
+      CPPUNIT_ASSERT(2 * (Declines.Full + Declines.Busy) < TwinDeclines.Full + TwinDeclines.Busy);
+      CPPUNIT_ASSERT(Counts.InTime > TwinCounts.InTime);
+      CPPUNIT_ASSERT(static_cast<double>(Counts.Served) >=
+                     GoodputTarget * static_cast<double>(TwinCounts.Served));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Counts.Shed);
+      // Nothing is held past its time, which the timer notices within a tick.
+      CPPUNIT_ASSERT(Counts.LatestRefusal <= relay::policy::HoldTimeout + 30ms);
+    }
+  }
+
   // Balancers query the load of a few agents only, whatever the number of agents and balancers.
   void testLoad_anyFleetSize_isServedInTime() {
     for (const std::size_t Agents : {7, 70, 700}) {
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(testSearch_oneAgentSilent_doesNotReset);
   CPPUNIT_TEST(testSearch_justAfterStart_doesNotReset);
   CPPUNIT_TEST(testSearch_afterCommonStart_resetsWithoutSettling);
+  CPPUNIT_TEST(testSearch_agentsComeOneAfterTheOther_endsWithTheLastOne);
   CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
   CPPUNIT_TEST(testSearch_agentSilentTowardsThisNodeOnly_doesNotReset);
   CPPUNIT_TEST(testSearch_agentLost_resetsIdempotentFlowsOnly);
@@ -65,6 +66,7 @@
   CPPUNIT_TEST(testShutdown_synsHeld_areRefused);
   CPPUNIT_TEST(testShutdown_flowsSearched_countAsHeldPackets);
   CPPUNIT_TEST(testSearch_manyUnsureAgents_onlyCandidatesGetThePacket);
+  CPPUNIT_TEST(testSearch_manyUnsureAgents_getThePacketOneAfterTheOther);
   CPPUNIT_TEST(testSearch_allFlowsMoved_areFoundWithOneRoundOfQueries);
   CPPUNIT_TEST(testCandidates_oneAgentMore_keepsOrderOfOthers);
   CPPUNIT_TEST(testSyn_oldLoadFigures_queriesCandidatesAndTakesTheLeastLoaded);
@@ -648,6 +650,54 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ResetsWith(0s));
   }
 
+  // Guards against searches that go on for seconds after a loss of everything, and against the
+  // reset of a flow whose upstream has survived it and reports last.
+  void testSearch_agentsComeOneAfterTheOther_endsWithTheLastOne() {
+    constexpr std::size_t Agents = 10;
+    constexpr auto Apart = 50ms;
+    for (const bool LastSurvived : {false, true}) {
+      UpstreamDirectory Directory("a", 1);
+      FlowSteering Balancer(BalancerOne, Directory, RelayStart);
+      Balancer.setRoutes(relayRoutes());
+      for (std::size_t I = 0; I < Agents; ++I)
+        Directory.noteExpected(Fleet::address(I), RelayStart);
+      Balancer.noteAgentsListed(RelayStart);
+      const relay::Bytes Raw{1, 2, 3};
+      (void)Balancer.onPacket(callerData(relayKey(1), 77), Raw, RelayStart);
+      const auto Last = Fleet::address(Agents - 1);
+      std::size_t Started = 0;
+      std::size_t Resets = 0;
+      const auto Count = [&](const SteeringActions &Actions) {
+        Resets += countActions(Actions, Kind::Reset);
+      };
+      auto Now = RelayStart;
+      for (; Now < RelayStart + Agents * Apart + 300ms; Now += 10ms) {
+        if (Started < Agents && Now >= RelayStart + Started * Apart) {
+          auto Report = agentReport(1);
+          Report.UpstreamIncarnation = 100 + Started;
+          Report.ColdFor = LastSurvived && Started == Agents - 1 ? 0ms : 2000ms;
+          (void)Directory.onReport(Fleet::address(Started++), Report, Now);
+        }
+        SteeringActions Actions;
+        for (const auto &Query : Balancer.takeFlowQueries(Now, Actions)) {
+          if (Query.Agent >= Fleet::address(Started))
+            continue; // It has not started yet.
+          const bool Holds = LastSurvived && Query.Agent == Last;
+          Count(
+              Balancer.onAnswer({Query.Message.Id,
+                                 Holds ? std::vector<std::uint8_t>{0} : std::vector<std::uint8_t>{},
+                                 {}},
+                                Query.Agent, Now));
+        }
+        Count(Actions);
+        Count(Balancer.onTimer(Now));
+        CPPUNIT_ASSERT(Resets == 0 || Started == Agents);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{LastSurvived ? 0U : 1U}, Resets);
+      CPPUNIT_ASSERT_EQUAL(LastSurvived ? Last : 0, Balancer.agentOf(relayKey(1)));
+    }
+  }
+
   /// Leaves queries to AgentOne unanswered until it is lost, or silent for as long. Returns the
   /// time.
   static common::TimePoint silenceAgentOne(Node &Balancer, std::size_t OtherBalancers) {
@@ -805,6 +855,46 @@
     CPPUNIT_ASSERT_EQUAL(Holder, Balancer.Steering.agentOf(Key));
   }
 
+  // Guards against copies of a packet that reach other upstreams after the flow's own has one: an
+  // idle caller's packets then reached three others and not its own (soak 777021).
+  void testSearch_manyUnsureAgents_getThePacketOneAfterTheOther() {
+    constexpr std::size_t Agents = 20;
+    Fleet Balancer(Agents);
+    const auto Key = relayKey(1);
+    (void)Balancer.send(callerData(Key, 77));
+    std::vector<relay::NodeAddress> Receivers;
+    const auto Note = [&](const SteeringActions &Actions) {
+      for (const auto &Action : Actions)
+        if (Action.Operation == Kind::Forward)
+          Receivers.push_back(Action.Agent);
+    };
+    auto Now = RelayStart;
+    // All agents are unsure; the upstream of the eighth one that has a copy holds the flow, and
+    // answers only after a second.
+    constexpr std::size_t Own = 8;
+    for (; Now < RelayStart + 1s && Receivers.size() < Own; Now += 5ms) {
+      Note(Balancer.Steering.onTimer(Now));
+      SteeringActions Resets;
+      for (const auto &Query : Balancer.Steering.takeFlowQueries(Now, Resets))
+        Note(Balancer.answer(Query, Now, {}, {0}));
+      const auto Copies = Receivers.size();
+      if (Copies > 0 && Copies < Own)
+        Note(Balancer.deny(Key, Receivers.back(), Now));
+      CPPUNIT_ASSERT(Receivers.size() <= Copies + 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(Own, Receivers.size());
+    for (const auto Until = Now + 1s; Now < Until; Now += 5ms) {
+      Note(Balancer.Steering.onTimer(Now));
+      SteeringActions Resets;
+      for (const auto &Query : Balancer.Steering.takeFlowQueries(Now, Resets))
+        Note(Balancer.answer(Query, Now, {}, {0}));
+    }
+    // FLOW counts three packets that reach other upstreams and none its own.
+    CPPUNIT_ASSERT(Receivers.size() <= Own + 2);
+    (void)Balancer.Steering.onFlowNotice({Key, {}}, Receivers[Own - 1], Now);
+    CPPUNIT_ASSERT_EQUAL(Receivers[Own - 1], Balancer.Steering.agentOf(Key));
+  }
+
   // Guards against searches that need the configuration: all processes ended while the store was
   // unreachable, and open flows of running upstreams stalled until the store was back (seen in
   // burbuja-xela trouble-3).
