--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -6,6 +6,7 @@
 #include "galenarelay/relay/candidates.h"
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/policy/placement.h"
+#include "galenarelay/relay/policy/relative_speed.h"
 #include "galenarelay/relay/response_time.h"
 
 #include <algorithm>
@@ -271,6 +272,7 @@
   std::string OwnZone;
   common::Engine Random;
   policy::Mechanisms InUse;
+  policy::RelativeSpeed Speeds;
   std::map<NodeAddress, AgentEntry> Agents;
   std::unordered_map<std::string, std::vector<NodeAddress>>
       ByService; ///< Without agents whose upstream has ended.
--- a/src/relay/policy/placement.cpp
+++ b/src/relay/policy/placement.cpp
@@ -23,18 +23,21 @@
 } // namespace
 
 bool UpstreamStatus::busy() const noexcept {
-  return Slots != 0 && Unanswered + placed(*this) >= Slots;
+  return capacity() != 0 && Unanswered + placed(*this) >= capacity();
 }
 
 bool UpstreamStatus::full() const noexcept {
-  return Slots != 0 && Unanswered + placed(*this) >= requestLimit(Slots);
+  return capacity() != 0 && Unanswered + placed(*this) >= requestLimit(capacity());
 }
 
 double loadFor(const UpstreamStatus &Status, FlowKind Kind, const Mechanisms &InUse) noexcept {
-  double Slots = std::max<std::uint32_t>(1, Status.Slots);
-  if (Status.Cold && InUse.uses(Mechanism::ColdDiscount))
+  double Slots = std::max<std::uint32_t>(1, Status.capacity());
+  // A learned answer time shows already that the upstream is cold.
+  if (Status.Cold && !Status.TimeKnown && InUse.uses(Mechanism::ColdDiscount))
     Slots *= ColdSlotShare;
-  const double RequestLoad = (Status.Unanswered + Status.PlacedShort) / Slots;
+  const bool BySpeed = InUse.uses(Mechanism::LearnedCapacity);
+  const double Requests = Status.Unanswered + Status.PlacedShort + (BySpeed ? 1 : 0);
+  const double RequestLoad = Requests / Slots * (BySpeed ? Status.RelativeTime : 1);
   if (Kind == FlowKind::Short || !InUse.uses(Mechanism::LongFlowBalance))
     return RequestLoad;
   return (Status.LongFlows + Status.PlacedLong) / Slots + PresentWorkWeight * RequestLoad;
