--- a/include/galenarelay/relay/policy/learned_capacity.h
+++ b/include/galenarelay/relay/policy/learned_capacity.h
@@ -16,8 +16,8 @@
 /// Requests in progress up to which throughput is told apart. Higher counts share the last entry,
 /// and capacities above it aren't learned.
 inline constexpr std::size_t MaxCapacityLevels = 128;
-/// Time in which the weight of an observation falls to 1/e: some hundred answers of a busy upstream.
-/// A change of speed discards observations at once; see SpeedChangeEvidence.
+/// Time in which the weight of an observation falls to 1/e: some hundred answers of a busy
+/// upstream. A change of speed discards observations at once; see SpeedChangeEvidence.
 inline constexpr common::Duration ObservationDecay = std::chrono::seconds(10);
 /// Minimum time between two comparisons of the levels, so that their cost doesn't grow with the
 /// rate of requests.
@@ -25,8 +25,8 @@
 /// Log-likelihood ratio from which a lower capacity is believed: odds of 400 to 1. The ratio takes
 /// answers as a Poisson process, which varies twice as much as work with a spread of half its mean.
 inline constexpr double LowerEvidence = 3;
-/// The same for a higher capacity: odds of 7 to 1. A figure that is too high lets some requests wait
-/// at the upstream instead of at a balancer; one that is too low leaves work undone.
+/// The same for a higher capacity: odds of 7 to 1. A figure that is too high lets some requests
+/// wait at the upstream instead of at a balancer; one that is too low leaves work undone.
 inline constexpr double RaiseEvidence = 1;
 /// The same for a change of speed.
 inline constexpr double SpeedChangeEvidence = 6;
@@ -46,18 +46,18 @@
 /// whether throughput halves (2.5 to 5 units of log-likelihood).
 inline constexpr double TrialAnswers = 16;
 /// Answers between two trials. The number doubles up to the second value after each trial without
-/// effect, so that trials cost less than 1 of 100 answers in the long run.
+/// effect, so that trials cost less than 2 of 100 answers in the long run.
 inline constexpr double MinTrialDistance = 64;
-inline constexpr double MaxTrialDistance = 4096;
+inline constexpr double MaxTrialDistance = 512;
 
 /// Why a capacity figure last changed.
 enum class CapacityChange : std::uint8_t {
-  Declared,      ///< The upstream has started or has declared other slots.
-  Lowered,       ///< More requests in progress brought no more answers.
-  Raised,        ///< One more request in progress brought more answers.
-  Faded,         ///< Too few requests to keep the earlier figure.
-  SpeedChanged,  ///< Requests take longer, or less long, at any number of requests in progress.
-  Pinned         ///< By the operator.
+  Declared,     ///< The upstream has started or has declared other slots.
+  Lowered,      ///< More requests in progress brought no more answers.
+  Raised,       ///< One more request in progress brought more answers.
+  Faded,        ///< Too few requests to keep the earlier figure.
+  SpeedChanged, ///< Requests take longer, or less long, at any number of requests in progress.
+  Pinned        ///< By the operator.
 };
 [[nodiscard]] std::string_view name(CapacityChange Change) noexcept;
 
@@ -165,7 +165,7 @@
   /// Lowers the capacity if there was evidence for it in earlier observations already.
   void noteLower(std::uint32_t Value);
   void setCapacity(std::uint32_t Value, CapacityChange Reason);
-  void startTrial();
+  void startTrial(bool HalfInDoubt);
   void checkCrowding();
   void fade(common::TimePoint Now);
   void forgetObservations() noexcept;
@@ -180,8 +180,9 @@
   std::uint64_t Changes = 0;
   std::vector<Request> Pending; ///< In the order of their begin.
   LevelTable Levels{};
-  Rate Fitted;                ///< For the most likely capacity; 0 while unknown.
-  bool LowerSuspected = false; ///< Observations before the present ones were evidence for a lower one.
+  Rate Fitted; ///< For the most likely capacity; 0 while unknown.
+  bool LowerSuspected =
+      false; ///< Observations before the present ones were evidence for a lower one.
   bool CrowdingHarms = false;  ///< Requests above the capacity slow the others down.
   bool TrialAbove = false;     ///< The trial is with more requests than the capacity.
   bool UncheckedLevel = false; ///< Too few observations at the present level to expect a rate.
--- a/src/relay/policy/learned_capacity.cpp
+++ b/src/relay/policy/learned_capacity.cpp
@@ -67,8 +67,8 @@
 }
 
 CapacityFigure LearnedCapacity::figure() const noexcept {
-  const auto Time = std::chrono::duration_cast<common::Duration>(
-      std::chrono::duration<double>(AnswerSeconds));
+  const auto Time =
+      std::chrono::duration_cast<common::Duration>(std::chrono::duration<double>(AnswerSeconds));
   return {told() == Declared ? 0 : told(), Time};
 }
 
@@ -250,9 +250,8 @@
   }
   if (*Higher - *Current >= RaiseEvidence)
     setCapacity(Capacity + 1, CapacityChange::Raised);
-  const auto Best = static_cast<std::uint32_t>(std::max(Lower, Higher, [](auto *A, auto *B) {
-                      return *A < *B;
-                    }) - Likelihood.data());
+  const auto Best = static_cast<std::uint32_t>(
+      std::max(Lower, Higher, [](auto *A, auto *B) { return *A < *B; }) - Likelihood.data());
   double Answers = 0;
   for (const Level &Each : Levels)
     Answers += Each.Answers;
@@ -264,7 +263,7 @@
                                        : std::abs(Likelihood[Capacity + 1] - Likelihood[Capacity]);
   if (Saturated && Capacity < Declared + (Half < Capacity ? 1 : 0) && !inTrial() &&
       AnswersUntilTrial <= 0 && (Doubt < RaiseEvidence || CrowdingHarms))
-    startTrial();
+    startTrial(Doubt < RaiseEvidence);
 }
 
 // Whether the upstream answers fewer requests while there are more than its capacity.
@@ -288,7 +287,8 @@
     return;
   const double Ratio = Above.Answers / Expected;
   const double Evidence = xLogX(Above.Answers, Ratio) - (Above.Answers - Expected);
-  if (Ratio >= 1)
+  // Up to half of the growth that one more slot would bring, the upstream only queues requests.
+  if (Ratio >= 1 && Ratio < 1 + 0.5 / Capacity)
     CrowdingHarms = false;
   else if (Evidence >= LowerEvidence)
     CrowdingHarms = true;
@@ -308,8 +308,8 @@
 
 // Under steady demand all observations are at one level, which says nothing of others. While it is
 // in doubt whether half of the capacity would do as well, that is tried for a short time.
-void LearnedCapacity::startTrial() {
-  TrialAbove = CrowdingHarms && !TrialAbove;
+void LearnedCapacity::startTrial(bool HalfInDoubt) {
+  TrialAbove = CrowdingHarms && !(HalfInDoubt && TrialAbove);
   TrialAnswersLeft = TrialAnswers;
   AnswersUntilTrial = TrialDistance;
   TrialDistance = std::min(2 * TrialDistance, MaxTrialDistance);
