--- a/include/galenarelay/relay/policy/learned_capacity.h
+++ b/include/galenarelay/relay/policy/learned_capacity.h
@@ -16,19 +16,23 @@
 /// Requests in progress up to which throughput is told apart. Higher counts share the last entry,
 /// and capacities above it aren't learned.
 inline constexpr std::size_t MaxCapacityLevels = 128;
+/// A longer time between two events isn't counted: the process was suspended, as its timer runs far
+/// more often.
+inline constexpr common::Duration MaxObservedInterval = std::chrono::milliseconds(500);
 /// Time in which the weight of an observation falls to 1/e: some hundred answers of a busy
 /// upstream. A change of speed discards observations at once; see SpeedChangeEvidence.
 inline constexpr common::Duration ObservationDecay = std::chrono::seconds(10);
 /// Minimum time between two comparisons of the levels, so that their cost doesn't grow with the
 /// rate of requests.
 inline constexpr common::Duration CapacityFitInterval = std::chrono::milliseconds(100);
-/// Log-likelihood ratio from which a lower capacity is believed: odds of 400 to 1. The ratio takes
-/// answers as a Poisson process, which varies twice as much as work with a spread of half its mean.
+/// Log-likelihood ratio from which a lower capacity is believed: odds of 20 to 1, twice. The ratio
+/// takes answers as a Poisson process, whose counts vary about twice as much as those of work with
+/// a spread of half its mean.
 inline constexpr double LowerEvidence = 3;
-/// The same for a higher capacity: odds of 7 to 1. A figure that is too high lets some requests
+/// The same for a higher capacity: odds of 2.7 to 1. A figure that is too high lets some requests
 /// wait at the upstream instead of at a balancer; one that is too low leaves work undone.
 inline constexpr double RaiseEvidence = 1;
-/// The same for a change of speed.
+/// The same for a change of speed: odds of 400 to 1, as it discards all observations.
 inline constexpr double SpeedChangeEvidence = 6;
 /// Answers after which the speed is known well enough to notice that it changes.
 inline constexpr double MinSpeedAnswers = 12;
@@ -43,7 +47,7 @@
 /// After FigureHold the capacity rises by one slot towards the declared ones at this interval.
 inline constexpr common::Duration FigureFadeInterval = std::chrono::seconds(1);
 /// Answers awaited at half of the capacity when it is in doubt under steady demand. They tell
-/// whether throughput halves (2.5 to 5 units of log-likelihood).
+/// whether throughput halves (some 3 units of log-likelihood).
 inline constexpr double TrialAnswers = 16;
 /// Answers between two trials. The number doubles up to the second value after each trial without
 /// effect, so that trials cost less than 2 of 100 answers in the long run.
--- a/src/relay/policy/learned_capacity.cpp
+++ b/src/relay/policy/learned_capacity.cpp
@@ -93,10 +93,11 @@
 
 // Counts the time since the last event for the present number of requests in progress.
 void LearnedCapacity::advance(common::TimePoint Now) {
-  const double Seconds = std::max(0.0, secondsOf(Now - LastAt));
+  const common::Duration Elapsed = Now - LastAt;
   LastAt = std::max(LastAt, Now);
-  if (Pending.empty())
+  if (Pending.empty() || Elapsed <= common::Duration::zero() || Elapsed > MaxObservedInterval)
     return;
+  const double Seconds = secondsOf(Elapsed);
   const std::size_t InProgress = std::min(Pending.size(), MaxCapacityLevels - 1);
   Levels[InProgress].Seconds += Seconds;
   if (Pending.size() >= Capacity) {
--- a/tests/relay_capacity_test.cpp
+++ b/tests/relay_capacity_test.cpp
@@ -169,6 +169,7 @@
   CPPUNIT_TEST(testFigure_loadOnAndOff_staysInBand);
   CPPUNIT_TEST(testFigure_withoutRequests_isKeptThenFades);
   CPPUNIT_TEST(testFigure_newIncarnation_startsFromDeclaredSlots);
+  CPPUNIT_TEST(testFigure_suspendedAgent_isKept);
   CPPUNIT_TEST(testFigure_boundsOfOperator_areKept);
   CPPUNIT_TEST(testFlows_pinnedCapacity_declineAgainstIt);
   CPPUNIT_TEST(testFlows_requestsWithoutAnswers_leaveNoneInProgress);
@@ -378,6 +379,24 @@
     CPPUNIT_ASSERT(Estimator.figure() == relay::policy::CapacityFigure{});
   }
 
+  // A suspended process sees no answers, which must not look like a slow upstream.
+  void testFigure_suspendedAgent_isKept() {
+    LearnedCapacity Estimator;
+    Estimator.onStart(2, RelayStart);
+    auto Now = RelayStart;
+    for (int I = 0; I < 100; ++I, Now += 40ms) {
+      Estimator.onRequest(Now);
+      Estimator.onAnswer(Now, Now + 39ms);
+    }
+    const auto Before = Estimator.figure();
+    const auto Changes = Estimator.changes();
+    Estimator.onRequest(Now);
+    Estimator.onTimer(Now + 20ms);
+    Estimator.onTimer(Now + 4s);
+    CPPUNIT_ASSERT(Estimator.figure() == Before);
+    CPPUNIT_ASSERT_EQUAL(Changes, Estimator.changes());
+  }
+
   void testFigure_boundsOfOperator_areKept() {
     CapacityModel Bounded({.Workers = 2, .Bounds = {.Least = 4}});
     Bounded.offer(1.3, 40, [&] {
