--- a/tests/relay_capacity_test.cpp
+++ b/tests/relay_capacity_test.cpp
@@ -7,7 +7,6 @@
 #include <cmath>
 #include <deque>
 #include <functional>
-#include <iostream>
 #include <optional>
 
 namespace galenarelay::tests {
@@ -226,7 +225,6 @@
           std::to_string(Declared.Served) + "; mean " + std::to_string(meanLatency(Learned)) +
           ", oracle " + std::to_string(meanLatency(Oracle)) + ", declared " +
           std::to_string(meanLatency(Declared));
-      std::cerr << Case << "\n";
       CPPUNIT_ASSERT_MESSAGE(Case, static_cast<double>(Learned.Served) >=
                                        0.95 * static_cast<double>(Oracle.Served));
       // Requests that wait in order at an upstream lose nothing against those that wait at a
