--- a/include/galenarelay/relay/policy/placement.h
+++ b/include/galenarelay/relay/policy/placement.h
@@ -38,6 +38,10 @@
 
   /// Whether all slots are taken.
   [[nodiscard]] bool busy() const noexcept;
+  /// Whether a request takes much longer than at other upstreams of the service.
+  [[nodiscard]] bool slow() const noexcept;
+  /// Whether a request would be worked on at once and at the usual speed.
+  [[nodiscard]] bool answersSoon() const noexcept { return !busy() && !slow(); }
   /// Whether the upstream takes no further flow; see requestLimit().
   [[nodiscard]] bool full() const noexcept;
 
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -173,6 +173,8 @@
   [[nodiscard]] bool isFull(NodeAddress Agent, common::TimePoint Now) const;
   /// Whether all slots of the agent's upstream are taken.
   [[nodiscard]] bool isBusy(NodeAddress Agent, common::TimePoint Now) const;
+  /// Whether the agent's upstream would work on a request at once and at the usual speed.
+  [[nodiscard]] bool answersSoon(NodeAddress Agent, common::TimePoint Now) const;
   /// Adds a flow that is sent to the agent to its load until a load figure includes it.
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -364,6 +364,11 @@
   return It != Agents.end() && statusOf(It->second, Now).full();
 }
 
+bool UpstreamDirectory::answersSoon(NodeAddress Agent, common::TimePoint Now) const {
+  const auto It = Agents.find(Agent);
+  return It != Agents.end() && statusOf(It->second, Now).answersSoon();
+}
+
 bool UpstreamDirectory::isBusy(NodeAddress Agent, common::TimePoint Now) const {
   const auto It = Agents.find(Agent);
   return It != Agents.end() && statusOf(It->second, Now).busy();
