--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_NODE_RELAY_AGENT_H
 #define GALENARELAY_NODE_RELAY_AGENT_H
 
+#include "galenarelay/node/impl/capacity_metrics.h"
 #include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/upstream_flows.h"
 
@@ -44,7 +45,8 @@
         Upstream(Settings.Upstream), FromUpstream(Settings.FromUpstream),
         ColdStart(Settings.ColdStart),
         Flows(std::move(Settings.Service), Settings.HeartbeatInterval, StartedAt,
-              Options.EnabledMechanisms),
+              Options.EnabledMechanisms, Settings.Capacity),
+        CapacityMetrics(Metrics),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
         PenaltyGauge(Metrics.gauge("upstream_penalty", "Penalty of the upstream for its faults")),
@@ -321,6 +323,8 @@
       recordAnswerTime(Answer, Now);
     FlowGauge.Set(static_cast<double>(Flows.flows()));
     UnansweredGauge.Set(Flows.load().Unanswered);
+    if (const auto *Learned = Flows.learnedCapacity())
+      CapacityMetrics.update(*Learned, Now);
   }
 
   void recordAnswerTime(const relay::AnswerTime &Answer, common::TimePoint Now) {
@@ -395,6 +399,8 @@
       co_return handleDeparture(std::move(Id), Request.Body, Now);
     if (Platform::Calls::asksReadiness(Request))
       co_return common::HttpResponse{200, "{}"};
+    if (Request.Path == "/v1/capacity")
+      co_return common::HttpResponse{200, impl::describeCapacity(Flows)};
     co_return this->serveCommonPath(Request.Path);
   }
 
@@ -484,6 +490,7 @@
   relay::policy::Standing LastStanding = relay::policy::Standing::Steady;
 
   std::array<prometheus::Counter *, relay::FlowEventCount> EventCounters{};
+  impl::CapacityMetrics CapacityMetrics;
   prometheus::Gauge &UnansweredGauge;
   prometheus::Gauge &PenaltyGauge;
   prometheus::Gauge &StandingGauge;
--- a/include/galenarelay/node/relay_settings.h
+++ b/include/galenarelay/node/relay_settings.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/settings.h"
 #include "galenarelay/common/time.h"
 #include "galenarelay/relay/policy/cold_start_limit.h"
+#include "galenarelay/relay/policy/learned_capacity.h"
 #include "galenarelay/relay/policy/mechanism.h"
 
 #include <cstdint>
@@ -37,6 +38,7 @@
   common::Endpoint FromUpstream; ///< UDP, packets of the upstream.
   common::Duration HeartbeatInterval{};
   relay::policy::ColdStartAllowance ColdStart;
+  relay::policy::CapacityBounds Capacity; ///< Of the upstream's learned capacity.
 
   friend bool operator==(const RelayAgentOptions &, const RelayAgentOptions &) = default;
 };
--- a/src/node/relay_settings.cpp
+++ b/src/node/relay_settings.cpp
@@ -56,6 +56,10 @@
                    "factor of the rate that a cold upstream bears, for the bound of openings"});
   Rules.push_back(
       {"upstream", "cold_slack", SettingKind::Real, "0", 0, 10'000, "openings a second beside it"});
+  Rules.push_back({"upstream", "min_capacity", SettingKind::Integer, "1", 1, 1024,
+                   "least learned capacity, in requests in progress"});
+  Rules.push_back({"upstream", "pinned_capacity", SettingKind::Integer, "0", 0, 1024,
+                   "capacity that replaces the learned one; 0 to learn it"});
   return Rules;
 }
 
@@ -89,6 +93,8 @@
   Options.ColdStart = {Values.real("upstream", "cold_overage"),
                        Values.real("upstream", "cold_slack")};
   Options.HeartbeatInterval = std::chrono::milliseconds(Values.integer("upstream", "heartbeat_ms"));
+  Options.Capacity = {static_cast<std::uint32_t>(Values.integer("upstream", "min_capacity")),
+                      static_cast<std::uint32_t>(Values.integer("upstream", "pinned_capacity"))};
   return Options;
 }
 
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -32,6 +32,12 @@
     std::size_t Zones = 1; ///< Balancers and agents alternate between these; callers by account.
     std::uint64_t Seed = 1;
     relay::policy::Mechanisms InUse;
+    std::uint32_t Workers = 0; ///< Requests that an upstream runs at a time; 0 for Slots.
+    bool WideWork = false;     ///< Service times vary by half of their mean.
+    /// Factor of an upstream's service times, by its index.
+    std::function<double(std::size_t)> Slowness = [](std::size_t) { return 1.0; };
+    bool Oracle =
+        false; ///< Agents tell the true capacity and speed with Mechanism::LearnedCapacity.
   };
 
   static constexpr std::uint32_t HeavyCaller = 0x6440ffff;
@@ -45,6 +51,7 @@
     std::size_t Shed = 0;             ///< Rejected by an upstream whose queue was full.
     common::Duration RefusedAfter{};  ///< Sum of the times from a request to its refusal.
     common::Duration LatestRefusal{}; ///< The longest of these times.
+    common::Duration ServedAfter{};   ///< Sum of the times from a request to its answer.
 
     RequestCounts &operator+=(const RequestCounts &B) {
       const auto Latest = std::max(LatestRefusal, B.LatestRefusal);
@@ -53,9 +60,10 @@
       return *this;
     }
     friend RequestCounts operator-(const RequestCounts &A, const RequestCounts &B) {
-      return {A.Asked - B.Asked,     A.Served - B.Served, A.InTime - B.InTime,
-              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter,
-              A.LatestRefusal};
+      return {A.Asked - B.Asked,   A.Served - B.Served,
+              A.InTime - B.InTime, A.Refused - B.Refused,
+              A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter,
+              A.LatestRefusal,     A.ServedAfter - B.ServedAfter};
     }
   };
 
@@ -64,7 +72,7 @@
       Balancers.push_back(
           std::make_unique<BalancerNode>(balancerAddress(I), Random(), Config, zoneOf(I)));
     for (std::size_t I = 0; I < Config.Agents; ++I)
-      Agents.push_back(std::make_unique<AgentNode>(Config.InUse));
+      Agents.push_back(std::make_unique<AgentNode>(Config.InUse, capacityBounds()));
     for (auto &Node : Agents)
       (void)Node->Flows.onHeartbeat(upstreamHeartbeat(*Node), Now);
     onTick();
@@ -176,6 +184,7 @@
       Sum.Shed += Counts.Shed;
       Sum.RefusedAfter += Counts.RefusedAfter;
       Sum.LatestRefusal = std::max(Sum.LatestRefusal, Counts.LatestRefusal);
+      Sum.ServedAfter += Counts.ServedAfter;
     }
     return Sum;
   }
@@ -201,8 +210,17 @@
   }
   /// Requests per second that all upstreams together can run.
   [[nodiscard]] double capacity() const {
-    return static_cast<double>(Config.Agents * Config.Slots) /
-           std::chrono::duration<double>(Config.Work).count();
+    double Sum = 0;
+    for (std::size_t I = 0; I < Config.Agents; ++I)
+      Sum += workers() / Config.Slowness(I);
+    return Sum / std::chrono::duration<double>(Config.Work).count();
+  }
+  /// Requests completed by each upstream.
+  [[nodiscard]] std::vector<std::size_t> completions() const {
+    std::vector<std::size_t> Counts;
+    for (const auto &Node : Agents)
+      Counts.push_back(Node->Completed);
+    return Counts;
   }
 
 private:
@@ -226,15 +244,16 @@
     relay::FlowSteering Steering;
   };
   struct AgentNode {
-    explicit AgentNode(relay::policy::Mechanisms InUse,
-                       common::TimePoint StartedAt = RelayStart - 60s)
-        : Flows("desk", 1200ms, StartedAt, InUse) {}
+    AgentNode(relay::policy::Mechanisms InUse, relay::policy::CapacityBounds Bounds,
+              common::TimePoint StartedAt = RelayStart - 60s)
+        : Flows("desk", 1200ms, StartedAt, InUse, Bounds) {}
     relay::UpstreamFlows Flows;
     std::uint64_t Sequence = 0;
     std::uint64_t Reports = 0;
     std::uint64_t Incarnation = 10;
     common::TimePoint ColdUntil{}; ///< The upstream takes longer for its work until then.
     std::uint32_t Running = 0;
+    std::size_t Completed = 0;
     std::deque<packet::FlowKey> Queue;
     bool Up = true;
     std::uint64_t Crashes = 0;
@@ -281,7 +300,7 @@
   }
 
   void startAgent(std::size_t I) {
-    Agents[I] = std::make_unique<AgentNode>(Config.InUse, Now);
+    Agents[I] = std::make_unique<AgentNode>(Config.InUse, capacityBounds(), Now);
     Agents[I]->Incarnation = 11 + Epoch;
     Agents[I]->ColdUntil = Now + ColdTime;
     (void)Agents[I]->Flows.onHeartbeat(upstreamHeartbeat(*Agents[I]), Now);
@@ -298,6 +317,22 @@
     ++(EndpointCounts[Key.Service.Port].*Field);
   }
 
+  [[nodiscard]] std::uint32_t workers() const {
+    return Config.Workers == 0 ? Config.Slots : Config.Workers;
+  }
+  [[nodiscard]] relay::policy::CapacityBounds capacityBounds() const {
+    return {1, Config.Oracle ? workers() : 0};
+  }
+  [[nodiscard]] relay::UpstreamLoad loadOf(relay::NodeAddress Address) {
+    auto Load = agent(Address).Flows.load();
+    if (Config.Oracle) {
+      Load.Capacity = workers();
+      Load.AnswerTime = static_cast<std::uint32_t>(Config.Work / relay::AnswerTimeUnit *
+                                                   Config.Slowness(Address - agentAddress(0)));
+    }
+    return Load;
+  }
+
   relay::Heartbeat upstreamHeartbeat(AgentNode &Node) const {
     auto Message = heartbeat(++Node.Sequence, Node.Incarnation + Node.Crashes);
     Message.Slots = Config.Slots;
@@ -390,7 +425,7 @@
     using Kind = relay::FlowAction::Kind;
     for (const auto &Action : Actions) {
       const auto Packet = Action.SavedPacket ? *Action.SavedPacket : Raw;
-      const auto Load = agent(Address).Flows.load();
+      const auto Load = loadOf(Address);
       if (Action.Operation == Kind::Deliver)
         toUpstream(Address, loadPacket(Packet));
       else if (Action.Operation == Kind::ResetCaller)
@@ -439,7 +474,7 @@
       return;
     if (!Node.Held.contains(Head.Key))
       return fromUpstream(Address, returned(Head));
-    if (Node.Running < Config.Slots)
+    if (Node.Running < workers())
       return startWork(Address, Head.Key);
     if (Node.Queue.size() < Config.QueuePerSlot * Config.Slots)
       return Node.Queue.push_back(Head.Key);
@@ -449,15 +484,15 @@
 
   void startWork(relay::NodeAddress Address, const packet::FlowKey &Key) {
     ++agent(Address).Running;
-    // Uniformly distributed between 0.5 and 1.5 times the mean.
     const auto Time = std::chrono::duration_cast<common::Duration>(
-        Config.Work * (0.5 + common::uniformUnit(Random)) *
+        Config.Work * workFactor() * Config.Slowness(Address - agentAddress(0)) *
         (agent(Address).ColdUntil > Now ? ColdFactor : 1));
     scheduleNode(Time, [this, Address, Key, Crashes = agent(Address).Crashes] {
       auto &Node = agent(Address);
       if (Node.Crashes != Crashes)
         return;
       --Node.Running;
+      ++Node.Completed;
       Node.Held.erase(Key);
       sendAnswer(Address, Key, true);
       if (Node.Queue.empty())
@@ -468,6 +503,17 @@
     });
   }
 
+  /// Service time of a request as a factor of the mean: uniformly distributed between 0.5 and 1.5,
+  /// or a gamma distribution with a standard deviation of 0.5.
+  double workFactor() {
+    if (!Config.WideWork)
+      return 0.5 + common::uniformUnit(Random);
+    double Sum = 0;
+    for (int I = 0; I < 4; ++I)
+      Sum -= std::log(1 - common::uniformUnit(Random)) / 4;
+    return Sum;
+  }
+
   /// Answers a request and closes its flow. An answer of 10 bytes tells that the request was shed.
   void sendAnswer(relay::NodeAddress Address, const packet::FlowKey &Key, bool Completed) {
     auto Answer = upstreamData(Key, FirstSequence, Completed ? 100 : 10);
@@ -488,6 +534,7 @@
     if (Head.PayloadBytes < 100 || Latency > Config.Deadline)
       return;
     count(Head.Key, &RequestCounts::Served);
+    CallerCounts[Head.Key.Caller.Address].ServedAfter += Latency;
     if (Latency <= LatencyObjective)
       count(Head.Key, &RequestCounts::InTime);
   }
@@ -516,7 +563,8 @@
     scheduleNode(NodeDelay, [this, From, To] {
       if (!runs(To))
         return;
-      const auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
+      auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
+      Answer.Load = loadOf(To);
       scheduleNode(NodeDelay, [this, From, To, Answer] {
         balancer(From).Directory.onAnswer(To, Answer, Now);
         performSteering(From, balancer(From).Steering.onLoadReported(Now), {});
@@ -533,7 +581,7 @@
     Report.State = Node.Flows.state(Now);
     Report.Slots = Config.Slots;
     Report.Zone = zoneOf(From - agentAddress(0));
-    Report.Load = Node.Flows.load();
+    Report.Load = loadOf(From);
     Report.Incarnation = 1 + Epoch;
     Report.UpstreamIncarnation = Node.Incarnation + Node.Crashes;
     Report.ColdFor = Node.Flows.registration().coldFor(Now);
