Reset idempotent requests that a spared upstream leaves unanswered

If a spared upstream has answered nothing for 0.8 s, its agent resets the flows whose idempotent requests count as failed, so that their callers can repeat them. The time after which a request counts as failed no longer has an upper bound of 2 s, which services with long answers would have passed, and isn't judged without an answer before.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -178,7 +178,8 @@
     if (Action.Event == Event::Delivered || Action.Event == Event::ToCaller ||
         Action.Event == Event::RoomAgain)
       return;
-    if (!(Action.Event == Event::LostByUpstream ? mayLogReset(Now) : mayLogFlow(Now)))
+    if (!(Action.Operation == relay::FlowAction::Kind::ResetCaller ? mayLogReset(Now)
+                                                                   : mayLogFlow(Now)))
       return;
     common::log(
         common::LogLevel::Info, "flow_event",
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -46,11 +47,11 @@
 /// Balancers that are notified when the upstream has room again; further ones learn it from the
 /// agent's next report.
 inline constexpr std::size_t MaxWaitingBalancers = 100;
-/// Bounds of the time after which a request without an answer counts as failed: more than a
-/// latency objective, and less than the time budgets of callers. Within them it is learned from the
-/// upstream's answers.
+/// Bounds of the time after which a request without an answer counts as failed. The lower one is
+/// more than a latency objective and less than callers' time budgets. Between them it is learned
+/// from the upstream's answers, and without any it is the upper one: some services take seconds.
 inline constexpr common::Duration MinAnswerPatience = std::chrono::milliseconds(800);
-inline constexpr common::Duration MaxAnswerPatience = std::chrono::seconds(2);
+inline constexpr common::Duration MaxAnswerPatience = std::chrono::seconds(10);
 /// How long a flow that the upstream has not confirmed or accepted stays in the table.
 inline constexpr common::Duration UnconfirmedRetention = std::chrono::seconds(2);
 /// An upstream exits once its departure is acknowledged. Its flows count as ended after this time,
@@ -70,9 +71,11 @@
   RoomAgain,      ///< The upstream can accept a flow again after it was full.
   LostByUpstream, ///< The upstream restarted or ended and lost a flow that it held.
   Adopted,        ///< The upstream holds a flow whose opening this process has not seen.
-  ToCaller
+  ToCaller,
+  RequestOverdue ///< A spared upstream that answers nothing has left an idempotent request
+                 ///< unanswered.
 };
-inline constexpr std::size_t FlowEventCount = 10;
+inline constexpr std::size_t FlowEventCount = 11;
 
 [[nodiscard]] std::string_view name(FlowEvent Event) noexcept;
 
@@ -146,7 +149,9 @@
   void onResume(common::TimePoint Now) noexcept {
     ListeningSince = Now;
     SettingsValid = false;
-    OverdueRequests.clear(); // Answers may wait behind this process's own pause.
+    // Answers may wait behind this process's own pause.
+    OverdueRequests.clear();
+    FailedRequests.clear();
   }
   /// Returns unanswered SYNs, stops counting abandoned flows and erases expired ones.
   [[nodiscard]] FlowActions onTimer(common::TimePoint Now);
@@ -185,6 +190,7 @@
     bool Established = false; ///< The upstream has sent more than its SYN-ACK.
     bool RequestPending = false;
     bool Long = false;
+    bool Idempotent = false; ///< The SYN said so; unknown for an adopted flow.
     bool CallerFinSeen = false;
     bool UpstreamFinSeen = false;
     std::uint16_t Requests = 0;
@@ -228,6 +234,11 @@
   [[nodiscard]] bool faultsCount() const noexcept;
   void noteFailure(policy::UpstreamFault Fault, const packet::FlowKey &Key, common::TimePoint Now);
   void noteOverdueRequests(common::TimePoint Now);
+  /// Time after which a request without an answer counts as failed.
+  [[nodiscard]] common::Duration answerPatience() const noexcept;
+  /// Resets flows with idempotent requests that a spared upstream leaves unanswered, so that their
+  /// callers can use the rest of their time elsewhere.
+  void resetOverdueRequests(common::TimePoint Now, FlowActions &Actions);
   void unmarkLong(Flow &Entry);
   void close(Flow &Entry);
   void eraseFlow(FlowMap::iterator Position);
@@ -259,13 +270,14 @@
   /// Accepted flows with the time of their acceptance, the oldest one first.
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> FlowsAwaitingRequest;
   ResponseTimeEstimator RequestDelay; ///< From accepting a flow to its first request.
-  /// Requests with the time after which they count as failed, the earliest one first.
-  struct OverdueRequest {
-    common::TimePoint At{};
+  struct AskedRequest {
     packet::FlowKey Key;
     std::uint16_t Number = 0; ///< Flow::Requests of this request.
   };
-  std::deque<OverdueRequest> OverdueRequests;
+  std::multimap<common::TimePoint, AskedRequest>
+      OverdueRequests;                      ///< By the time after which they count as failed.
+  std::vector<AskedRequest> FailedRequests; ///< Idempotent ones that are still unanswered.
+  common::TimePoint LastAnswerAt{};
   ResponseTimeEstimator RequestTimes;       ///< From a request to its answer.
   std::deque<NodeAddress> WaitingBalancers; ///< Balancers to notify of room, in order of arrival.
   std::vector<AnswerTime> AnswerTimes;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -24,8 +24,8 @@
 
 std::string_view name(FlowEvent Event) noexcept {
   constexpr std::array<std::string_view, FlowEventCount> Names{
-      "open_offered", "open_declined", "accepted",         "delivered", "doubted",
-      "not_held",     "room_again",    "lost_by_upstream", "adopted",   "to_caller"};
+      "open_offered", "open_declined",    "accepted", "delivered", "doubted",        "not_held",
+      "room_again",   "lost_by_upstream", "adopted",  "to_caller", "request_overdue"};
   return Names[static_cast<std::size_t>(Event)];
 }
 
@@ -273,6 +273,7 @@
     Entry.SavedPacket = std::make_shared<const Bytes>(Raw.begin(), Raw.end());
     // Callers open a flow to send a request, which follows within their round trip time.
     expectRequest(Entry);
+    Entry.Idempotent = Fields.Long;
     if (Fields.Long)
       markLong(Entry);
     if (Fields.OthersWait)
@@ -379,23 +380,49 @@
 
 // Only a request whose caller has sent no more data since is late: others may be incomplete.
 void UpstreamFlows::noteOverdueRequests(common::TimePoint Now) {
-  const auto Patience = RequestTimes.timeout(MinAnswerPatience, MaxAnswerPatience);
-  while (!OverdueRequests.empty() && OverdueRequests.front().At <= Now) {
-    OverdueRequest Request = OverdueRequests.front();
-    OverdueRequests.pop_front();
+  while (!OverdueRequests.empty() && OverdueRequests.begin()->first <= Now) {
+    const AskedRequest Request = OverdueRequests.begin()->second;
+    OverdueRequests.erase(OverdueRequests.begin());
     const auto It = Flows.find(Request.Key);
     if (It == Flows.end() || It->second.State != Phase::Open || !It->second.RequestPending ||
         It->second.Requests != Request.Number)
       continue;
     if (Now - It->second.LastCallerDataAt >= MinAnswerPatience) {
       noteFailure(policy::UpstreamFault::RequestUnanswered, Request.Key, Now);
+      if (It->second.Idempotent && FailedRequests.size() < MaxAnswerTimes)
+        FailedRequests.push_back(Request);
       continue;
     }
-    Request.At = Now + Patience;
-    OverdueRequests.push_back(Request);
+    OverdueRequests.emplace(Now + answerPatience(), Request);
   }
 }
 
+common::Duration UpstreamFlows::answerPatience() const noexcept {
+  return RequestTimes.known() ? RequestTimes.timeout(MinAnswerPatience, MaxAnswerPatience)
+                              : MaxAnswerPatience;
+}
+
+// An upstream that answers other requests is slow: a caller that repeated its request would only
+// add to the load.
+void UpstreamFlows::resetOverdueRequests(common::TimePoint Now, FlowActions &Actions) {
+  const bool Hangs = Damped.Which == policy::Standing::Spared && faultsCount() &&
+                     Now - LastAnswerAt >= MinAnswerPatience;
+  std::erase_if(FailedRequests, [&](const AskedRequest &Request) {
+    const auto It = Flows.find(Request.Key);
+    if (It == Flows.end() || It->second.State != Phase::Open || !It->second.RequestPending ||
+        It->second.Requests != Request.Number)
+      return true;
+    if (!Hangs || !It->second.CallerAcknowledgement)
+      return false;
+    Actions.push_back({.Operation = FlowAction::Kind::ResetCaller,
+                       .Event = FlowEvent::RequestOverdue,
+                       .Key = Request.Key,
+                       .Sequence = *It->second.CallerAcknowledgement});
+    close(It->second);
+    return true;
+  });
+}
+
 void UpstreamFlows::onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields,
                                          common::TimePoint Now, FlowActions &Actions) {
   const auto It = Flows.find(Head.Key);
@@ -478,8 +505,7 @@
   if (Entry.Requests < UINT16_MAX && ++Entry.Requests > 1)
     markLong(Entry);
   if (InUse.uses(policy::Mechanism::UpstreamDamping))
-    OverdueRequests.push_back({Now + RequestTimes.timeout(MinAnswerPatience, MaxAnswerPatience),
-                               Head.Key, Entry.Requests});
+    OverdueRequests.emplace(Now + answerPatience(), AskedRequest{Head.Key, Entry.Requests});
 }
 
 common::Duration UpstreamFlows::requestTimeout() const noexcept {
@@ -522,6 +548,7 @@
   if (Entry.RequestPending && Entry.Requests > 0) {
     RequestTimes.onAnswer(Now - Entry.RequestStartedAt, Now);
     Damping.noteAnswer(Now);
+    LastAnswerAt = Now;
     if (AnswerTimes.size() < MaxAnswerTimes)
       AnswerTimes.push_back({Head.Key, Now - Entry.RequestStartedAt});
   }
@@ -570,6 +597,7 @@
   }
   noteOverdueRequests(Now);
   Damped = Damping.update(Now);
+  resetOverdueRequests(Now, Actions);
   releaseAbandoned(Now, Actions);
   eraseExpired(Now);
   return Actions;
