Reset idempotent requests that later ones have overtaken at a spared upstream

Hanging upstreams answer 'busy' to further requests once their queue is full, so that they never answered nothing. A request that counts as failed is now also reset if a later one has been answered. The test of a hanging upstream has such a case.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -72,8 +72,7 @@
   LostByUpstream, ///< The upstream restarted or ended and lost a flow that it held.
   Adopted,        ///< The upstream holds a flow whose opening this process has not seen.
   ToCaller,
-  RequestOverdue ///< A spared upstream that answers nothing has left an idempotent request
-                 ///< unanswered.
+  RequestOverdue ///< A spared upstream has left an idempotent request unanswered.
 };
 inline constexpr std::size_t FlowEventCount = 11;
 
@@ -271,6 +270,7 @@
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> FlowsAwaitingRequest;
   ResponseTimeEstimator RequestDelay; ///< From accepting a flow to its first request.
   struct AskedRequest {
+    common::TimePoint At{};
     packet::FlowKey Key;
     std::uint16_t Number = 0; ///< Flow::Requests of this request.
   };
@@ -278,6 +278,7 @@
       OverdueRequests;                      ///< By the time after which they count as failed.
   std::vector<AskedRequest> FailedRequests; ///< Idempotent ones that are still unanswered.
   common::TimePoint LastAnswerAt{};
+  common::TimePoint LatestAnswered{};       ///< Start of the latest request that has been answered.
   ResponseTimeEstimator RequestTimes;       ///< From a request to its answer.
   std::deque<NodeAddress> WaitingBalancers; ///< Balancers to notify of room, in order of arrival.
   std::vector<AnswerTime> AnswerTimes;
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -402,17 +402,19 @@
                               : MaxAnswerPatience;
 }
 
-// An upstream that answers other requests is slow: a caller that repeated its request would only
-// add to the load.
+// An upstream that answers requests in their order is slow: a caller that repeated its request
+// would only add to the load. One that hangs answers nothing, or only that it is busy, to later
+// requests.
 void UpstreamFlows::resetOverdueRequests(common::TimePoint Now, FlowActions &Actions) {
-  const bool Hangs = Damped.Which == policy::Standing::Spared && faultsCount() &&
-                     Now - LastAnswerAt >= MinAnswerPatience;
+  const bool Spared = Damped.Which == policy::Standing::Spared && faultsCount();
+  const bool AnswersNothing = Now - LastAnswerAt >= MinAnswerPatience;
   std::erase_if(FailedRequests, [&](const AskedRequest &Request) {
     const auto It = Flows.find(Request.Key);
     if (It == Flows.end() || It->second.State != Phase::Open || !It->second.RequestPending ||
         It->second.Requests != Request.Number)
       return true;
-    if (!Hangs || !It->second.CallerAcknowledgement)
+    const bool Hangs = AnswersNothing || LatestAnswered > Request.At;
+    if (!Spared || !Hangs || !It->second.CallerAcknowledgement)
       return false;
     Actions.push_back({.Operation = FlowAction::Kind::ResetCaller,
                        .Event = FlowEvent::RequestOverdue,
@@ -505,7 +507,7 @@
   if (Entry.Requests < UINT16_MAX && ++Entry.Requests > 1)
     markLong(Entry);
   if (InUse.uses(policy::Mechanism::UpstreamDamping))
-    OverdueRequests.emplace(Now + answerPatience(), AskedRequest{Head.Key, Entry.Requests});
+    OverdueRequests.emplace(Now + answerPatience(), AskedRequest{Now, Head.Key, Entry.Requests});
 }
 
 common::Duration UpstreamFlows::requestTimeout() const noexcept {
@@ -549,6 +551,7 @@
     RequestTimes.onAnswer(Now - Entry.RequestStartedAt, Now);
     Damping.noteAnswer(Now);
     LastAnswerAt = Now;
+    LatestAnswered = std::max(LatestAnswered, Entry.RequestStartedAt);
     if (AnswerTimes.size() < MaxAnswerTimes)
       AnswerTimes.push_back({Head.Key, Now - Entry.RequestStartedAt});
   }
--- a/tests/relay_damping_test.cpp
+++ b/tests/relay_damping_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(testAgent_unansweredRequests_spareUpstream);
   CPPUNIT_TEST(testAgent_withoutAnyAnswer_isPatient);
   CPPUNIT_TEST(testAgent_hangingUpstream_resetsIdempotentRequests);
+  CPPUNIT_TEST(testAgent_hangingUpstreamThatSheds_resetsIdempotentRequests);
   CPPUNIT_TEST(testAgent_slowUpstream_resetsNothing);
   CPPUNIT_TEST(testAgent_whileProbing_takesOneIdempotentRequest);
   CPPUNIT_TEST(testAgent_whileSpared_keepsOpenFlows);
@@ -325,14 +326,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Node.pass(2s));
   }
 
-  void testAgent_slowUpstream_resetsNothing() {
+  // A busy answer to a later request doesn't show that the earlier ones are in progress.
+  void testAgent_hangingUpstreamThatSheds_resetsIdempotentRequests() {
     Agent Node;
     Node.answer(Node.ask(100));
     for (std::uint16_t Port = 1; Port <= 4; ++Port)
       (void)Node.ask(Port, 100U + Port);
-    for (std::uint16_t I = 0; I < 6; ++I) {
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Node.pass(400ms));
-      Node.answer(Node.ask(static_cast<std::uint16_t>(200 + I)));
+    Node.pass(700ms);
+    Node.answer(Node.ask(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Node.pass(600ms));
+  }
+
+  // Requests are answered in their order, a second late.
+  void testAgent_slowUpstream_resetsNothing() {
+    Agent Node;
+    Node.answer(Node.ask(100));
+    std::deque<packet::FlowKey> Asked;
+    for (std::uint16_t I = 0; I < 20; ++I) {
+      Asked.push_back(Node.ask(static_cast<std::uint16_t>(200 + I), 200U + I));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Node.pass(250ms));
+      if (Asked.size() < 4)
+        continue;
+      Node.answer(Asked.front());
+      Asked.pop_front();
     }
   }
 
