--- a/include/galenarelay/relay/policy/returning_callers.h
+++ b/include/galenarelay/relay/policy/returning_callers.h
@@ -13,9 +13,10 @@
 
 namespace galenarelay::relay::policy {
 
-/// A new SYN from the address of a refused caller is taken as its next try within this time: the
-/// time to its first retransmission, as a caller whose reset is lost notices nothing before it.
-inline constexpr common::Duration ReturnWindow = std::chrono::milliseconds(200);
+/// A new SYN from the address of a refused caller is taken as its next try within this time:
+/// several times the way of the reset to the caller and of the SYN back, and the caller's pause of
+/// some 30 ms.
+inline constexpr common::Duration ReturnWindow = std::chrono::milliseconds(100);
 /// Maximum number of refusals kept; beyond it the oldest are forgotten.
 inline constexpr std::size_t MaxKeptRefusals = 4096;
 
--- a/src/schedule/scheduler_state.cpp
+++ b/src/schedule/scheduler_state.cpp
@@ -210,7 +210,8 @@
 Duration SchedulerState::predictedWait(const Prediction &Predicted, std::uint32_t Caller,
                                        TimePoint Now) const noexcept {
   const FairQueue &Queue = Predicted.IsStraggler ? StragglerLane.Queue : ShortLane.Queue;
-  const common::CallerLedger &Ledger = Predicted.IsStraggler ? StragglerLane.Ledger : ShortLane.Ledger;
+  const common::CallerLedger &Ledger =
+      Predicted.IsStraggler ? StragglerLane.Ledger : ShortLane.Ledger;
   const bool SlotFree = queued() == 0 && busySlots() < Limit.allowed(Now);
   if (SlotFree || Queue.empty())
     return Duration{};
