Keep the flows of an upstream whose agent has stopped for good

A stopped agent says nothing about its upstream, so its flows now count as held for the time after which callers may discard them. It is queried at the longest interval meanwhile.

Test: testLost_agentStoppedForGood_mayHoldFlowsUntilTheyAreOld.

--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -64,9 +64,9 @@
 /// A lost agent's upstream may still answer a request that its caller must not repeat, once the
 /// agent is back: for at most this time, which is longer than callers wait for an answer.
 inline constexpr common::Duration LostHolderRetention = std::chrono::seconds(10);
-/// Replaces LostTime for an agent that has announced a stop, which then either restarts within this
-/// time or stays away: several times the second that a restart takes.
-inline constexpr common::Duration StoppingLostTime = std::chrono::milliseconds(2500);
+/// Replaces LostTime for an agent that has announced a stop while its upstream ran: the upstream may
+/// go on without it and hold the agent's flows, which callers may discard after this time (maxFlowS).
+inline constexpr common::Duration StoppedHolderRetention = std::chrono::seconds(60);
 /// An agent that left a SYN unanswered is suspected, and gets new flows only if no other agent is
 /// available, for this time or until it is heard.
 inline constexpr common::Duration SuspicionTime = std::chrono::milliseconds(500);
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -15,6 +15,9 @@
 /// Maximum number of placements kept for an agent. Beyond it the oldest are taken as included in
 /// its load figure.
 constexpr std::size_t MaxUnreportedPlacements = 256;
+/// Queries to an agent that has announced a stop, before they are sent at MaxQueryRepeat: those of
+/// 2.5 s at twice QueryRepeat. A restart takes a second.
+constexpr std::uint32_t MaxRestartQueries = 12;
 /// Number of agents queried at a time while none is heard.
 constexpr std::size_t IsolationQueries = 3;
 
@@ -210,8 +213,12 @@
   constexpr std::uint32_t MaxDoublings = 4; // MaxQueryRepeat / QueryRepeat
   if (Agent.UnansweredSince) {
     // Until an agent is reported lost, it is queried often enough to reach MinUnansweredQueries.
-    const std::uint32_t Doublings =
-        Agent.ReportedLost ? MaxDoublings : std::min(std::max(Agent.UnansweredQueries, 1U) - 1, 1U);
+    // One that has announced its stop and is silent for longer than a restart takes stays away.
+    const bool StaysAway = Agent.View.Report.State == UpstreamState::Stopping &&
+                           Agent.UnansweredQueries > MaxRestartQueries;
+    const std::uint32_t Doublings = Agent.ReportedLost || StaysAway
+                                        ? MaxDoublings
+                                        : std::min(std::max(Agent.UnansweredQueries, 1U) - 1, 1U);
     return Now - Agent.LastQueryAt >= QueryRepeat * (1U << Doublings);
   }
   const UpstreamState State = Agent.View.Report.State;
@@ -428,7 +435,7 @@
     return false;
   const bool Announced = Agent.View.Report.State == UpstreamState::Stopping;
   return Now - std::max(*Agent.UnansweredSince, ListeningSince) >
-         (Announced ? StoppingLostTime : LostTime) + 2 * AnswerTimes.slowest(Now);
+         (Announced ? StoppedHolderRetention : LostTime) + 2 * AnswerTimes.slowest(Now);
 }
 
 // An agent that is silent towards this balancer only may hold flows: it counts as lost once other
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(testChoice_equalAgents_preferOwnZone);
   CPPUNIT_TEST(testLost_mostAgentsSilent_noneIsLost);
   CPPUNIT_TEST(testLost_announcedStop_isNotLostDuringRestart);
+  CPPUNIT_TEST(testLost_agentStoppedForGood_mayHoldFlowsUntilTheyAreOld);
   CPPUNIT_TEST(testLost_oneAgentSilent_isLostAfterLostTime);
   CPPUNIT_TEST(testLost_fewOrNoQueries_isNotLost);
   CPPUNIT_TEST(testLost_ownLinkSlow_extendsLostTime);
@@ -601,6 +602,36 @@
     CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + 2s).empty());
   }
 
+  // Guards against the reset of open flows whose upstream goes on without its agent (review/4).
+  void testLost_agentStoppedForGood_mayHoldFlowsUntilTheyAreOld() {
+    auto Directory = directory();
+    (void)Directory.onReport(AgentThree, agentReport(1), RelayStart);
+    auto Stopping = agentReport(2);
+    Stopping.State = UpstreamState::Stopping;
+    (void)Directory.onReport(AgentOne, Stopping, RelayStart);
+    std::size_t Queries = 0;
+    std::size_t Lost = 0;
+    const auto SilentUntil = [&](common::TimePoint From, common::TimePoint Until) {
+      for (auto Now = From; Now < Until; Now += 20ms) {
+        for (const auto Agent : Directory.takeRepeatedQueries(Now))
+          Queries += Agent == AgentOne ? 1 : 0;
+        for (const auto Agent : {AgentTwo, AgentThree})
+          Directory.onHeard(Agent, Now);
+        Lost += Directory.takeLost(0, Now).size();
+      }
+    };
+    const auto Oldest = RelayStart + relay::StoppedHolderRetention;
+    SilentUntil(RelayStart, Oldest);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Lost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Directory.reportingHolders(Oldest).size());
+    // An agent that stays away must not take the queries of others; see MaxRepeatedQueries.
+    CPPUNIT_ASSERT(Queries < 60);
+    SilentUntil(Oldest, Oldest + 2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Lost);
+    CPPUNIT_ASSERT(Directory.reportingHolders(Oldest + 2s) ==
+                   (std::vector{AgentTwo, AgentThree}));
+  }
+
   void testRoute_weightedServices_dependOnFlowOnly() {
     const relay::Route Split{"r", DeskAddress, {{"a", 90}, {"b", 10}}};
     std::map<std::string, int> Share;
