Send a searched packet to one unsure agent at a time

A search sent a copy of the flow's packet to each agent that was unsure whether its upstream holds the flow, all at once. Now the next agent gets the packet only once the last one has denied the flow, or hasn't answered for 400 ms.

Test: testSearch_manyUnsureAgents_getThePacketOneAfterTheOther.

--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -33,6 +33,13 @@
 /// MaxSearchRepeat. The initial value is less than a caller's first retransmission interval.
 inline constexpr common::Duration SearchRepeat = std::chrono::milliseconds(150);
 inline constexpr common::Duration MaxSearchRepeat = std::chrono::milliseconds(1200);
+/// A packet of a searched flow goes to one unsure agent at a time, so that no copies are under way
+/// once the flow's upstream has one. The next agent gets it if the last one denies the flow, or has
+/// not answered for this time. An upstream returns a packet of a flow that it doesn't hold within
+/// milliseconds, but its agent answers for a flow that it holds only with the upstream's next
+/// packet, which may be the response to the request; hence twice a caller's first retransmission
+/// interval.
+inline constexpr common::Duration CopyTimeout = std::chrono::milliseconds(400);
 /// A search is given up if no packet of its flow arrives for this time.
 inline constexpr common::Duration SearchRetention = std::chrono::seconds(4);
 /// Bounds of searches and waiting packets. Beyond them packets are dropped, and their callers
@@ -60,8 +67,6 @@
   /// Flows whose search has made progress.
   struct Outcome {
     std::vector<packet::FlowKey> HeldByAgent; ///< Held by the agent that answered.
-    std::vector<packet::FlowKey>
-        Unsure; ///< The agent needs a packet of the flow to ask its upstream.
     std::vector<packet::FlowKey> DeniedByAll; ///< Denied by all agents.
   };
 
@@ -98,8 +103,14 @@
   /// Notes that the agent's upstream doesn't hold the flow. Returns true once all agents have
   /// denied the flow.
   bool onAbsence(const packet::FlowKey &Key, NodeAddress From);
-  /// The oldest waiting packet of the flow, for an agent that is unsure; null if there is none.
-  [[nodiscard]] std::shared_ptr<const Bytes> oldestPacket(const packet::FlowKey &Key) const;
+  /// A waiting packet for an agent that is unsure whether its upstream holds the flow.
+  struct PacketCopy {
+    packet::FlowKey Key;
+    NodeAddress Agent = 0;
+    std::shared_ptr<const Bytes> Packet;
+  };
+  /// Returns the packets that are due for unsure agents, at most Limit.
+  [[nodiscard]] std::vector<PacketCopy> takeCopies(std::size_t Limit, common::TimePoint Now);
   /// The progress of a flow's search, which must not have ended.
   [[nodiscard]] Progress progress(const packet::FlowKey &Key) const;
   /// Start of the latest search that has reached its last stage.
@@ -127,9 +138,13 @@
     Stage CurrentStage = Stage::Nearest;
     bool Queued = false;  ///< In the queue of its stage.
     bool Queried = false; ///< Queries of this stage have been sent.
+    bool CopyQueued = false; ///< In CopyQueue.
     std::uint32_t Rounds = 0;
     std::vector<NodeAddress> AwaitingAnswer;
     std::vector<NodeAddress> DeniedBy;
+    std::vector<NodeAddress> UnsureAgents; ///< Those that have no copy of a packet yet, in order.
+    NodeAddress CopiedTo = 0;              ///< The agent that has the latest copy; 0 once it denies.
+    common::TimePoint CopiedAt{};
     common::TimePoint StartedAt{};
     common::TimePoint QueriedAt{};
     common::TimePoint LastPacketAt{};
@@ -142,6 +157,9 @@
   using RowsByAgent = std::unordered_map<NodeAddress, std::vector<FlowQuery::Row>>;
 
   void enqueue(const packet::FlowKey &Key, Search &Entry, Stage Next);
+  void enqueueCopy(const packet::FlowKey &Key, Search &Entry);
+  /// Notes that an agent needs a packet of the flow to ask its upstream; see takeCopies.
+  void noteUnsure(const packet::FlowKey &Key, NodeAddress From);
   /// Goes from a candidate stage to the next stage.
   void advance(const packet::FlowKey &Key, Search &Entry);
   /// Adds a row for each agent that has not denied the flow. The search then awaits their answers.
@@ -155,6 +173,7 @@
   SearchMap Searches;
   std::deque<packet::FlowKey> CandidateQueue;
   std::deque<packet::FlowKey> BroadcastQueue;
+  std::deque<packet::FlowKey> CopyQueue; ///< Searches whose next copy may be due.
   std::unordered_map<std::uint64_t, PendingQuery> PendingQueries; ///< By query number.
   std::uint64_t NextNumber = 1;
   std::uint64_t OldestNumber = 1;
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -273,6 +273,8 @@
                           SteeringActions &Actions);
   void addToSearch(const packet::FlowKey &Key, FlowEntry &Entry, std::span<const std::uint8_t> Raw,
                    common::TimePoint Now, SteeringActions &Actions);
+  /// Sends packets of searched flows to agents that need them to ask their upstreams.
+  void sendCopies(common::TimePoint Now, SteeringActions &Actions);
   void finishSearch(const packet::FlowKey &Key, FlowEntry &Entry, SteeringActions &Actions);
   void resetIfDeniedByAll(const packet::FlowKey &Key, common::TimePoint Now,
                           SteeringActions &Actions);
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -141,7 +141,7 @@
     if (Contains(Answer.Held, I))
       Result.HeldByAgent.push_back(Key);
     else if (Contains(Answer.Unsure, I))
-      Result.Unsure.push_back(Key);
+      noteUnsure(Key, From);
     else if (onAbsence(Key, From))
       Result.DeniedByAll.push_back(Key);
   }
@@ -153,6 +153,11 @@
   if (It == Searches.end())
     return false;
   Search &Entry = It->second;
+  std::erase(Entry.UnsureAgents, From);
+  if (Entry.CopiedTo == From) {
+    Entry.CopiedTo = 0;
+    enqueueCopy(Key, Entry);
+  }
   if (std::erase(Entry.AwaitingAnswer, From) == 0)
     return false;
   Entry.DeniedBy.push_back(From);
@@ -164,11 +169,40 @@
   return false;
 }
 
-std::shared_ptr<const Bytes> FlowSearch::oldestPacket(const packet::FlowKey &Key) const {
-  const auto It = Searches.find(Key);
-  if (It == Searches.end() || It->second.Waiting.empty())
-    return nullptr;
-  return It->second.Waiting.front();
+void FlowSearch::noteUnsure(const packet::FlowKey &Key, NodeAddress From) {
+  Search &Entry = Searches.at(Key);
+  const auto &Unsure = Entry.UnsureAgents;
+  if (Entry.CopiedTo == From || std::find(Unsure.begin(), Unsure.end(), From) != Unsure.end())
+    return;
+  Entry.UnsureAgents.push_back(From);
+  enqueueCopy(Key, Entry);
+}
+
+void FlowSearch::enqueueCopy(const packet::FlowKey &Key, Search &Entry) {
+  if (!std::exchange(Entry.CopyQueued, true))
+    CopyQueue.push_back(Key);
+}
+
+std::vector<FlowSearch::PacketCopy> FlowSearch::takeCopies(std::size_t Limit,
+                                                           common::TimePoint Now) {
+  std::vector<PacketCopy> Copies;
+  while (Copies.size() < Limit && !CopyQueue.empty()) {
+    const packet::FlowKey Key = CopyQueue.front();
+    CopyQueue.pop_front();
+    const auto It = Searches.find(Key);
+    if (It == Searches.end())
+      continue;
+    Search &Entry = It->second;
+    Entry.CopyQueued = false;
+    const bool Outstanding = Entry.CopiedTo != 0 && Now - Entry.CopiedAt < CopyTimeout;
+    if (Outstanding || Entry.UnsureAgents.empty() || Entry.Waiting.empty())
+      continue;
+    Entry.CopiedTo = Entry.UnsureAgents.front();
+    Entry.CopiedAt = Now;
+    Entry.UnsureAgents.erase(Entry.UnsureAgents.begin());
+    Copies.push_back({Key, Entry.CopiedTo, Entry.Waiting.front()});
+  }
+  return Copies;
 }
 
 FlowSearch::Progress FlowSearch::progress(const packet::FlowKey &Key) const {
@@ -197,6 +231,8 @@
       It = Searches.erase(It);
       continue;
     }
+    if (!Entry.UnsureAgents.empty() && Now - Entry.CopiedAt >= CopyTimeout)
+      enqueueCopy(It->first, Entry);
     const auto Waited = Now - Entry.QueriedAt;
     const auto Repeat = std::min<common::Duration>(
         SearchRepeat * (1U << std::min(Entry.Rounds, MaxDoublings)) / 2, MaxSearchRepeat);
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -539,19 +539,19 @@
     const auto NoticeActions = onFlowNotice({Key, {}}, From, Now);
     Actions.insert(Actions.end(), NoticeActions.begin(), NoticeActions.end());
   }
-  for (const auto &Key : Result.Unsure) {
-    if (UnsurePackets >= MaxUnsurePackets)
-      break;
-    if (auto Packet = Search.oldestPacket(Key)) {
-      ++UnsurePackets;
-      forwardSearch(Key, From, Actions, std::move(Packet));
-    }
-  }
+  sendCopies(Now, Actions);
   for (const auto &Key : Result.DeniedByAll)
     resetIfDeniedByAll(Key, Now, Actions);
   return Actions;
 }
 
+void FlowSteering::sendCopies(common::TimePoint Now, SteeringActions &Actions) {
+  for (auto &Copy : Search.takeCopies(MaxUnsurePackets - UnsurePackets, Now)) {
+    ++UnsurePackets;
+    forwardSearch(Copy.Key, Copy.Agent, Actions, std::move(Copy.Packet));
+  }
+}
+
 /// Forwards the waiting packets of a flow to the agent that a search has found.
 void FlowSteering::finishSearch(const packet::FlowKey &Key, FlowEntry &Entry,
                                 SteeringActions &Actions) {
@@ -575,6 +575,7 @@
   Directory.onHeard(From, Now);
   if (Search.onAbsence(Absence.Key, From))
     resetIfDeniedByAll(Absence.Key, Now, Actions);
+  sendCopies(Now, Actions);
   return Actions;
 }
 
@@ -741,6 +742,7 @@
   releaseHeld(Now, Actions);
   expireFlows(Now);
   Search.onTimer(Now);
+  sendCopies(Now, Actions);
   return Actions;
 }
 
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(testShutdown_synsHeld_areRefused);
   CPPUNIT_TEST(testShutdown_flowsSearched_countAsHeldPackets);
   CPPUNIT_TEST(testSearch_manyUnsureAgents_onlyCandidatesGetThePacket);
+  CPPUNIT_TEST(testSearch_manyUnsureAgents_getThePacketOneAfterTheOther);
   CPPUNIT_TEST(testSearch_allFlowsMoved_areFoundWithOneRoundOfQueries);
   CPPUNIT_TEST(testCandidates_oneAgentMore_keepsOrderOfOthers);
   CPPUNIT_TEST(testSyn_oldLoadFigures_queriesCandidatesAndTakesTheLeastLoaded);
@@ -805,6 +806,46 @@
     CPPUNIT_ASSERT_EQUAL(Holder, Balancer.Steering.agentOf(Key));
   }
 
+  // Guards against copies of a packet that reach other upstreams after the flow's own has one: an idle
+  // caller's packets then reached three others and not its own (soak 777021).
+  void testSearch_manyUnsureAgents_getThePacketOneAfterTheOther() {
+    constexpr std::size_t Agents = 20;
+    Fleet Balancer(Agents);
+    const auto Key = relayKey(1);
+    (void)Balancer.send(callerData(Key, 77));
+    std::vector<relay::NodeAddress> Receivers;
+    const auto Note = [&](const SteeringActions &Actions) {
+      for (const auto &Action : Actions)
+        if (Action.Operation == Kind::Forward)
+          Receivers.push_back(Action.Agent);
+    };
+    auto Now = RelayStart;
+    // All agents are unsure; the upstream of the eighth one that has a copy holds the flow, and
+    // answers only after a second.
+    constexpr std::size_t Own = 8;
+    for (; Now < RelayStart + 1s && Receivers.size() < Own; Now += 5ms) {
+      Note(Balancer.Steering.onTimer(Now));
+      SteeringActions Resets;
+      for (const auto &Query : Balancer.Steering.takeFlowQueries(Now, Resets))
+        Note(Balancer.answer(Query, Now, {}, {0}));
+      const auto Copies = Receivers.size();
+      if (Copies > 0 && Copies < Own)
+        Note(Balancer.deny(Key, Receivers.back(), Now));
+      CPPUNIT_ASSERT(Receivers.size() <= Copies + 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(Own, Receivers.size());
+    for (const auto Until = Now + 1s; Now < Until; Now += 5ms) {
+      Note(Balancer.Steering.onTimer(Now));
+      SteeringActions Resets;
+      for (const auto &Query : Balancer.Steering.takeFlowQueries(Now, Resets))
+        Note(Balancer.answer(Query, Now, {}, {0}));
+    }
+    // FLOW counts three packets that reach other upstreams and none its own.
+    CPPUNIT_ASSERT(Receivers.size() <= Own + 2);
+    (void)Balancer.Steering.onFlowNotice({Key, {}}, Receivers[Own - 1], Now);
+    CPPUNIT_ASSERT_EQUAL(Receivers[Own - 1], Balancer.Steering.agentOf(Key));
+  }
+
   // Guards against searches that need the configuration: all processes ended while the store was
   // unreachable, and open flows of running upstreams stalled until the store was back (seen in
   // burbuja-xela trouble-3).
