--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -136,14 +136,14 @@
     Packets Waiting;
     std::uint32_t Acknowledgement = 0;
     Stage CurrentStage = Stage::Nearest;
-    bool Queued = false;  ///< In the queue of its stage.
-    bool Queried = false; ///< Queries of this stage have been sent.
+    bool Queued = false;     ///< In the queue of its stage.
+    bool Queried = false;    ///< Queries of this stage have been sent.
     bool CopyQueued = false; ///< In CopyQueue.
     std::uint32_t Rounds = 0;
     std::vector<NodeAddress> AwaitingAnswer;
     std::vector<NodeAddress> DeniedBy;
     std::vector<NodeAddress> UnsureAgents; ///< Those that have no copy of a packet yet, in order.
-    NodeAddress CopiedTo = 0;              ///< The agent that has the latest copy; 0 once it denies.
+    NodeAddress CopiedTo = 0; ///< The agent that has the latest copy; 0 once it denies.
     common::TimePoint CopiedAt{};
     common::TimePoint StartedAt{};
     common::TimePoint QueriedAt{};
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -39,6 +39,10 @@
 inline constexpr common::Duration AgentListSettleTime = std::chrono::milliseconds(300);
 /// Maximum number of held SYNs. At the bound a new SYN is refused at once.
 inline constexpr std::size_t MaxHeldFlows = 1000;
+/// Minimum time between two rankings of the held SYNs for each of them, except by the timer:
+/// several times what ranking one takes, so that a full queue leaves the processor to the packets
+/// that wait in the socket.
+inline constexpr common::Duration RankingPause = std::chrono::microseconds(10);
 /// A caller's retransmission is taken as a sign that the flow's agent may be lost if the agent has
 /// not been heard for this time: half of a caller's first retransmission interval.
 inline constexpr common::Duration RetransmissionDoubt = std::chrono::milliseconds(100);
@@ -255,6 +259,8 @@
                          SteeringActions &Actions);
   void enqueueHeld(const packet::FlowKey &Key, FlowEntry &Entry, SteeringActions &Actions);
   void releaseHeld(common::TimePoint Now, SteeringActions &Actions);
+  /// Releases held flows unless they were ranked less than RankingPause for each of them ago.
+  void releaseHeldIfDue(common::TimePoint Now, SteeringActions &Actions);
   template <policy::ReleaseOrder Order>
   void releaseInOrder(const Order &Policy, common::TimePoint Now, SteeringActions &Actions);
   [[nodiscard]] std::optional<NodeAddress> takeLeastBusy(PendingFlow &Pending,
@@ -317,6 +323,7 @@
   common::TimePoint HoldersConfirmedAt{};
   bool DenialUnconfirmed = false; ///< All agents known here deny a flow; others may know more.
   std::vector<packet::FlowKey> HeldFlows;
+  common::TimePoint ReleasedAt{}; ///< Time of the latest ranking of HeldFlows.
   std::unordered_map<std::string, policy::ReleaseRate> Releases; ///< By service.
   std::vector<packet::FlowKey> LoadQueryFlows;
   std::size_t UnsurePackets = 0; ///< Sent since the last timer call; see MaxUnsurePackets.
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -117,7 +117,7 @@
   // Other flows are held already: which one is placed next is decided among all of them.
   Entry.Pending->Held = true;
   HeldFlows.push_back(Head.Key);
-  releaseHeld(Now, Actions);
+  releaseHeldIfDue(Now, Actions);
 }
 
 // A caller retransmits its SYN if it has seen no answer. An upstream that has accepted the flow
@@ -322,8 +322,17 @@
   enqueueHeld(Key, Entry, Actions);
 }
 
+// A queue that is ranked for every SYN and report takes all of the processor's time at a crest, and
+// packets then wait in the socket until their callers have given up.
+void FlowSteering::releaseHeldIfDue(common::TimePoint Now, SteeringActions &Actions) {
+  const auto Pause = RankingPause * static_cast<std::int64_t>(HeldFlows.size());
+  if (!HeldFlows.empty() && Now - ReleasedAt >= Pause)
+    releaseHeld(Now, Actions);
+}
+
 void FlowSteering::releaseHeld(common::TimePoint Now, SteeringActions &Actions) {
   using policy::Mechanism;
+  ReleasedAt = Now;
   if (InUse.uses(Mechanism::ReleaseOrder))
     releaseInOrder(policy::UrgentAndFreshFirst{InUse.uses(Mechanism::GoneCallersLast)}, Now,
                    Actions);
@@ -694,8 +703,7 @@
 SteeringActions FlowSteering::onLoadReported(common::TimePoint Now) {
   SteeringActions Actions;
   placeAfterLoadAnswers(Now, Actions);
-  if (!HeldFlows.empty())
-    releaseHeld(Now, Actions);
+  releaseHeldIfDue(Now, Actions);
   return Actions;
 }
 
