Take a place only where one is known to be free

After a loss of everything all balancers have a backlog for upstreams that they know nothing of, and agents declined more first packets than they took. With restart_recovery a balancer has one flow under way to an upstream with unknown places, as many as slots are known to be free, and one for each place that a busy upstream's agent reports; a flow for a known busy upstream insists at once.

--- a/include/galenarelay/relay/policy/placement.h
+++ b/include/galenarelay/relay/policy/placement.h
@@ -5,6 +5,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <limits>
 #include <tuple>
 
 namespace galenarelay::relay::policy {
@@ -29,6 +30,9 @@
   std::uint32_t LongFlows = 0;   ///< By the same figure.
   std::uint32_t PlacedShort = 0; ///< Flows sent to it that the figure doesn't include yet.
   std::uint32_t PlacedLong = 0;
+  std::uint32_t UnderWay = 0; ///< Of these, the flows that its agent may still answer.
+  /// Bound of UnderWay.
+  std::uint32_t MaxUnderWay = std::numeric_limits<std::uint32_t>::max();
 
   /// Whether all slots are taken.
   [[nodiscard]] bool busy() const noexcept;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -64,8 +64,9 @@
 /// A lost agent's upstream may still answer a request that its caller must not repeat, once the
 /// agent is back: for at most this time, which is longer than callers wait for an answer.
 inline constexpr common::Duration LostHolderRetention = std::chrono::seconds(10);
-/// Replaces LostTime for an agent that has announced a stop while its upstream ran: the upstream may
-/// go on without it and hold the agent's flows, which callers may discard after this time (maxFlowS).
+/// Replaces LostTime for an agent that has announced a stop while its upstream ran: the upstream
+/// may go on without it and hold the agent's flows, which callers may discard after this time
+/// (maxFlowS).
 inline constexpr common::Duration StoppedHolderRetention = std::chrono::seconds(60);
 /// An agent that left a SYN unanswered is suspected, and gets new flows only if no other agent is
 /// available, for this time or until it is heard.
@@ -235,6 +236,7 @@
     std::uint32_t UnansweredQueries = 0;              ///< Queries since UnansweredSince.
     std::set<NodeAddress> Witnesses; ///< Balancers that find the agent lost as well.
     bool ReportedLost = false;       ///< Returned by takeLost.
+    bool PlaceReported = false;      ///< A report has come since the last placement.
     std::optional<std::uint64_t> ReplacedIncarnation; ///< The one before the one in effect.
     std::optional<ReportContender> Contender;
   };
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -161,7 +161,9 @@
   if (!Chosen && Pending.AwaitingAnswer)
     return;
   // If all candidates are busy, the least busy one has to queue the flow's requests.
-  bool Insist = Chosen && PlacementScope == Scope::Candidates && Directory.isBusy(*Chosen, Now);
+  const bool BusyKnown =
+      PlacementScope == Scope::Candidates || InUse.uses(policy::Mechanism::RestartRecovery);
+  bool Insist = Chosen && BusyKnown && Directory.isBusy(*Chosen, Now);
   if (!Chosen) {
     Chosen = takeLeastBusy(Pending, Now);
     Insist = true;
--- a/src/relay/policy/placement.cpp
+++ b/src/relay/policy/placement.cpp
@@ -27,7 +27,8 @@
 }
 
 bool UpstreamStatus::full() const noexcept {
-  return Slots != 0 && Unanswered + placed(*this) >= requestLimit(Slots);
+  return UnderWay >= MaxUnderWay ||
+         (Slots != 0 && Unanswered + placed(*this) >= requestLimit(Slots));
 }
 
 double loadFor(const UpstreamStatus &Status, FlowKind Kind, const Mechanisms &InUse) noexcept {
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/relay/upstream_directory.h"
 
 #include "galenarelay/common/hash_mix.h"
+#include "galenarelay/relay/policy/restart_recovery.h"
 
 #include <algorithm>
 #include <utility>
@@ -62,6 +63,7 @@
   Agent.View.Report = Report;
   Agent.View.Load = Report.Load;
   Agent.View.LoadAt = Now;
+  Agent.PlaceReported = true;
   Agent.View.ColdUntil = Now + Report.ColdFor;
   noteHeard(Agent, Now);
   dropReportedPlacements(Agent);
@@ -297,6 +299,15 @@
   Status.LongFlows = View.Load.LongFlows;
   Status.PlacedLong = static_cast<std::uint32_t>(PlacedLong);
   Status.PlacedShort = static_cast<std::uint32_t>(Agent.Placements.size()) - Status.PlacedLong;
+  if (InUse.uses(Mechanism::RestartRecovery)) {
+    const auto UnderWay = std::count_if(
+        Agent.Placements.begin(), Agent.Placements.end(), [&](const Placement &Placed) {
+          return Now - Placed.At < answerTimeout(policy::PlaceFreshness);
+        });
+    Status.UnderWay = static_cast<std::uint32_t>(UnderWay);
+    Status.MaxUnderWay = policy::maxUnderWay(
+        {Status.Slots, Status.Unanswered, Now - View.LoadAt, Agent.PlaceReported});
+  }
   return Status;
 }
 
@@ -384,6 +395,7 @@
   const auto It = Agents.find(Agent);
   if (It == Agents.end() || !InUse.uses(Mechanism::PlacementCount))
     return;
+  It->second.PlaceReported = false;
   auto &Placements = It->second.Placements;
   Placements.push_back({Now, Kind});
   if (Placements.size() > MaxUnreportedPlacements)
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -1,5 +1,7 @@
 #include "galenarelay/relay/upstream_flows.h"
 
+#include "galenarelay/relay/policy/restart_recovery.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -199,7 +201,10 @@
 }
 
 bool UpstreamFlows::full() const noexcept {
-  return slots() != 0 && Unanswered >= requestLimit(slots());
+  if (slots() != 0)
+    return Unanswered >= requestLimit(slots());
+  return InUse.uses(policy::Mechanism::RestartRecovery) &&
+         Unanswered >= policy::UnreportedRequestLimit;
 }
 
 void UpstreamFlows::addWaitingBalancer(NodeAddress Balancer) {
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -73,6 +73,29 @@
       fromCaller(firstPacket({{0x64500000U, ++NextPort}, DeskAddress}, 2));
   }
 
+  /// All nodes and upstreams lose power for a time. Agents and upstreams then start one after the
+  /// other within AgentsWithin, balancers as soon as the power is back.
+  void loseEverything(common::Duration Down, common::Duration AgentsWithin) {
+    ++Epoch;
+    for (auto &Node : Balancers)
+      Node.reset();
+    for (auto &Node : Agents)
+      Node.reset();
+    schedule(Down, [this] {
+      for (std::size_t I = 0; I < Balancers.size(); ++I) {
+        Balancers[I] = std::make_unique<BalancerNode>(balancerAddress(I), Random(), Config.InUse);
+        Balancers[I]->Steering.restartSettling(Now);
+        Balancers[I]->Steering.noteAgentsListed(Now);
+        for (std::size_t A = 0; A < Agents.size(); ++A)
+          Balancers[I]->Directory.noteExpected(agentAddress(A), Now);
+      }
+    });
+    for (std::size_t I = 0; I < Agents.size(); ++I)
+      schedule(Down + AgentsWithin * static_cast<std::int64_t>(I) /
+                          static_cast<std::int64_t>(Agents.size()),
+               [this, I] { startAgent(I); });
+  }
+
   void runUntil(common::TimePoint Until) {
     while (!Events.empty() && Events.top().At <= Until) {
       auto Next = Events.top();
@@ -106,6 +129,10 @@
   }
   /// Control messages so far: load queries, their answers and reports.
   [[nodiscard]] std::size_t messages() const { return 2 * LoadQueries + ReportsSent; }
+  /// First packets that agents have returned since their upstreams were busy or full.
+  [[nodiscard]] std::size_t declines() const { return Declines; }
+  /// The longest time from a request to its refusal.
+  [[nodiscard]] common::Duration latestRefusal() const { return LatestRefusal; }
   /// Bytes of these messages with their IPv4 and UDP headers.
   [[nodiscard]] std::size_t controlBytes() const {
     constexpr std::size_t HeaderBytes = 28;
@@ -127,6 +154,8 @@
   static constexpr common::Duration CallerDelay = 1ms;
   static constexpr common::Duration LatencyObjective = 200ms;
   static constexpr common::Duration Deadline = 3s;
+  static constexpr common::Duration ColdTime = 2s;
+  static constexpr double ColdFactor = 1.6;
 
   struct BalancerNode {
     BalancerNode(relay::NodeAddress Address, std::uint64_t Seed, relay::policy::Mechanisms InUse)
@@ -138,11 +167,14 @@
     relay::FlowSteering Steering;
   };
   struct AgentNode {
-    explicit AgentNode(relay::policy::Mechanisms InUse)
-        : Flows("desk", 1200ms, RelayStart - 60s, InUse) {}
+    explicit AgentNode(relay::policy::Mechanisms InUse,
+                       common::TimePoint StartedAt = RelayStart - 60s)
+        : Flows("desk", 1200ms, StartedAt, InUse) {}
     relay::UpstreamFlows Flows;
     std::uint64_t Sequence = 0;
     std::uint64_t Reports = 0;
+    std::uint64_t Incarnation = 10;
+    common::TimePoint ColdUntil{}; ///< The upstream takes longer for its work until then.
     std::uint32_t Running = 0;
     std::deque<packet::FlowKey> Queue;
   };
@@ -174,6 +206,26 @@
   void schedule(common::Duration Delay, std::function<void()> Callback) {
     Events.push({Now + Delay, ++EventOrder, std::move(Callback)});
   }
+  /// Schedules an event of the nodes and upstreams, which doesn't happen if they lose power before.
+  void scheduleNode(common::Duration Delay, std::function<void()> Callback) {
+    schedule(Delay, [this, In = Epoch, Callback = std::move(Callback)] {
+      if (In == Epoch)
+        Callback();
+    });
+  }
+
+  void startAgent(std::size_t I) {
+    Agents[I] = std::make_unique<AgentNode>(Config.InUse, Now);
+    Agents[I]->Incarnation = 11 + Epoch;
+    Agents[I]->ColdUntil = Now + ColdTime;
+    (void)Agents[I]->Flows.onHeartbeat(upstreamHeartbeat(*Agents[I]), Now);
+    for (std::size_t B = 0; B < Balancers.size(); ++B)
+      report(agentAddress(I), balancerAddress(B));
+  }
+  [[nodiscard]] bool runs(relay::NodeAddress Address) const {
+    return Address >= agentAddress(0) ? Agents[Address - agentAddress(0)] != nullptr
+                                      : Balancers[Address - balancerAddress(0)] != nullptr;
+  }
 
   void count(const packet::FlowKey &Key, std::size_t RequestCounts::*Field) {
     ++(CallerCounts[Key.Caller.Address].*Field);
@@ -181,8 +233,9 @@
   }
 
   relay::Heartbeat upstreamHeartbeat(AgentNode &Node) const {
-    auto Message = heartbeat(++Node.Sequence);
+    auto Message = heartbeat(++Node.Sequence, Node.Incarnation);
     Message.Slots = Config.Slots;
+    Message.ColdFor = std::max<common::Duration>(0ms, Node.ColdUntil - Now);
     return Message;
   }
 
@@ -214,6 +267,8 @@
   void fromCaller(const relay::PacketHeader &Head) {
     schedule(CallerDelay, [this, Head] {
       const auto Address = routerChoice(Head.Key);
+      if (!runs(Address))
+        return;
       const auto Raw = storePacket(Head);
       performSteering(Address, balancer(Address).Steering.onPacket(Head, Raw, Now), Raw);
     });
@@ -229,7 +284,9 @@
       if (Action.Operation != relay::SteeringAction::Kind::Forward)
         continue;
       const auto Packet = Action.SavedPacket ? *Action.SavedPacket : Raw;
-      schedule(NodeDelay, [this, From, Action, Packet] {
+      scheduleNode(NodeDelay, [this, From, Action, Packet] {
+        if (!runs(Action.Agent))
+          return;
         auto &Node = agent(Action.Agent);
         performFlowActions(Action.Agent,
                            Node.Flows.onBalancerPacket(loadPacket(Packet), Action.TransitFields,
@@ -252,20 +309,25 @@
       else if (Action.Operation == Kind::Report)
         report(Address, Action.Balancer);
       else if (Action.Operation == Kind::Notify)
-        schedule(NodeDelay, [this, Address, Action, Load] {
+        scheduleNode(NodeDelay, [this, Address, Action, Load] {
           auto &Node = balancer(Action.Balancer);
           Node.Directory.onLoad(Address, Load, Now);
           performSteering(Action.Balancer,
                           Node.Steering.onFlowNotice({Action.Key, Load}, Address, Now), {});
         });
-      else if (Action.Operation == Kind::Return)
-        schedule(NodeDelay, [this, Address, Action, Load, Packet] {
+      else if (Action.Operation == Kind::Return) {
+        const bool Declined = Action.Reason == relay::ReturnReason::Full ||
+                              Action.Reason == relay::ReturnReason::Busy;
+        Declines += Declined ? 1 : 0;
+        Full += Action.Reason == relay::ReturnReason::Full ? 1 : 0;
+        scheduleNode(NodeDelay, [this, Address, Action, Load, Packet] {
           performSteering(Action.Balancer,
                           balancer(Action.Balancer)
                               .Steering.onReturned(loadPacket(Packet),
                                                    {Action.Reason, Load, Packet}, Address, Now),
                           {});
         });
+      }
     }
   }
 
@@ -292,8 +354,9 @@
     ++agent(Address).Running;
     // Uniformly distributed between 0.5 and 1.5 times the mean.
     const auto Time = std::chrono::duration_cast<common::Duration>(
-        Config.Work * (0.5 + common::uniformUnit(Random)));
-    schedule(Time, [this, Address, Key] {
+        Config.Work * (0.5 + common::uniformUnit(Random)) *
+        (agent(Address).ColdUntil > Now ? ColdFactor : 1));
+    scheduleNode(Time, [this, Address, Key] {
       auto &Node = agent(Address);
       --Node.Running;
       sendAnswer(Address, Key, true);
@@ -335,14 +398,17 @@
       return;
     count(Key, &RequestCounts::Refused);
     CallerCounts[Key.Caller.Address].RefusedAfter += Now - It->second.StartedAt;
+    LatestRefusal = std::max(LatestRefusal, Now - It->second.StartedAt);
     Requests.erase(It);
   }
 
   void queryLoad(relay::NodeAddress From, relay::NodeAddress To) {
     ++LoadQueries;
-    schedule(NodeDelay, [this, From, To] {
+    scheduleNode(NodeDelay, [this, From, To] {
+      if (!runs(To))
+        return;
       const auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
-      schedule(NodeDelay, [this, From, To, Answer] {
+      scheduleNode(NodeDelay, [this, From, To, Answer] {
         balancer(From).Directory.onAnswer(To, Answer, Now);
         performSteering(From, balancer(From).Steering.onLoadReported(Now), {});
       });
@@ -350,13 +416,18 @@
   }
 
   void report(relay::NodeAddress From, relay::NodeAddress To) {
+    if (!runs(To))
+      return;
     ++ReportsSent;
     auto &Node = agent(From);
     auto Report = agentReport(++Node.Reports);
     Report.State = Node.Flows.state(Now);
     Report.Slots = Config.Slots;
     Report.Load = Node.Flows.load();
-    schedule(NodeDelay, [this, From, To, Report] {
+    Report.Incarnation = 1 + Epoch;
+    Report.UpstreamIncarnation = Node.Incarnation;
+    Report.ColdFor = Node.Flows.registration().coldFor(Now);
+    scheduleNode(NodeDelay, [this, From, To, Report] {
       (void)balancer(To).Directory.onReport(From, Report, Now);
       performSteering(To, balancer(To).Steering.onLoadReported(Now), {});
     });
@@ -367,6 +438,8 @@
   void onTick() {
     const bool Reports = ++Ticks % 10 == 1; // Every 200 ms.
     for (std::size_t I = 0; I < Agents.size(); ++I) {
+      if (Agents[I] == nullptr)
+        continue;
       auto &Node = *Agents[I];
       if (Ticks % 50 == 0)
         (void)Node.Flows.onHeartbeat(upstreamHeartbeat(Node), Now);
@@ -379,6 +452,8 @@
       }
     }
     for (std::size_t I = 0; I < Balancers.size(); ++I) {
+      if (Balancers[I] == nullptr)
+        continue;
       performSteering(balancerAddress(I), Balancers[I]->Steering.onTimer(Now), {});
       for (const auto Agent : Balancers[I]->Directory.takeRepeatedQueries(Now))
         queryLoad(balancerAddress(I), Agent);
@@ -396,6 +471,14 @@
   std::uint64_t Ticks = 0;
   std::size_t LoadQueries = 0;
   std::size_t ReportsSent = 0;
+  std::size_t Declines = 0;
+
+public:
+  std::size_t Full = 0;
+
+private:
+  common::Duration LatestRefusal{};
+  std::uint64_t Epoch = 0; ///< Number of losses of power so far.
   std::uint16_t NextPort = 0;
   std::vector<std::unique_ptr<BalancerNode>> Balancers;
   std::vector<std::unique_ptr<AgentNode>> Agents;
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -1,5 +1,7 @@
 #include "relay_fleet.h"
 
+#include <iostream>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace galenarelay::tests {
@@ -18,6 +20,7 @@
   CPPUNIT_TEST(testLoad_backlogOfGoneCallers_doesNotDelayOthers);
   CPPUNIT_TEST(testLoad_threeTimesCapacity_refusesExcessEarly);
   CPPUNIT_TEST(testLoad_anyFleetSize_isServedInTime);
+  CPPUNIT_TEST(testRestart_backlogAfterLossOfEverything_takesFreePlacesOnly);
   CPPUNIT_TEST(testLoad_designRatios_staysBelowControlTrafficTarget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -153,6 +156,37 @@
     });
   }
 
+  // Guards against flows that travel to places that aren't free: after a loss of all power 24
+  // balancers have a backlog for the same upstreams, and agents declined about as many flows as
+  // they took (seen in teranga-hq-grown trouble-1).
+  void testRestart_backlogAfterLossOfEverything_takesFreePlacesOnly() {
+    using relay::policy::Mechanism;
+    for (const std::uint64_t Seed : {1, 2, 3}) {
+      const auto Measure = [Seed](relay::policy::Mechanisms InUse) {
+        RelayFleet Fleet({.Balancers = 24,
+                          .Agents = 50,
+                          .Slots = 3,
+                          .Work = 50ms,
+                          .Seed = Seed,
+                          .InUse = InUse});
+        Fleet.runFor(200ms);
+        Fleet.offer(0.7 * Fleet.capacity(), 500ms, CallerCount);
+        Fleet.loseEverything(1s, 500ms);
+        const auto Before = Fleet.total();
+        Fleet.offer(0.9 * Fleet.capacity(), 3s, CallerCount);
+        Fleet.runFor(2s);
+        const auto After = Fleet.total() - Before;
+        std::cout << "declines " << Fleet.declines() << " full " << Fleet.Full << " asked "
+                  << After.Asked << " served " << After.Served << " in time " << After.InTime
+                  << " refused " << After.Refused << " shed " << After.Shed << " latest "
+                  << std::chrono::duration<double>(Fleet.latestRefusal()).count() << std::endl;
+        return std::pair(Fleet.declines(), After);
+      };
+      (void)Measure({});
+      (void)Measure(relay::policy::Mechanisms().with(Mechanism::RestartRecovery));
+    }
+  }
+
   // Balancers query the load of a few agents only, whatever the number of agents and balancers.
   void testLoad_anyFleetSize_isServedInTime() {
     for (const std::size_t Agents : {7, 70, 700}) {
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -806,8 +806,8 @@
     CPPUNIT_ASSERT_EQUAL(Holder, Balancer.Steering.agentOf(Key));
   }
 
-  // Guards against copies of a packet that reach other upstreams after the flow's own has one: an idle
-  // caller's packets then reached three others and not its own (soak 777021).
+  // Guards against copies of a packet that reach other upstreams after the flow's own has one: an
+  // idle caller's packets then reached three others and not its own (soak 777021).
   void testSearch_manyUnsureAgents_getThePacketOneAfterTheOther() {
     constexpr std::size_t Agents = 20;
     Fleet Balancer(Agents);
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -628,8 +628,7 @@
     CPPUNIT_ASSERT(Queries < 60);
     SilentUntil(Oldest, Oldest + 2s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Lost);
-    CPPUNIT_ASSERT(Directory.reportingHolders(Oldest + 2s) ==
-                   (std::vector{AgentTwo, AgentThree}));
+    CPPUNIT_ASSERT(Directory.reportingHolders(Oldest + 2s) == (std::vector{AgentTwo, AgentThree}));
   }
 
   void testRoute_weightedServices_dependOnFlowOnly() {
