--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -77,8 +77,15 @@
   /// the record is removed.
   Awaitable<void> drain() {
     Flows.stop();
+    // Balancers keep the flows of an upstream that may run without its agent, so an agent that has
+    // just started first waits until it knows whether its upstream runs.
+    if (!Flows.upstreamJudged(common::suspendAwareNow())) {
+      reportToAll(common::suspendAwareNow());
+      while (!Flows.upstreamJudged(common::suspendAwareNow()))
+        co_await impl::sleepFor(StopFlushTime);
+    }
     const auto Now = common::suspendAwareNow();
-    const bool UpstreamEnded = Flows.registration().departed();
+    const bool UpstreamEnded = Flows.registration().departed() || Flows.upstreamEnded(Now);
     common::log(common::LogLevel::Info, "stopping",
                 {{"flows", Flows.flows()}, {"upstream_ended", UpstreamEnded}});
     if (UpstreamEnded)
--- a/include/galenarelay/relay/policy/restart_recovery.h
+++ b/include/galenarelay/relay/policy/restart_recovery.h
@@ -15,9 +15,9 @@
 /// Flows that one balancer may have under way to an upstream whose free places it doesn't know. The
 /// answer to the first one tells them.
 inline constexpr std::uint32_t UnknownPlaces = 1;
-/// Requests that an agent admits while its upstream has not reported how many slots it has: those
-/// of the smallest upstream, which runs one and queues one.
-inline constexpr std::uint32_t UnreportedRequestLimit = 2;
+/// Requests that an agent admits while its upstream has not reported how many slots it has.
+/// Upstreams run some requests at the same time and queue a few more.
+inline constexpr std::uint32_t UnreportedRequestLimit = 4;
 
 /// What a balancer knows about the free places of an upstream.
 struct PlaceKnowledge {
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -135,6 +135,9 @@
   /// True if the upstream said DepartureGrace ago that it ends, or has been silent for so long that
   /// it must have ended.
   [[nodiscard]] bool upstreamEnded(common::TimePoint Now) const;
+  /// Whether this process knows if its upstream runs: it has had a heartbeat, or the time in which
+  /// a live upstream sends one has passed.
+  [[nodiscard]] bool upstreamJudged(common::TimePoint Now) const;
   /// To be called after this process was suspended. The upstream's silence counts from now on, and
   /// the settings are no longer relied on: they may name the service of an earlier upstream.
   void onResume(common::TimePoint Now) noexcept {
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -177,6 +177,12 @@
   return Departed || ListenedUntil - std::max(LastSignAt, ListeningSince) > Silence;
 }
 
+bool UpstreamFlows::upstreamJudged(common::TimePoint Now) const {
+  const auto HeartbeatDue =
+      std::chrono::duration_cast<common::Duration>(HeartbeatInterval * UnheardIntervals);
+  return Upstream.known() || Now - ListeningSince > HeartbeatDue;
+}
+
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
                                                          common::TimePoint Now) const {
   if (Fields.ServiceDigest != serviceDigest(Upstream.service()))
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -33,13 +33,15 @@
     std::size_t Asked = 0;
     std::size_t Served = 0;
     std::size_t InTime = 0;
-    std::size_t Refused = 0;         ///< Reset before the flow opened.
-    std::size_t Shed = 0;            ///< Rejected by an upstream whose queue was full.
-    common::Duration RefusedAfter{}; ///< Sum of the times from a request to its refusal.
+    std::size_t Refused = 0;          ///< Reset before the flow opened.
+    std::size_t Shed = 0;             ///< Rejected by an upstream whose queue was full.
+    common::Duration RefusedAfter{};  ///< Sum of the times from a request to its refusal.
+    common::Duration LatestRefusal{}; ///< The longest of these times.
 
     friend RequestCounts operator-(const RequestCounts &A, const RequestCounts &B) {
       return {A.Asked - B.Asked,     A.Served - B.Served, A.InTime - B.InTime,
-              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter};
+              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter,
+              A.LatestRefusal};
     }
   };
 
@@ -124,15 +126,18 @@
       Sum.Refused += Counts.Refused;
       Sum.Shed += Counts.Shed;
       Sum.RefusedAfter += Counts.RefusedAfter;
+      Sum.LatestRefusal = std::max(Sum.LatestRefusal, Counts.LatestRefusal);
     }
     return Sum;
   }
   /// Control messages so far: load queries, their answers and reports.
   [[nodiscard]] std::size_t messages() const { return 2 * LoadQueries + ReportsSent; }
-  /// First packets that agents have returned since their upstreams were busy or full.
-  [[nodiscard]] std::size_t declines() const { return Declines; }
-  /// The longest time from a request to its refusal.
-  [[nodiscard]] common::Duration latestRefusal() const { return LatestRefusal; }
+  /// SYNs that agents have returned since their upstreams were full or busy.
+  struct DeclineCounts {
+    std::size_t Full = 0;
+    std::size_t Busy = 0;
+  };
+  [[nodiscard]] DeclineCounts declines() const { return Declines; }
   /// Bytes of these messages with their IPv4 and UDP headers.
   [[nodiscard]] std::size_t controlBytes() const {
     constexpr std::size_t HeaderBytes = 28;
@@ -316,10 +321,8 @@
                           Node.Steering.onFlowNotice({Action.Key, Load}, Address, Now), {});
         });
       else if (Action.Operation == Kind::Return) {
-        const bool Declined = Action.Reason == relay::ReturnReason::Full ||
-                              Action.Reason == relay::ReturnReason::Busy;
-        Declines += Declined ? 1 : 0;
-        Full += Action.Reason == relay::ReturnReason::Full ? 1 : 0;
+        Declines.Full += Action.Reason == relay::ReturnReason::Full ? 1 : 0;
+        Declines.Busy += Action.Reason == relay::ReturnReason::Busy ? 1 : 0;
         scheduleNode(NodeDelay, [this, Address, Action, Load, Packet] {
           performSteering(Action.Balancer,
                           balancer(Action.Balancer)
@@ -397,8 +400,9 @@
     if (It == Requests.end())
       return;
     count(Key, &RequestCounts::Refused);
-    CallerCounts[Key.Caller.Address].RefusedAfter += Now - It->second.StartedAt;
-    LatestRefusal = std::max(LatestRefusal, Now - It->second.StartedAt);
+    auto &Counts = CallerCounts[Key.Caller.Address];
+    Counts.RefusedAfter += Now - It->second.StartedAt;
+    Counts.LatestRefusal = std::max(Counts.LatestRefusal, Now - It->second.StartedAt);
     Requests.erase(It);
   }
 
@@ -471,13 +475,7 @@
   std::uint64_t Ticks = 0;
   std::size_t LoadQueries = 0;
   std::size_t ReportsSent = 0;
-  std::size_t Declines = 0;
-
-public:
-  std::size_t Full = 0;
-
-private:
-  common::Duration LatestRefusal{};
+  DeclineCounts Declines;
   std::uint64_t Epoch = 0; ///< Number of losses of power so far.
   std::uint16_t NextPort = 0;
   std::vector<std::unique_ptr<BalancerNode>> Balancers;
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -1,7 +1,5 @@
 #include "relay_fleet.h"
 
-#include <iostream>
-
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace galenarelay::tests {
@@ -161,6 +159,7 @@
   // they took (seen in teranga-hq-grown trouble-1).
   void testRestart_backlogAfterLossOfEverything_takesFreePlacesOnly() {
     using relay::policy::Mechanism;
+    constexpr double MaxFullDeclinesPerServed = 0.2;
     for (const std::uint64_t Seed : {1, 2, 3}) {
       const auto Measure = [Seed](relay::policy::Mechanisms InUse) {
         RelayFleet Fleet({.Balancers = 24,
@@ -173,17 +172,23 @@
         Fleet.offer(0.7 * Fleet.capacity(), 500ms, CallerCount);
         Fleet.loseEverything(1s, 500ms);
         const auto Before = Fleet.total();
+        // More than the cold upstreams can serve.
         Fleet.offer(0.9 * Fleet.capacity(), 3s, CallerCount);
         Fleet.runFor(2s);
-        const auto After = Fleet.total() - Before;
-        std::cout << "declines " << Fleet.declines() << " full " << Fleet.Full << " asked "
-                  << After.Asked << " served " << After.Served << " in time " << After.InTime
-                  << " refused " << After.Refused << " shed " << After.Shed << " latest "
-                  << std::chrono::duration<double>(Fleet.latestRefusal()).count() << std::endl;
-        return std::pair(Fleet.declines(), After);
+        return std::pair(Fleet.declines(), Fleet.total() - Before);
       };
-      (void)Measure({});
-      (void)Measure(relay::policy::Mechanisms().with(Mechanism::RestartRecovery));
+      const auto [Declines, Counts] =
+          Measure(relay::policy::Mechanisms().with(Mechanism::RestartRecovery));
+      const auto [TwinDeclines, TwinCounts] = Measure({});
+      CPPUNIT_ASSERT(static_cast<double>(Declines.Full) <=
+                     MaxFullDeclinesPerServed * static_cast<double>(Counts.Served));
+      CPPUNIT_ASSERT(2 * (Declines.Full + Declines.Busy) < TwinDeclines.Full + TwinDeclines.Busy);
+      CPPUNIT_ASSERT(Counts.InTime > TwinCounts.InTime);
+      CPPUNIT_ASSERT(static_cast<double>(Counts.Served) >=
+                     GoodputTarget * static_cast<double>(TwinCounts.Served));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Counts.Shed);
+      // Nothing is held past its time, which the timer notices within a tick.
+      CPPUNIT_ASSERT(Counts.LatestRefusal <= relay::policy::HoldTimeout + 30ms);
     }
   }
 
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/relay/policy/admission.h"
 #include "galenarelay/relay/policy/mechanism.h"
 #include "galenarelay/relay/policy/release_order.h"
+#include "galenarelay/relay/policy/restart_recovery.h"
 #include "relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(testExpired_deadlineAndHoldTimeout_earlierOneCounts);
   CPPUNIT_TEST(testWouldExpire_flowsAheadAndRate_decide);
   CPPUNIT_TEST(testReleaseRate_oldReleases_areNotCounted);
+  CPPUNIT_TEST(testMaxUnderWay_knownPlaces_boundFlows);
   CPPUNIT_TEST(testMechanisms_changed_differInOnlyThatOne);
   CPPUNIT_TEST(testMechanisms_unknownName_isRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -93,6 +95,23 @@
     CPPUNIT_ASSERT_EQUAL(0.0, Rate.perSecond(Now + 2s));
   }
 
+  void testMaxUnderWay_knownPlaces_boundFlows() {
+    struct Case {
+      const char *Name;
+      relay::policy::PlaceKnowledge Known;
+      std::uint32_t Expected;
+    };
+    for (const Case &TestCase : {Case{"slots unknown", {0, 0, 0ms, false}, 1},
+                                 {"free slots", {3, 1, 20ms, false}, 2},
+                                 {"old figure", {3, 0, 100ms, false}, 1},
+                                 {"busy", {3, 4, 20ms, false}, 0},
+                                 {"busy, figure of some time", {3, 4, 100ms, false}, 0},
+                                 {"busy, place reported", {3, 4, 20ms, true}, 1},
+                                 {"busy long ago", {3, 4, 600ms, false}, 1}})
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(TestCase.Name, TestCase.Expected,
+                                   relay::policy::maxUnderWay(TestCase.Known));
+  }
+
   void testMechanisms_changed_differInOnlyThatOne() {
     for (std::size_t I = 0; I < relay::policy::MechanismCount; ++I) {
       const auto Which = static_cast<Mechanism>(I);
--- a/tests/relay_steering_test.cpp
+++ b/tests/relay_steering_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(testSearch_oneAgentSilent_doesNotReset);
   CPPUNIT_TEST(testSearch_justAfterStart_doesNotReset);
   CPPUNIT_TEST(testSearch_afterCommonStart_resetsWithoutSettling);
+  CPPUNIT_TEST(testSearch_agentsComeOneAfterTheOther_endsWithTheLastOne);
   CPPUNIT_TEST(testSearch_agentOfStoreRecordNotHeard_blocksReset);
   CPPUNIT_TEST(testSearch_agentSilentTowardsThisNodeOnly_doesNotReset);
   CPPUNIT_TEST(testSearch_agentLost_resetsIdempotentFlowsOnly);
@@ -649,6 +650,54 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ResetsWith(0s));
   }
 
+  // Guards against searches that go on for seconds after a loss of everything, and against the
+  // reset of a flow whose upstream has survived it and reports last.
+  void testSearch_agentsComeOneAfterTheOther_endsWithTheLastOne() {
+    constexpr std::size_t Agents = 10;
+    constexpr auto Apart = 50ms;
+    for (const bool LastSurvived : {false, true}) {
+      UpstreamDirectory Directory("a", 1);
+      FlowSteering Balancer(BalancerOne, Directory, RelayStart);
+      Balancer.setRoutes(relayRoutes());
+      for (std::size_t I = 0; I < Agents; ++I)
+        Directory.noteExpected(Fleet::address(I), RelayStart);
+      Balancer.noteAgentsListed(RelayStart);
+      const relay::Bytes Raw{1, 2, 3};
+      (void)Balancer.onPacket(callerData(relayKey(1), 77), Raw, RelayStart);
+      const auto Last = Fleet::address(Agents - 1);
+      std::size_t Started = 0;
+      std::size_t Resets = 0;
+      const auto Count = [&](const SteeringActions &Actions) {
+        Resets += countActions(Actions, Kind::Reset);
+      };
+      auto Now = RelayStart;
+      for (; Now < RelayStart + Agents * Apart + 300ms; Now += 10ms) {
+        if (Started < Agents && Now >= RelayStart + Started * Apart) {
+          auto Report = agentReport(1);
+          Report.UpstreamIncarnation = 100 + Started;
+          Report.ColdFor = LastSurvived && Started == Agents - 1 ? 0ms : 2000ms;
+          (void)Directory.onReport(Fleet::address(Started++), Report, Now);
+        }
+        SteeringActions Actions;
+        for (const auto &Query : Balancer.takeFlowQueries(Now, Actions)) {
+          if (Query.Agent >= Fleet::address(Started))
+            continue; // It has not started yet.
+          const bool Holds = LastSurvived && Query.Agent == Last;
+          Count(
+              Balancer.onAnswer({Query.Message.Id,
+                                 Holds ? std::vector<std::uint8_t>{0} : std::vector<std::uint8_t>{},
+                                 {}},
+                                Query.Agent, Now));
+        }
+        Count(Actions);
+        Count(Balancer.onTimer(Now));
+        CPPUNIT_ASSERT(Resets == 0 || Started == Agents);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{LastSurvived ? 0U : 1U}, Resets);
+      CPPUNIT_ASSERT_EQUAL(LastSurvived ? Last : 0, Balancer.agentOf(relayKey(1)));
+    }
+  }
+
   /// Leaves queries to AgentOne unanswered until it is lost, or silent for as long. Returns the
   /// time.
   static common::TimePoint silenceAgentOne(Node &Balancer, std::size_t OtherBalancers) {
--- a/tests/relay_upstream_flows_test.cpp
+++ b/tests/relay_upstream_flows_test.cpp
@@ -1,3 +1,4 @@
+#include "galenarelay/relay/policy/restart_recovery.h"
 #include "relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -20,6 +21,8 @@
   CPPUNIT_TEST(testFirstPacket_upstreamNotAccepting_isReturned);
   CPPUNIT_TEST(testFirstPacket_busyUpstream_isReturnedUnlessInsisted);
   CPPUNIT_TEST(testFirstPacket_afterSuspensionBeforeFirstHeartbeat_isReturned);
+  CPPUNIT_TEST(testStop_justAfterStart_firstLearnsWhetherUpstreamRuns);
+  CPPUNIT_TEST(testFirstPacket_slotsNotReported_isBoundedAfterRestart);
   CPPUNIT_TEST(testAnswer_afterFullDeclines_notifiesOneBalancerPerFreePlace);
   CPPUNIT_TEST(testFirstPacket_unansweredByUpstream_isReturnedBeforeRetransmission);
   CPPUNIT_TEST(testFirstPacket_refusedByUpstream_isReturned);
@@ -178,6 +181,45 @@
     CPPUNIT_ASSERT(AfterHeartbeat[0].Operation == Kind::Deliver);
   }
 
+  // Guards against searches that wait for an agent that stopped for good before it could tell that
+  // its upstream had ended: balancers keep the flows of such an agent (teranga-hq-grown trouble-1).
+  void testStop_justAfterStart_firstLearnsWhetherUpstreamRuns() {
+    UpstreamFlows Flows("desk", 1200ms, RelayStart);
+    Flows.stop();
+    CPPUNIT_ASSERT(!Flows.upstreamJudged(RelayStart + 1200ms));
+    UpstreamFlows Heard("desk", 1200ms, RelayStart);
+    (void)Heard.onHeartbeat(heartbeat(5), RelayStart + 100ms);
+    Heard.stop();
+    CPPUNIT_ASSERT(Heard.upstreamJudged(RelayStart + 100ms));
+    CPPUNIT_ASSERT(Heard.state(RelayStart + 100ms) == relay::UpstreamState::Stopping);
+    CPPUNIT_ASSERT(Flows.upstreamJudged(RelayStart + 1700ms));
+    CPPUNIT_ASSERT(Flows.state(RelayStart + 1700ms) == relay::UpstreamState::Ended);
+  }
+
+  // Guards against a restarted agent that admits the backlog of all balancers before its upstream
+  // says how much it can run.
+  void testFirstPacket_slotsNotReported_isBoundedAfterRestart() {
+    using relay::policy::Mechanism;
+    for (const bool Recovers : {true, false}) {
+      const auto InUse = Recovers ? relay::policy::Mechanisms().with(Mechanism::RestartRecovery)
+                                  : relay::policy::Mechanisms();
+      UpstreamFlows Flows("desk", 1200ms, RelayStart, InUse);
+      std::size_t Admitted = 0;
+      for (std::uint16_t Port = 1; Port <= 50; ++Port)
+        Admitted += countActions(fromBalancer(Flows, firstPacket(relayKey(Port)),
+                                              {.ServiceDigest = DeskDigest, .Insist = true}),
+                                 Kind::Deliver);
+      CPPUNIT_ASSERT_EQUAL(Recovers ? std::size_t{relay::policy::UnreportedRequestLimit} : 50,
+                           Admitted);
+      // The limit of the slots takes its place.
+      (void)Flows.onHeartbeat(heartbeat(1), RelayStart);
+      const auto Next = fromBalancer(Flows, firstPacket(relayKey(99)),
+                                     {.ServiceDigest = DeskDigest, .Insist = true});
+      CPPUNIT_ASSERT(Next[0].Operation ==
+                     (Admitted < relay::requestLimit(2) ? Kind::Deliver : Kind::Return));
+    }
+  }
+
   void testAnswer_afterFullDeclines_notifiesOneBalancerPerFreePlace() {
     auto Flows = readyFlows();
     const auto Capacity = static_cast<std::uint16_t>(relay::requestLimit(2));
