--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -484,13 +484,17 @@
       return {400, nlohmann::json{{"error", Key.Failure.Detail}}.dump()};
     const relay::Route *Route = Steering.routes().find(Key->Service);
     const auto Agent = Steering.agentOf(*Key);
-    return {200,
-            nlohmann::json{
-                {"revision", Steering.routes().revision()},
-                {"route", Route == nullptr ? "" : Route->Name},
-                {"service", Route == nullptr ? "" : relay::RouteTable::serviceFor(*Route, *Key)},
-                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
-                .dump()};
+    nlohmann::json Answer{
+        {"revision", Steering.routes().revision()},
+        {"route", Route == nullptr ? "" : Route->Name},
+        {"service", Route == nullptr ? "" : relay::RouteTable::serviceFor(*Route, *Key)},
+        {"agent", Agent == 0 ? "" : common::addressToString(Agent)}};
+    if (const auto Search = Steering.searchOf(*Key))
+      Answer["search"] = {{"denials", Search->Denials},
+                          {"agents_awaited", Search->Awaited},
+                          {"searched_ms", common::wholeMilliseconds(common::suspendAwareNow() -
+                                                                    Search->StartedAt)}};
+    return {200, Answer.dump()};
   }
 
   // --- configuration
--- a/include/galenarelay/relay/flow_search.h
+++ b/include/galenarelay/relay/flow_search.h
@@ -73,6 +73,7 @@
   /// Progress of the search for one flow.
   struct Progress {
     std::size_t Denials = 0;       ///< Agents that have denied the flow.
+    std::size_t Awaited = 0;       ///< Agents whose answer is outstanding.
     common::TimePoint StartedAt{}; ///< Arrival of the flow's first packet.
 
     friend bool operator==(const Progress &, const Progress &) = default;
@@ -113,6 +114,7 @@
   [[nodiscard]] std::vector<PacketCopy> takeCopies(std::size_t Limit, common::TimePoint Now);
   /// The progress of a flow's search, which must not have ended.
   [[nodiscard]] Progress progress(const packet::FlowKey &Key) const;
+  [[nodiscard]] bool contains(const packet::FlowKey &Key) const { return Searches.contains(Key); }
   /// Start of the latest search that has reached its last stage.
   [[nodiscard]] common::TimePoint latestBroadcastStart() const noexcept {
     return LatestBroadcastStart;
--- a/include/galenarelay/relay/flow_steering.h
+++ b/include/galenarelay/relay/flow_steering.h
@@ -151,6 +151,11 @@
   /// The agent that holds a flow; 0 if it isn't known.
   [[nodiscard]] NodeAddress agentOf(const packet::FlowKey &Key) const;
 
+  /// The search for a flow; empty if it isn't searched.
+  [[nodiscard]] std::optional<FlowSearch::Progress> searchOf(const packet::FlowKey &Key) const {
+    return Search.contains(Key) ? std::optional(Search.progress(Key)) : std::nullopt;
+  }
+
   [[nodiscard]] SteeringActions onPacket(const PacketHeader &Head,
                                          std::span<const std::uint8_t> Raw, common::TimePoint Now);
   /// Handles a packet that an agent returned. Returned.Packet doesn't carry the mark of its
--- a/src/relay/flow_search.cpp
+++ b/src/relay/flow_search.cpp
@@ -207,7 +207,7 @@
 
 FlowSearch::Progress FlowSearch::progress(const packet::FlowKey &Key) const {
   const Search &Entry = Searches.at(Key);
-  return {Entry.DeniedBy.size(), Entry.StartedAt};
+  return {Entry.DeniedBy.size(), Entry.AwaitingAnswer.size(), Entry.StartedAt};
 }
 
 FlowSearch::Packets FlowSearch::finish(const packet::FlowKey &Key) {
