--- a/tests/relay_capacity_test.cpp
+++ b/tests/relay_capacity_test.cpp
@@ -191,13 +191,13 @@
     return std::chrono::duration<double>(All.ServedAfter).count() / static_cast<double>(All.Served);
   }
 
-  /// Results of ten seconds at a load, after ten seconds for learning.
+  /// Results of 30 seconds at a load, after ten seconds for learning.
   static Counts steady(RelayFleet::Options Config, double Load) {
     RelayFleet Fleet(std::move(Config));
     Fleet.runFor(200ms);
     Fleet.offer(Load * Fleet.capacity(), 10s, CallerCount);
     const auto Before = Fleet.total();
-    Fleet.offer(Load * Fleet.capacity(), 10s, CallerCount);
+    Fleet.offer(Load * Fleet.capacity(), 30s, CallerCount);
     const auto After = Fleet.total();
     return After - Before;
   }
@@ -210,7 +210,7 @@
       Counts Learned;
       Counts Oracle;
       Counts Declared;
-      forSeeds([&](std::uint64_t Seed) {
+      for (const std::uint64_t Seed : {1, 2, 3, 4, 5}) {
         Config.Seed = Seed;
         auto Known = Config;
         Known.Oracle = true;
@@ -219,7 +219,7 @@
         Learned = Learned - (Counts{} - steady(Config, Load));
         Oracle = Oracle - (Counts{} - steady(Known, Load));
         Declared = Declared - (Counts{} - steady(Neutral, Load));
-      });
+      }
       const std::string Case =
           "load " + std::to_string(Load) + ": served " + std::to_string(Learned.Served) +
           ", oracle " + std::to_string(Oracle.Served) + ", declared " +
