--- a/include/galenarelay/relay/waiting_flows.h
+++ b/include/galenarelay/relay/waiting_flows.h
@@ -107,11 +107,13 @@
   [[nodiscard]] std::vector<packet::FlowKey> takeAll() { return std::exchange(Keys, {}); }
 
   /// Places waiting flows in the order of release as long as there is room, and refuses those whose
-  /// time is over. With SharedContention, a call that isn't that of the timer has no effect without
-  /// room, as the order needn't be known then.
+  /// time is over. A call that isn't that of the timer has no effect within RankingPause. With
+  /// SharedContention, a call that isn't that of the timer has no effect without room, as the order
+  /// needn't be known then.
   template <WaitingFlowHost Host> void release(Host &&Target, bool ByTimer, common::TimePoint Now) {
     using policy::Mechanism;
-    if (!ByTimer && Now - ReleasedAt < RankingPause * static_cast<std::int64_t>(Keys.size()))
+    const auto Pause = RankingPause * static_cast<std::int64_t>(Keys.size());
+    if (!ByTimer && Keys.size() <= MaxHeldFlows && Now - ReleasedAt < Pause)
       return;
     ReleasedAt = Now;
     if (InUse.uses(Mechanism::SharedContention)) {
