--- a/include/galenarelay/relay/waiting_flows.h
+++ b/include/galenarelay/relay/waiting_flows.h
@@ -107,13 +107,17 @@
   [[nodiscard]] std::vector<packet::FlowKey> takeAll() { return std::exchange(Keys, {}); }
 
   /// Places waiting flows in the order of release as long as there is room, and refuses those whose
-  /// time is over. A call that isn't that of the timer has no effect within RankingPause. With
+  /// time is over. With RestartRecovery alone, a call that isn't that of the timer
+  /// has no effect within RankingPause. With
   /// SharedContention, a call that isn't that of the timer has no effect without room, as the order
   /// needn't be known then.
   template <WaitingFlowHost Host> void release(Host &&Target, bool ByTimer, common::TimePoint Now) {
     using policy::Mechanism;
-    const auto Pause = RankingPause * static_cast<std::int64_t>(Keys.size());
-    if (!ByTimer && Keys.size() <= MaxHeldFlows && Now - ReleasedAt < Pause)
+    // Sharing skips calls without room instead, below.
+    const bool Paused = InUse.uses(Mechanism::RestartRecovery) &&
+                        !InUse.uses(Mechanism::SharedContention) &&
+                        Now - ReleasedAt < RankingPause * static_cast<std::int64_t>(Keys.size());
+    if (!ByTimer && Paused)
       return;
     ReleasedAt = Now;
     if (InUse.uses(Mechanism::SharedContention)) {
