Reset no overdue requests that may be incomplete or old

A reset of a flow whose upstream is well again, or still waits for the rest of a request, would be a fault of our own. Only requests of one packet are reset, within 3 s of their start.

--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -52,6 +52,9 @@
 /// from the upstream's answers, and without any it is the upper one: some services take seconds.
 inline constexpr common::Duration MinAnswerPatience = std::chrono::milliseconds(800);
 inline constexpr common::Duration MaxAnswerPatience = std::chrono::seconds(10);
+/// A request that counts as failed is reset within this time from its start, or not at all: later
+/// its upstream may be well again, and only this request be slow.
+inline constexpr common::Duration MaxResetAge = std::chrono::seconds(3);
 /// How long a flow that the upstream has not confirmed or accepted stays in the table.
 inline constexpr common::Duration UnconfirmedRetention = std::chrono::seconds(2);
 /// An upstream exits once its departure is acknowledged. Its flows count as ended after this time,
@@ -193,7 +196,8 @@
     bool CallerFinSeen = false;
     bool UpstreamFinSeen = false;
     std::uint16_t Requests = 0;
-    std::uint32_t InitialSequence = 0;                  ///< Of the upstream.
+    bool SinglePacket = false;         ///< The latest request has had one packet so far.
+    std::uint32_t InitialSequence = 0; ///< Of the upstream.
     std::optional<std::uint32_t> CallerInitialSequence; ///< Known if this process saw the SYN.
     std::uint32_t CallerDataEnd = 0; ///< Sequence number after the caller's last data.
     /// The latest one; unknown until the caller has acknowledged a number of this upstream.
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -389,7 +389,9 @@
       continue;
     if (Now - It->second.LastCallerDataAt >= MinAnswerPatience) {
       noteFailure(policy::UpstreamFault::RequestUnanswered, Request.Key, Now);
-      if (It->second.Idempotent && FailedRequests.size() < MaxAnswerTimes)
+      // A longer request may be incomplete, so that the upstream still waits for its caller.
+      if (It->second.Idempotent && It->second.SinglePacket &&
+          FailedRequests.size() < MaxAnswerTimes)
         FailedRequests.push_back(Request);
       continue;
     }
@@ -411,7 +413,7 @@
   std::erase_if(FailedRequests, [&](const AskedRequest &Request) {
     const auto It = Flows.find(Request.Key);
     if (It == Flows.end() || It->second.State != Phase::Open || !It->second.RequestPending ||
-        It->second.Requests != Request.Number)
+        It->second.Requests != Request.Number || Now - Request.At > MaxResetAge)
       return true;
     const bool Hangs = AnswersNothing || LatestAnswered > Request.At;
     if (!Spared || !Hangs || !It->second.CallerAcknowledgement)
@@ -498,7 +500,8 @@
   Entry.HasCallerDataEnd = true;
   Entry.CallerDataEnd = End;
   Entry.LastCallerDataAt = Now;
-  if (Entry.State == Phase::Closed || (Entry.RequestPending && Entry.Requests > 0))
+  Entry.SinglePacket = !(Entry.RequestPending && Entry.Requests > 0);
+  if (Entry.State == Phase::Closed || !Entry.SinglePacket)
     return;
   expectRequest(Entry);
   Entry.RequestStartedAt = Now;
--- a/tests/relay_damping_test.cpp
+++ b/tests/relay_damping_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(testAgent_withoutAnyAnswer_isPatient);
   CPPUNIT_TEST(testAgent_hangingUpstream_resetsIdempotentRequests);
   CPPUNIT_TEST(testAgent_hangingUpstreamThatSheds_resetsIdempotentRequests);
+  CPPUNIT_TEST(testAgent_hangingUpstream_keepsLongAndOldRequests);
   CPPUNIT_TEST(testAgent_slowUpstream_resetsNothing);
   CPPUNIT_TEST(testAgent_whileProbing_takesOneIdempotentRequest);
   CPPUNIT_TEST(testAgent_whileSpared_keepsOpenFlows);
@@ -337,6 +338,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Node.pass(600ms));
   }
 
+  // An upload that its caller hasn't finished, and a request of before the upstream was spared.
+  void testAgent_hangingUpstream_keepsLongAndOldRequests() {
+    Agent Node;
+    Node.answer(Node.ask(100));
+    const auto Upload = Node.ask(1, 101);
+    const std::vector<std::uint8_t> Raw{2};
+    (void)Node.Flows.onBalancerPacket(callerData(Upload, 5001, 1100), {}, Raw, BalancerOne,
+                                      Node.Now);
+    (void)Node.ask(2, 102);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Node.pass(relay::MaxResetAge + 20ms));
+    for (std::uint16_t Port = 3; Port <= 5; ++Port)
+      Node.reset(Node.ask(Port, 100U + Port));
+    CPPUNIT_ASSERT(Node.standing() == Standing::Spared);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Node.pass(2s));
+  }
+
   // Requests are answered in their order, a second late.
   void testAgent_slowUpstream_resetsNothing() {
     Agent Node;
