Learn what each upstream takes well

Cause: declared slots are taken for what an upstream can do, so that slow upstreams of a service get requests while fast ones are free, and one that slows down long before it is full is filled up.

Change: with the optional mechanism learned_capacity an agent learns capacity and answer time from the times at which requests and answers begin (relay/policy/learned_capacity.h, behind the concept CapacityEstimator; DeclaredSlots is the neutral twin). UpstreamLoad carries both figures, left out when unknown. Balancers place by the expected time of one more request, look at further candidates while the first ones are busy or slow, and count free places against the figure, as the agent's own declines do. Operators see metrics, capacity_changed lines and GET /v1/capacity; [upstream] min_capacity and pinned_capacity bound or replace the figure. No template names the mechanism.

ConcurrencyLimit of the product's own interface is unchanged.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -1,6 +1,7 @@
 #ifndef GALENARELAY_NODE_RELAY_AGENT_H
 #define GALENARELAY_NODE_RELAY_AGENT_H
 
+#include "galenarelay/node/impl/capacity_metrics.h"
 #include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/upstream_flows.h"
 
@@ -43,7 +44,8 @@
       : Base(Io, std::move(Settings.Node), Metrics, impl::AgentRecordPrefix),
         Upstream(Settings.Upstream), FromUpstream(Settings.FromUpstream),
         Flows(std::move(Settings.Service), Settings.HeartbeatInterval, StartedAt,
-              Options.EnabledMechanisms),
+              Options.EnabledMechanisms, Settings.Capacity),
+        CapacityMetrics(Metrics),
         UnansweredGauge(
             Metrics.gauge("unanswered_requests", "Requests that the upstream has not answered")),
         AnswerSeconds(Metrics.histogram("upstream_answer_seconds",
@@ -287,6 +289,8 @@
       recordAnswerTime(Answer, Now);
     FlowGauge.Set(static_cast<double>(Flows.flows()));
     UnansweredGauge.Set(Flows.load().Unanswered);
+    if (const auto *Learned = Flows.learnedCapacity())
+      CapacityMetrics.update(*Learned, Now);
   }
 
   void recordAnswerTime(const relay::AnswerTime &Answer, common::TimePoint Now) {
@@ -336,6 +340,8 @@
       co_return handleDeparture(std::move(Id), Request.Body, Now);
     if (Platform::Calls::asksReadiness(Request))
       co_return common::HttpResponse{200, "{}"};
+    if (Request.Path == "/v1/capacity")
+      co_return common::HttpResponse{200, impl::describeCapacity(Flows)};
     co_return this->serveCommonPath(Request.Path);
   }
 
@@ -420,6 +426,7 @@
   relay::UpstreamState LastState = relay::UpstreamState::Unknown;
 
   std::array<prometheus::Counter *, relay::FlowEventCount> EventCounters{};
+  impl::CapacityMetrics CapacityMetrics;
   prometheus::Gauge &UnansweredGauge;
   prometheus::Histogram &AnswerSeconds;
 };
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -214,6 +214,11 @@
       Fields["attempt"] = Action.Attempt;
       Fields["unanswered"] = View->Load.Unanswered;
       Fields["long_flows"] = View->Load.LongFlows;
+      if (View->Load.Capacity != 0)
+        Fields["capacity"] = View->Load.Capacity;
+      if (View->Load.AnswerTime != 0)
+        Fields["answer_ms"] =
+            common::wholeMilliseconds(View->Load.AnswerTime * relay::AnswerTimeUnit);
       Fields["load_age_ms"] = common::wholeMilliseconds(Now - View->LoadAt);
     }
     common::log(common::LogLevel::Info, "flow_steered", Fields);
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -2,6 +2,7 @@
 #define GALENARELAY_RELAY_PEER_MESSAGE_H
 
 #include "galenarelay/common/error.h"
+#include "galenarelay/common/time.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/route_table.h"
 #include "galenarelay/relay/store_era.h"
@@ -27,12 +28,18 @@
   Ended     ///< The upstream has ended, and so have its flows.
 };
 
+/// Unit of UpstreamLoad::AnswerTime.
+inline constexpr common::Duration AnswerTimeUnit = std::chrono::microseconds(100);
+
 /// Load of an upstream, as its agent derives it from the packets.
 struct UpstreamLoad {
   /// Requests that the upstream has not begun to answer, and new flows whose first request has not
   /// arrived yet.
   std::uint32_t Unanswered = 0;
   std::uint32_t LongFlows = 0; ///< Open flows that carry, or are expected to carry, many requests.
+  std::uint32_t Capacity = 0;  ///< Requests that the upstream takes well; 0 for its declared slots.
+  /// Time to answer one request while slots are free, in units of AnswerTimeUnit; 0 if unknown.
+  std::uint32_t AnswerTime = 0;
 
   friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
 };
--- a/include/galenarelay/relay/policy/placement.h
+++ b/include/galenarelay/relay/policy/placement.h
@@ -29,9 +29,19 @@
   std::uint32_t LongFlows = 0;   ///< By the same figure.
   std::uint32_t PlacedShort = 0; ///< Flows sent to it that the figure doesn't include yet.
   std::uint32_t PlacedLong = 0;
+  std::uint32_t Capacity = 0; ///< Learned one; 0 for the slots.
+  double RelativeTime = 1;    ///< To answer a request, as a factor of the usual time.
+  bool TimeKnown = false;     ///< RelativeTime is that of the upstream.
+
+  /// Requests that the upstream takes well: the learned capacity or the slots; 0 if unknown.
+  [[nodiscard]] std::uint32_t capacity() const noexcept { return Capacity != 0 ? Capacity : Slots; }
 
   /// Whether all slots are taken.
   [[nodiscard]] bool busy() const noexcept;
+  /// Whether a request takes much longer than at other upstreams of the service.
+  [[nodiscard]] bool slow() const noexcept;
+  /// Whether a request would be worked on at once and at the usual speed.
+  [[nodiscard]] bool answersSoon() const noexcept { return !busy() && !slow(); }
   /// Whether the upstream takes no further flow; see requestLimit().
   [[nodiscard]] bool full() const noexcept;
 
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -6,6 +6,7 @@
 #include "galenarelay/relay/candidates.h"
 #include "galenarelay/relay/peer_message.h"
 #include "galenarelay/relay/policy/placement.h"
+#include "galenarelay/relay/policy/relative_speed.h"
 #include "galenarelay/relay/response_time.h"
 
 #include <algorithm>
@@ -172,6 +173,8 @@
   [[nodiscard]] bool isFull(NodeAddress Agent, common::TimePoint Now) const;
   /// Whether all slots of the agent's upstream are taken.
   [[nodiscard]] bool isBusy(NodeAddress Agent, common::TimePoint Now) const;
+  /// Whether the agent's upstream would work on a request at once and at the usual speed.
+  [[nodiscard]] bool answersSoon(NodeAddress Agent, common::TimePoint Now) const;
   /// Adds a flow that is sent to the agent to its load until a load figure includes it.
   void notePlacement(NodeAddress Agent, FlowKind Kind, common::TimePoint Now);
 
@@ -271,6 +274,7 @@
   std::string OwnZone;
   common::Engine Random;
   policy::Mechanisms InUse;
+  policy::RelativeSpeed Speeds;
   std::map<NodeAddress, AgentEntry> Agents;
   std::unordered_map<std::string, std::vector<NodeAddress>>
       ByService; ///< Without agents whose upstream has ended.
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/policy/learned_capacity.h"
 #include "galenarelay/relay/policy/mechanism.h"
 #include "galenarelay/relay/registration.h"
 #include "galenarelay/relay/response_time.h"
@@ -18,6 +19,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace galenarelay::relay {
@@ -113,7 +115,8 @@
 class UpstreamFlows {
 public:
   UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
-                common::TimePoint StartedAt, policy::Mechanisms InUse = {});
+                common::TimePoint StartedAt, policy::Mechanisms InUse = {},
+                policy::CapacityBounds Bounds = {});
 
   [[nodiscard]] HeartbeatEffect onHeartbeat(const Heartbeat &Received, common::TimePoint Now);
   /// Notes that the upstream is about to exit. Returns false if it is another one that exits.
@@ -152,7 +155,11 @@
   [[nodiscard]] const Registration &registration() const noexcept { return Upstream; }
   [[nodiscard]] const std::string &service() const noexcept { return Upstream.service(); }
   [[nodiscard]] UpstreamState state(common::TimePoint Now) const;
-  [[nodiscard]] UpstreamLoad load() const noexcept { return {Unanswered, LongFlows}; }
+  [[nodiscard]] UpstreamLoad load() const noexcept;
+  /// The capacity learned; null if the declared slots are taken for it.
+  [[nodiscard]] const policy::LearnedCapacity *learnedCapacity() const noexcept {
+    return std::get_if<policy::LearnedCapacity>(&Capacity);
+  }
   [[nodiscard]] std::size_t flows() const noexcept { return Flows.size(); }
 
 private:
@@ -196,7 +203,12 @@
                                                           common::TimePoint Now) const;
   /// Slots of the upstream; 0 if unknown.
   [[nodiscard]] std::uint32_t slots() const noexcept;
+  /// Requests that the upstream takes well; 0 if unknown.
+  [[nodiscard]] std::uint32_t capacity() const noexcept;
+  /// Requests from which flows are declined; 0 for no limit.
+  [[nodiscard]] std::uint32_t limit() const noexcept;
   [[nodiscard]] bool full() const noexcept;
+  template <typename F> void estimate(F &&Function) { std::visit(Function, Capacity); }
   void addWaitingBalancer(NodeAddress Balancer);
   void notifyWaitingBalancer(FlowActions &Actions);
   void onReturnedByUpstream(const PacketHeader &Head, const Transit &Fields, FlowActions &Actions);
@@ -205,7 +217,7 @@
   void noteUpstreamData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now);
   [[nodiscard]] static bool matches(const PacketHeader &Head, const Flow &Entry) noexcept;
   void expectRequest(Flow &Entry);
-  void endRequest(Flow &Entry);
+  void endRequest(Flow &Entry, bool Answered = false);
   /// How long an accepted flow counts as load before its first request arrives.
   [[nodiscard]] common::Duration requestTimeout() const noexcept;
   void releaseAbandoned(common::TimePoint Now, FlowActions &Actions);
@@ -235,6 +247,8 @@
   FlowMap Flows;
   std::uint32_t Unanswered = 0;
   std::uint32_t LongFlows = 0;
+  std::variant<policy::DeclaredSlots, policy::LearnedCapacity> Capacity;
+  std::uint32_t NotifiedLimit = 0; ///< limit() when balancers were last notified of free places.
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> AnswerDeadlines;
   /// Accepted flows with the time of their acceptance, the oldest one first.
   std::deque<std::pair<common::TimePoint, packet::FlowKey>> FlowsAwaitingRequest;
--- a/src/node/relay_settings.cpp
+++ b/src/node/relay_settings.cpp
@@ -52,6 +52,10 @@
                    "UDP address to which the upstream sends its packets"});
   Rules.push_back({"upstream", "heartbeat_ms", SettingKind::Integer, std::nullopt, 10, 60000,
                    "interval of the upstream's heartbeats"});
+  Rules.push_back({"upstream", "min_capacity", SettingKind::Integer, "1", 1, 1024,
+                   "least learned capacity, in requests in progress"});
+  Rules.push_back({"upstream", "pinned_capacity", SettingKind::Integer, "0", 0, 1024,
+                   "capacity that replaces the learned one; 0 to learn it"});
   return Rules;
 }
 
@@ -83,6 +87,8 @@
   Options.Upstream = Values.endpoint("upstream", "address");
   Options.FromUpstream = Values.endpoint("upstream", "outbound");
   Options.HeartbeatInterval = std::chrono::milliseconds(Values.integer("upstream", "heartbeat_ms"));
+  Options.Capacity = {static_cast<std::uint32_t>(Values.integer("upstream", "min_capacity")),
+                      static_cast<std::uint32_t>(Values.integer("upstream", "pinned_capacity"))};
   return Options;
 }
 
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -199,8 +199,8 @@
 }
 
 // Compares the flow's first candidates by their current load. Further candidates are considered
-// only if all the earlier ones are busy, so that a search that queries the first candidates finds
-// most flows.
+// only if all the earlier ones are busy or slow, so that a search that queries the first candidates
+// finds most flows.
 std::optional<NodeAddress> FlowSteering::chooseNext(const packet::FlowKey &Key,
                                                     PendingFlow &Pending, Scope PlacementScope,
                                                     common::TimePoint Now,
@@ -222,8 +222,8 @@
             .first(std::min(Pending.ConsideredCount, Pending.Candidates.size()));
     const auto Best =
         Directory.chooseAmong(ConsideredAgents, Pending.Kind, Pending.TriedAgents, Now);
-    const bool HasFreeSlot = Best && !Directory.isBusy(*Best, Now);
-    if (HasFreeSlot || ConsideredAgents.size() == Pending.Candidates.size())
+    const bool GoodEnough = Best && Directory.answersSoon(*Best, Now);
+    if (GoodEnough || ConsideredAgents.size() == Pending.Candidates.size())
       return Best;
     Pending.ConsideredCount += NearCandidates;
   }
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -30,10 +30,21 @@
   HolderAnswer
 };
 
-json loadToJson(const UpstreamLoad &Load) { return json::array({Load.Unanswered, Load.LongFlows}); }
+json loadToJson(const UpstreamLoad &Load) {
+  json Fields = json::array({Load.Unanswered, Load.LongFlows});
+  if (Load.Capacity != 0 || Load.AnswerTime != 0)
+    Fields.push_back(Load.Capacity);
+  if (Load.AnswerTime != 0)
+    Fields.push_back(Load.AnswerTime);
+  return Fields;
+}
 
 UpstreamLoad loadFromJson(const json &Document) {
-  return {readUnsigned<std::uint32_t>(Document.at(0)), readUnsigned<std::uint32_t>(Document.at(1))};
+  const auto Field = [&Document](std::size_t Index) {
+    return Document.size() > Index ? readUnsigned<std::uint32_t>(Document.at(Index)) : 0;
+  };
+  return {readUnsigned<std::uint32_t>(Document.at(0)), readUnsigned<std::uint32_t>(Document.at(1)),
+          Field(2), Field(3)};
 }
 
 json keyToJson(const packet::FlowKey &Key) {
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -58,6 +58,7 @@
   Agent.View.Address = From;
   Agent.View.Report = Report;
   Agent.View.Load = Report.Load;
+  Speeds.note(Report.Service, Report.Load.AnswerTime);
   Agent.View.LoadAt = Now;
   Agent.View.ColdUntil = Now + Report.ColdFor;
   noteHeard(Agent, Now);
@@ -129,6 +130,7 @@
     return;
   noteHeard(It->second, Now);
   It->second.View.Load = Load;
+  Speeds.note(It->second.View.Report.Service, Load.AnswerTime);
   It->second.View.LoadAt = Now;
   dropReportedPlacements(It->second);
 }
@@ -288,6 +290,11 @@
   Status.Slots = View.Report.Slots;
   Status.Unanswered = View.Load.Unanswered;
   Status.LongFlows = View.Load.LongFlows;
+  if (InUse.uses(Mechanism::LearnedCapacity)) {
+    Status.Capacity = View.Load.Capacity;
+    Status.TimeKnown = View.Load.AnswerTime != 0;
+    Status.RelativeTime = Speeds.relative(View.Report.Service, View.Load.AnswerTime);
+  }
   Status.PlacedLong = static_cast<std::uint32_t>(PlacedLong);
   Status.PlacedShort = static_cast<std::uint32_t>(Agent.Placements.size()) - Status.PlacedLong;
   return Status;
@@ -357,6 +364,11 @@
   return It != Agents.end() && statusOf(It->second, Now).full();
 }
 
+bool UpstreamDirectory::answersSoon(NodeAddress Agent, common::TimePoint Now) const {
+  const auto It = Agents.find(Agent);
+  return It != Agents.end() && statusOf(It->second, Now).answersSoon();
+}
+
 bool UpstreamDirectory::isBusy(NodeAddress Agent, common::TimePoint Now) const {
   const auto It = Agents.find(Agent);
   return It != Agents.end() && statusOf(It->second, Now).busy();
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -30,10 +30,14 @@
 }
 
 UpstreamFlows::UpstreamFlows(std::string SettingsService, common::Duration HeartbeatInterval,
-                             common::TimePoint StartedAt, policy::Mechanisms InUse)
+                             common::TimePoint StartedAt, policy::Mechanisms InUse,
+                             policy::CapacityBounds Bounds)
     : HeartbeatInterval(HeartbeatInterval), InUse(InUse),
       Upstream(std::move(SettingsService), HeartbeatInterval), LastSignAt(StartedAt),
-      ListeningSince(StartedAt) {}
+      ListeningSince(StartedAt) {
+  if (InUse.uses(policy::Mechanism::LearnedCapacity))
+    Capacity.emplace<policy::LearnedCapacity>(Bounds);
+}
 
 HeartbeatEffect UpstreamFlows::onHeartbeat(const Heartbeat &Received, common::TimePoint Now) {
   const bool EndedBefore = upstreamEnded(Now);
@@ -52,6 +56,12 @@
   // suspended or couldn't send them have lower sequence numbers than its age suggests.
   if (Effect == HeartbeatEffect::NewIncarnation)
     TableComplete = Upstream.startSeen();
+  estimate([&](auto &Estimator) {
+    if (Effect == HeartbeatEffect::NewIncarnation)
+      Estimator.onStart(slots(), Now);
+    else
+      Estimator.onSlots(slots(), Now);
+  });
   return Effect;
 }
 
@@ -187,7 +197,7 @@
   if (full())
     return ReturnReason::Full;
   if (InUse.uses(policy::Mechanism::BusyDecline) && !Fields.Insist && slots() != 0 &&
-      Unanswered >= slots())
+      Unanswered >= capacity())
     return ReturnReason::Busy;
   if (Flows.size() >= MaxUpstreamFlows)
     return ReturnReason::Refused;
@@ -198,10 +208,24 @@
   return Upstream.last() ? Upstream.last()->Slots : 0;
 }
 
-bool UpstreamFlows::full() const noexcept {
-  return slots() != 0 && Unanswered >= requestLimit(slots());
+UpstreamLoad UpstreamFlows::load() const noexcept {
+  const auto Figure =
+      std::visit([](const auto &Estimator) { return Estimator.figure(); }, Capacity);
+  return {Unanswered, LongFlows, Figure.Capacity,
+          static_cast<std::uint32_t>(Figure.AnswerTime / AnswerTimeUnit)};
+}
+
+std::uint32_t UpstreamFlows::capacity() const noexcept {
+  const auto Learned = load().Capacity;
+  return Learned != 0 ? Learned : slots();
 }
 
+std::uint32_t UpstreamFlows::limit() const noexcept {
+  return std::visit([this](const auto &Estimator) { return Estimator.limit(slots()); }, Capacity);
+}
+
+bool UpstreamFlows::full() const noexcept { return limit() != 0 && Unanswered >= limit(); }
+
 void UpstreamFlows::addWaitingBalancer(NodeAddress Balancer) {
   if (InUse.uses(policy::Mechanism::SlotNotices) && WaitingBalancers.size() < MaxWaitingBalancers &&
       std::find(WaitingBalancers.begin(), WaitingBalancers.end(), Balancer) ==
@@ -209,15 +233,20 @@
     WaitingBalancers.push_back(Balancer);
 }
 
-// Notifies one balancer for each request that ends, in the order in which they were declined. If
-// all were notified, they would all send a flow for the same free place.
+// Notifies one balancer for each request that ends, and for each place that a higher limit adds, in
+// the order in which they were declined. If all were notified, they would all send a flow for the
+// same free place.
 void UpstreamFlows::notifyWaitingBalancer(FlowActions &Actions) {
-  if (WaitingBalancers.empty() || full())
-    return;
-  Actions.push_back({.Operation = FlowAction::Kind::Report,
-                     .Event = FlowEvent::RoomAgain,
-                     .Balancer = WaitingBalancers.front()});
-  WaitingBalancers.pop_front();
+  const std::uint32_t Limit = limit();
+  const std::uint32_t Before = std::exchange(NotifiedLimit, Limit);
+  const bool Raised = learnedCapacity() != nullptr && Before != 0 && Limit > Before;
+  std::uint32_t Places = Raised ? 1 + Limit - Before : 1;
+  for (; Places > 0 && !WaitingBalancers.empty() && !full(); --Places) {
+    Actions.push_back({.Operation = FlowAction::Kind::Report,
+                       .Event = FlowEvent::RoomAgain,
+                       .Balancer = WaitingBalancers.front()});
+    WaitingBalancers.pop_front();
+  }
 }
 
 void UpstreamFlows::onSyn(const PacketHeader &Head, const Transit &Fields,
@@ -421,6 +450,7 @@
     return;
   expectRequest(Entry);
   Entry.RequestStartedAt = Now;
+  estimate([Now](auto &Estimator) { Estimator.onRequest(Now); });
   if (Entry.Requests == 0 && Entry.AcceptedAt != common::TimePoint{})
     RequestDelay.onAnswer(Now - Entry.AcceptedAt, Now);
   if (Entry.Requests < UINT16_MAX && ++Entry.Requests > 1)
@@ -452,9 +482,12 @@
     ++Unanswered;
 }
 
-void UpstreamFlows::endRequest(Flow &Entry) {
-  if (std::exchange(Entry.RequestPending, false))
-    --Unanswered;
+void UpstreamFlows::endRequest(Flow &Entry, bool Answered) {
+  if (!std::exchange(Entry.RequestPending, false))
+    return;
+  --Unanswered;
+  if (Entry.Requests > 0 && !Answered)
+    estimate([&Entry](auto &Estimator) { Estimator.onAbandoned(Entry.RequestStartedAt); });
 }
 
 void UpstreamFlows::noteUpstreamData(const PacketHeader &Head, Flow &Entry, common::TimePoint Now) {
@@ -464,9 +497,12 @@
     return;
   Entry.HasUpstreamDataEnd = true;
   Entry.UpstreamDataEnd = End;
-  if (Entry.RequestPending && Entry.Requests > 0 && AnswerTimes.size() < MaxAnswerTimes)
-    AnswerTimes.push_back({Head.Key, Now - Entry.RequestStartedAt});
-  endRequest(Entry);
+  if (Entry.RequestPending && Entry.Requests > 0) {
+    if (AnswerTimes.size() < MaxAnswerTimes)
+      AnswerTimes.push_back({Head.Key, Now - Entry.RequestStartedAt});
+    estimate([&](auto &Estimator) { Estimator.onAnswer(Entry.RequestStartedAt, Now); });
+  }
+  endRequest(Entry, true);
 }
 
 void UpstreamFlows::markLong(Flow &Entry) {
@@ -508,6 +544,9 @@
                        .Reason = ReturnReason::Unanswered,
                        .SavedPacket = It->second.SavedPacket});
   }
+  estimate([Now](auto &Estimator) { Estimator.onTimer(Now); });
+  if (learnedCapacity() != nullptr && limit() > NotifiedLimit)
+    notifyWaitingBalancer(Actions);
   releaseAbandoned(Now, Actions);
   eraseExpired(Now);
   return Actions;
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -3,6 +3,8 @@
 
 #include "relay_fixture.h"
 
+#include "galenarelay/common/hash_mix.h"
+
 #include <cmath>
 #include <cstring>
 #include <deque>
@@ -26,6 +28,12 @@
     double UrgentShare = 0;       ///< Fraction of the requests that goes to OrdersAddress.
     std::uint64_t Seed = 1;
     relay::policy::Mechanisms InUse;
+    std::uint32_t Workers = 0; ///< Requests that an upstream runs at a time; 0 for Slots.
+    bool WideWork = false;     ///< Service times vary by half of their mean.
+    /// Factor of an upstream's service times, by its index.
+    std::function<double(std::size_t)> Slowness = [](std::size_t) { return 1.0; };
+    bool Oracle =
+        false; ///< Agents tell the true capacity and speed with Mechanism::LearnedCapacity.
   };
 
   /// Counts of the requests of one caller or to one endpoint.
@@ -36,10 +44,16 @@
     std::size_t Refused = 0;         ///< Reset before the flow opened.
     std::size_t Shed = 0;            ///< Rejected by an upstream whose queue was full.
     common::Duration RefusedAfter{}; ///< Sum of the times from a request to its refusal.
+    common::Duration ServedAfter{};  ///< Sum of the times from a request to its answer.
 
     friend RequestCounts operator-(const RequestCounts &A, const RequestCounts &B) {
-      return {A.Asked - B.Asked,     A.Served - B.Served, A.InTime - B.InTime,
-              A.Refused - B.Refused, A.Shed - B.Shed,     A.RefusedAfter - B.RefusedAfter};
+      return {A.Asked - B.Asked,
+              A.Served - B.Served,
+              A.InTime - B.InTime,
+              A.Refused - B.Refused,
+              A.Shed - B.Shed,
+              A.RefusedAfter - B.RefusedAfter,
+              A.ServedAfter - B.ServedAfter};
     }
   };
 
@@ -48,7 +62,8 @@
       Balancers.push_back(
           std::make_unique<BalancerNode>(balancerAddress(I), Random(), Config.InUse));
     for (std::size_t I = 0; I < Config.Agents; ++I)
-      Agents.push_back(std::make_unique<AgentNode>(Config.InUse));
+      Agents.push_back(std::make_unique<AgentNode>(
+          Config.InUse, relay::policy::CapacityBounds{1, Config.Oracle ? workers() : 0}));
     for (auto &Node : Agents)
       (void)Node->Flows.onHeartbeat(upstreamHeartbeat(*Node), Now);
     onTick();
@@ -101,6 +116,7 @@
       Sum.Refused += Counts.Refused;
       Sum.Shed += Counts.Shed;
       Sum.RefusedAfter += Counts.RefusedAfter;
+      Sum.ServedAfter += Counts.ServedAfter;
     }
     return Sum;
   }
@@ -118,8 +134,17 @@
   }
   /// Requests per second that all upstreams together can run.
   [[nodiscard]] double capacity() const {
-    return static_cast<double>(Config.Agents * Config.Slots) /
-           std::chrono::duration<double>(Config.Work).count();
+    double Sum = 0;
+    for (std::size_t I = 0; I < Config.Agents; ++I)
+      Sum += workers() / Config.Slowness(I);
+    return Sum / std::chrono::duration<double>(Config.Work).count();
+  }
+  /// Requests completed by each upstream.
+  [[nodiscard]] std::vector<std::size_t> completions() const {
+    std::vector<std::size_t> Counts;
+    for (const auto &Node : Agents)
+      Counts.push_back(Node->Completed);
+    return Counts;
   }
 
 private:
@@ -138,12 +163,13 @@
     relay::FlowSteering Steering;
   };
   struct AgentNode {
-    explicit AgentNode(relay::policy::Mechanisms InUse)
-        : Flows("desk", 1200ms, RelayStart - 60s, InUse) {}
+    AgentNode(relay::policy::Mechanisms InUse, relay::policy::CapacityBounds Bounds)
+        : Flows("desk", 1200ms, RelayStart - 60s, InUse, Bounds) {}
     relay::UpstreamFlows Flows;
     std::uint64_t Sequence = 0;
     std::uint64_t Reports = 0;
     std::uint32_t Running = 0;
+    std::size_t Completed = 0;
     std::deque<packet::FlowKey> Queue;
   };
   struct Request {
@@ -180,6 +206,19 @@
     ++(EndpointCounts[Key.Service.Port].*Field);
   }
 
+  [[nodiscard]] std::uint32_t workers() const {
+    return Config.Workers == 0 ? Config.Slots : Config.Workers;
+  }
+  [[nodiscard]] relay::UpstreamLoad loadOf(relay::NodeAddress Address) {
+    auto Load = agent(Address).Flows.load();
+    if (Config.Oracle) {
+      Load.Capacity = workers();
+      Load.AnswerTime = static_cast<std::uint32_t>(Config.Work / relay::AnswerTimeUnit *
+                                                   Config.Slowness(Address - agentAddress(0)));
+    }
+    return Load;
+  }
+
   relay::Heartbeat upstreamHeartbeat(AgentNode &Node) const {
     auto Message = heartbeat(++Node.Sequence);
     Message.Slots = Config.Slots;
@@ -244,7 +283,7 @@
     using Kind = relay::FlowAction::Kind;
     for (const auto &Action : Actions) {
       const auto Packet = Action.SavedPacket ? *Action.SavedPacket : Raw;
-      const auto Load = agent(Address).Flows.load();
+      const auto Load = loadOf(Address);
       if (Action.Operation == Kind::Deliver)
         toUpstream(Address, loadPacket(Packet));
       else if (Action.Operation == Kind::SendToCaller)
@@ -280,7 +319,7 @@
     auto &Node = agent(Address);
     if (Head.PayloadBytes == 0)
       return;
-    if (Node.Running < Config.Slots)
+    if (Node.Running < workers())
       return startWork(Address, Head.Key);
     if (Node.Queue.size() < Config.QueuePerSlot * Config.Slots)
       return Node.Queue.push_back(Head.Key);
@@ -290,12 +329,12 @@
 
   void startWork(relay::NodeAddress Address, const packet::FlowKey &Key) {
     ++agent(Address).Running;
-    // Uniformly distributed between 0.5 and 1.5 times the mean.
     const auto Time = std::chrono::duration_cast<common::Duration>(
-        Config.Work * (0.5 + common::uniformUnit(Random)));
+        Config.Work * workFactor(Key) * Config.Slowness(Address - agentAddress(0)));
     schedule(Time, [this, Address, Key] {
       auto &Node = agent(Address);
       --Node.Running;
+      ++Node.Completed;
       sendAnswer(Address, Key, true);
       if (Node.Queue.empty())
         return;
@@ -305,6 +344,19 @@
     });
   }
 
+  /// Service time of a request as a factor of the mean: uniformly distributed between 0.5 and 1.5,
+  /// or a gamma distribution with a standard deviation of 0.5. The latter is the same for a request
+  /// wherever and whenever it runs, so that policies are compared under the same load.
+  double workFactor(const packet::FlowKey &Key) {
+    if (!Config.WideWork)
+      return 0.5 + common::uniformUnit(Random);
+    common::Engine OfRequest(common::mixHash(Config.Seed, packet::hash(Key)));
+    double Sum = 0;
+    for (int I = 0; I < 4; ++I)
+      Sum -= std::log(1 - common::uniformUnit(OfRequest)) / 4;
+    return Sum;
+  }
+
   /// Answers a request and closes its flow. An answer of 10 bytes tells that the request was shed.
   void sendAnswer(relay::NodeAddress Address, const packet::FlowKey &Key, bool Completed) {
     auto Answer = upstreamData(Key, FirstSequence, Completed ? 100 : 10);
@@ -325,6 +377,7 @@
     if (Head.PayloadBytes < 100 || Latency > Deadline)
       return;
     count(Head.Key, &RequestCounts::Served);
+    CallerCounts[Head.Key.Caller.Address].ServedAfter += Latency;
     if (Latency <= LatencyObjective)
       count(Head.Key, &RequestCounts::InTime);
   }
@@ -341,7 +394,8 @@
   void queryLoad(relay::NodeAddress From, relay::NodeAddress To) {
     ++LoadQueries;
     schedule(NodeDelay, [this, From, To] {
-      const auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
+      auto Answer = agent(To).Flows.onLoadQuery({}, From, Now);
+      Answer.Load = loadOf(To);
       schedule(NodeDelay, [this, From, To, Answer] {
         balancer(From).Directory.onAnswer(To, Answer, Now);
         performSteering(From, balancer(From).Steering.onLoadReported(Now), {});
@@ -355,7 +409,7 @@
     auto Report = agentReport(++Node.Reports);
     Report.State = Node.Flows.state(Now);
     Report.Slots = Config.Slots;
-    Report.Load = Node.Flows.load();
+    Report.Load = loadOf(From);
     schedule(NodeDelay, [this, From, To, Report] {
       (void)balancer(To).Directory.onReport(From, Report, Now);
       performSteering(To, balancer(To).Steering.onLoadReported(Now), {});
