--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -68,6 +68,9 @@
 /// may go on without it and hold the agent's flows, which callers may discard after this time
 /// (maxFlowS).
 inline constexpr common::Duration StoppedHolderRetention = std::chrono::seconds(60);
+/// Replaces LostTime for an agent that has announced a stop without having heard of its upstream
+/// for as long as it ran: several times the second that a restart takes.
+inline constexpr common::Duration StoppingLostTime = std::chrono::milliseconds(2500);
 /// An agent that left a SYN unanswered is suspected, and gets new flows only if no other agent is
 /// available, for this time or until it is heard.
 inline constexpr common::Duration SuspicionTime = std::chrono::milliseconds(500);
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -445,9 +445,12 @@
 bool UpstreamDirectory::isLost(const AgentEntry &Agent, common::TimePoint Now) const {
   if (!Agent.UnansweredSince || Agent.UnansweredQueries < MinUnansweredQueries)
     return false;
-  const bool Announced = Agent.View.Report.State == UpstreamState::Stopping;
+  const AgentReport &Report = Agent.View.Report;
+  const bool Announced = Report.State == UpstreamState::Stopping;
+  // The slots are known from the first heartbeat on.
+  const auto StopTime = Report.Slots != 0 ? StoppedHolderRetention : StoppingLostTime;
   return Now - std::max(*Agent.UnansweredSince, ListeningSince) >
-         (Announced ? StoppedHolderRetention : LostTime) + 2 * AnswerTimes.slowest(Now);
+         (Announced ? StopTime : LostTime) + 2 * AnswerTimes.slowest(Now);
 }
 
 // An agent that is silent towards this balancer only may hold flows: it counts as lost once other
--- a/tests/relay_view_test.cpp
+++ b/tests/relay_view_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(testChoice_equalAgents_preferOwnZone);
   CPPUNIT_TEST(testLost_mostAgentsSilent_noneIsLost);
   CPPUNIT_TEST(testLost_announcedStop_isNotLostDuringRestart);
+  CPPUNIT_TEST(testLost_stoppedWithoutUpstream_delaysSearchesBriefly);
   CPPUNIT_TEST(testLost_agentStoppedForGood_mayHoldFlowsUntilTheyAreOld);
   CPPUNIT_TEST(testLost_oneAgentSilent_isLostAfterLostTime);
   CPPUNIT_TEST(testLost_fewOrNoQueries_isNotLost);
@@ -602,6 +603,26 @@
     CPPUNIT_ASSERT(Directory.takeLost(0, RelayStart + 2s).empty());
   }
 
+  // Guards against searches that wait a minute for an agent that never heard of an upstream, as
+  // after a loss of everything in which upstreams are replaced (austral-calor-grown trouble-1).
+  void testLost_stoppedWithoutUpstream_delaysSearchesBriefly() {
+    auto Directory = directory();
+    (void)Directory.onReport(AgentThree, agentReport(1), RelayStart);
+    auto Stopping = agentReport(2);
+    Stopping.State = UpstreamState::Stopping;
+    Stopping.Slots = 0;
+    (void)Directory.onReport(AgentOne, Stopping, RelayStart);
+    Directory.noteQuery(AgentOne, RelayStart);
+    for (auto Now = RelayStart; Now < RelayStart + 3s; Now += 20ms) {
+      (void)Directory.takeRepeatedQueries(Now);
+      for (const auto Agent : {AgentTwo, AgentThree})
+        Directory.onHeard(Agent, Now);
+      (void)Directory.takeLost(0, Now);
+    }
+    CPPUNIT_ASSERT(Directory.reportingHolders(RelayStart + 3s) ==
+                   (std::vector{AgentTwo, AgentThree}));
+  }
+
   // Guards against the reset of open flows whose upstream goes on without its agent (review/4).
   void testLost_agentStoppedForGood_mayHoldFlowsUntilTheyAreOld() {
     auto Directory = directory();
