--- a/include/galenarelay/relay/policy/restart_recovery.h
+++ b/include/galenarelay/relay/policy/restart_recovery.h
@@ -26,21 +26,23 @@
   common::Duration FigureAge{};
   /// Whether the agent has reported a place since the last flow was sent to it.
   bool PlaceReported = false;
+  bool Cold = false; ///< It has just started, which its agent has told all balancers.
 
   friend bool operator==(const PlaceKnowledge &, const PlaceKnowledge &) = default;
 };
 
 /// Number of flows that may be under way to an upstream. After a loss of everything all balancers
 /// have flows to place and old or no figures; without this bound each of them sends a full load to
-/// the same upstreams, and most flows come back. A place behind requests that run is taken only if
-/// its agent reports it, which it does to one waiting balancer at a time.
+/// the same upstreams, and most flows come back. All of them also learn of a start at once, so that
+/// the free slots of a cold upstream aren't one balancer's. A place behind requests that run is
+/// taken only if its agent reports it, which it does to one waiting balancer at a time.
 [[nodiscard]] constexpr std::uint32_t maxUnderWay(const PlaceKnowledge &Known) noexcept {
   const bool Busy = Known.Unanswered >= Known.Slots;
   if (Known.Slots == 0 || Known.FigureAge > (Busy ? BusyFreshness : PlaceFreshness))
     return UnknownPlaces;
   if (Busy)
     return Known.PlaceReported ? 1 : 0;
-  return Known.Slots - Known.Unanswered;
+  return Known.Cold ? UnknownPlaces : Known.Slots - Known.Unanswered;
 }
 
 } // namespace galenarelay::relay::policy
--- a/include/galenarelay/relay/waiting_flows.h
+++ b/include/galenarelay/relay/waiting_flows.h
@@ -107,15 +107,12 @@
   [[nodiscard]] std::vector<packet::FlowKey> takeAll() { return std::exchange(Keys, {}); }
 
   /// Places waiting flows in the order of release as long as there is room, and refuses those whose
-  /// time is over. With RestartRecovery alone, a call that isn't that of the timer
-  /// has no effect within RankingPause. With
-  /// SharedContention, a call that isn't that of the timer has no effect without room, as the order
-  /// needn't be known then.
+  /// time is over. A call that isn't that of the timer has no effect within RankingPause with
+  /// RestartRecovery, and none without room with SharedContention, as the order needn't be known
+  /// then.
   template <WaitingFlowHost Host> void release(Host &&Target, bool ByTimer, common::TimePoint Now) {
     using policy::Mechanism;
-    // Sharing skips calls without room instead, below.
-    const bool Paused = InUse.uses(Mechanism::RestartRecovery) &&
-                        !InUse.uses(Mechanism::SharedContention) &&
+    const bool Paused = InUse.uses(Mechanism::RestartRecovery) && Keys.size() <= MaxHeldFlows &&
                         Now - ReleasedAt < RankingPause * static_cast<std::int64_t>(Keys.size());
     if (!ByTimer && Paused)
       return;
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -352,7 +352,7 @@
         });
     Status.UnderWay = static_cast<std::uint32_t>(UnderWay);
     Status.MaxUnderWay = policy::maxUnderWay(
-        {Status.Slots, Status.Unanswered, Now - View.LoadAt, Agent.PlaceReported});
+        {Status.Slots, Status.Unanswered, Now - View.LoadAt, Agent.PlaceReported, Status.Cold});
   }
   return Status;
 }
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -103,6 +103,7 @@
     };
     for (const Case &TestCase : {Case{"slots unknown", {0, 0, 0ms, false}, 1},
                                  {"free slots", {3, 1, 20ms, false}, 2},
+                                 {"free slots of a cold upstream", {3, 1, 20ms, false, true}, 1},
                                  {"old figure", {3, 0, 100ms, false}, 1},
                                  {"busy", {3, 4, 20ms, false}, 0},
                                  {"busy, figure of some time", {3, 4, 100ms, false}, 0},
