--- a/include/galenarelay/common/random.h
+++ b/include/galenarelay/common/random.h
@@ -1,8 +1,12 @@
 #ifndef GALENARELAY_COMMON_RANDOM_H
 #define GALENARELAY_COMMON_RANDOM_H
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace galenarelay::common {
 
@@ -24,6 +28,14 @@
   return static_cast<double>(Random() >> 11) * Scale;
 }
 
+/// Keeps at most Count random elements, in random order.
+template <typename T> void chooseAtRandom(std::vector<T> &All, std::size_t Count, Engine &Random) {
+  const std::size_t Kept = std::min(Count, All.size());
+  for (std::size_t I = 0; I < Kept; ++I)
+    std::swap(All[I], All[I + uniformBelow(Random, All.size() - I)]);
+  All.resize(Kept);
+}
+
 } // namespace galenarelay::common
 
 #endif // GALENARELAY_COMMON_RANDOM_H
--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/udp_socket.h"
 #include "galenarelay/node/impl/relay_store.h"
+#include "galenarelay/node/impl/zone_evacuations.h"
 #include "galenarelay/node/relay_platform.h"
 #include "galenarelay/node/relay_settings.h"
 #include "galenarelay/relay/balancer_peers.h"
@@ -55,7 +56,7 @@
         Peers(Options.Packets.Address), Store(Options.Store, Metrics),
         Record(Io, Store, RecordPrefix + Options.Id,
                common::addressToString(Options.Packets.Address)),
-        FlowGauge(Metrics.gauge("flows", "Flows in the table")),
+        Zones(Metrics), FlowGauge(Metrics.gauge("flows", "Flows in the table")),
         MalformedPackets(Metrics.counter("malformed_datagrams_total", "Datagrams dropped")),
         SuppressedLines(
             Metrics.counter("log_lines_suppressed_total", "Log lines above the limit per second")),
@@ -145,12 +146,14 @@
   /// that lines about other flows don't displace them.
   bool mayLogReset(common::TimePoint Now) { return mayLog(ResetLogLimiter, Now); }
 
-  /// Serves the paths that all nodes have, /healthz and /metrics; 404 for any other.
+  /// Serves the paths that all nodes have, /healthz, /metrics and /v1/zones; 404 for any other.
   common::HttpResponse serveCommonPath(const std::string &Path) const {
     if (Path == "/healthz")
       return {200, "{}"};
     if (Path == "/metrics")
       return {200, Metrics.render(), "text/plain"};
+    if (Path == "/v1/zones")
+      return {200, Zones.toJson(Options.Zone).dump()};
     return {404, R"({"error":"unknown path"})"};
   }
 
@@ -191,6 +194,7 @@
   relay::BalancerPeers Peers;
   RelayStore<typename Platform::Store> Store;
   NodeRecord<typename Platform::Store> Record;
+  ZoneEvacuations Zones;
   std::unique_ptr<common::UdpSocket> PacketSocket;
   common::LogRateLimit RejectLogLimiter{RejectLogLimit};
   prometheus::Gauge &FlowGauge;
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -49,6 +49,25 @@
   Answer<relay::StorePage> list(std::string Prefix) {
     return call("list", Protocol::list(Prefix), StoreCallTimeout, &Protocol::readPage);
   }
+  /// All pages of a list, with the revision of the first: what changes while the others are read
+  /// follows in a watch after it. Errors: also StoreEraEnded.
+  Answer<relay::StorePage> listAll(std::string Prefix) {
+    auto All = co_await list(Prefix);
+    while (All && All->More) {
+      const std::string LastKey = lastKeyOf(*All);
+      auto Next =
+          co_await callInEra(All->Revision.Era, "list", Protocol::listAfter(Prefix, LastKey),
+                             StoreCallTimeout, &Protocol::readPage);
+      if (!Next)
+        co_return Next;
+      // A page without a further key would be followed by itself.
+      All->More = Next->More && lastKeyOf(*Next) > LastKey;
+      All->Items.insert(All->Items.end(), Next->Items.begin(), Next->Items.end());
+      All->UnreadableKeys.insert(All->UnreadableKeys.end(), Next->UnreadableKeys.begin(),
+                                 Next->UnreadableKeys.end());
+    }
+    co_return All;
+  }
   Answer<relay::StorePage> listRecent(std::string Prefix) {
     return call("list_recent", Protocol::listRecent(Prefix), StoreCallTimeout, &Protocol::readPage);
   }
@@ -90,6 +109,15 @@
     co_return Result;
   }
 
+  static std::string lastKeyOf(const relay::StorePage &Page) {
+    std::string Last;
+    for (const auto &Item : Page.Items)
+      Last = std::max(Last, Item.Key);
+    for (const auto &Key : Page.UnreadableKeys)
+      Last = std::max(Last, Key);
+    return Last;
+  }
+
   template <typename T> static common::Outcome<T> eraEnded() {
     return {std::nullopt,
             {common::ResultCode::StoreEraEnded, "the store has been restored from a copy"}};
@@ -166,23 +194,26 @@
   bool Reachable = true;
 };
 
-/// Follows a key of the store: its value, then its changes. Reads the value again where the changes
-/// since the last page can't be told: after the history has gone, and after a restore.
+/// Follows the keys of the store with a prefix: their values, then the changes. Reads the values
+/// again where the changes since the last page can't be told: after the history has gone, and after
+/// a restore.
 template <relay::StoreProtocol Protocol> class KeyWatch {
 public:
-  KeyWatch(RelayStore<Protocol> &Store, std::string Key) : Store(Store), Key(std::move(Key)) {}
+  KeyWatch(RelayStore<Protocol> &Store, std::string Prefix)
+      : Store(Store), Prefix(std::move(Prefix)) {}
 
   /// Returns the next page; it may have no items. Errors: those of RelayStore's calls. The caller
-  /// pauses before the next call after an error, and while the key doesn't exist.
+  /// pauses before the next call after an error, and while no key exists.
   boost::asio::awaitable<common::Outcome<relay::StorePage>> next() {
     // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
     common::Outcome<relay::StorePage> Page;
+    HasList = !Position;
     if (Position) {
       // After a failure the store may have been restored. Without a wait, the answer tells at once.
       const auto Wait = AfterFailure ? common::Duration::zero() : StoreWatchWait;
-      Page = co_await Store.watch(Key, *Position, Wait);
+      Page = co_await Store.watch(Prefix, *Position, Wait);
     } else {
-      Page = co_await Store.list(Key);
+      Page = co_await Store.listAll(Prefix);
     }
     AfterFailure = !Page;
     if (Page && (Position || !Page->Items.empty()))
@@ -193,15 +224,18 @@
     co_return Page;
   }
 
-  /// Reads the value again with the next page.
+  /// Reads the values again with the next page.
   void restart() { Position.reset(); }
-  /// False before the key's value has been read.
+  /// Whether the last page has all keys, and not only those that have changed.
+  [[nodiscard]] bool hasList() const noexcept { return HasList; }
+  /// False before a value has been read.
   [[nodiscard]] bool hasValue() const noexcept { return Position.has_value(); }
 
 private:
   RelayStore<Protocol> &Store;
-  std::string Key;
+  std::string Prefix;
   std::optional<relay::StoreRevision> Position;
+  bool HasList = false;
   bool AfterFailure = false;
 };
 
--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -111,6 +111,7 @@
   using Base::spawn;
   using Base::StartedAt;
   using Base::Store;
+  using Base::Zones;
 
   // --- packets
 
@@ -212,6 +213,10 @@
     const auto KnownBefore = Peers.all();
     const bool IsNew = Peers.onBeacon(From, *Beacon, Now);
     this->hearStoreEra(Beacon->Era);
+    if (Beacon->EvacuationsComplete) {
+      Zones.take(Beacon->EvacuatedZones, "balancer");
+      Flows.setEvacuated(Zones.current().contains(Options.Zone));
+    }
     reportToNewBalancers(KnownBefore, From, Now);
     if (!IsNew)
       return;
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -25,6 +25,10 @@
 inline constexpr std::size_t GossipFanout = 4;
 /// Maximum number of balancers without a configuration that are notified of a new one at once.
 inline constexpr std::size_t MaxUnconfiguredRecipients = 100;
+/// Maximum number of agents that a balancer notifies at once of an evacuation or its end, in the
+/// zones concerned. The other balancers notify theirs, and the rest learn of it from beacons; the
+/// balancers themselves place no flows there from the moment on at which they know.
+inline constexpr std::size_t MaxEvacuationRecipients = 200;
 /// Number of balancers named in a beacon. A new balancer whose beacon names fewer knows no more
 /// than these, and is sent complete lists.
 inline constexpr std::size_t BeaconSampleSize = 8;
@@ -54,6 +58,8 @@
       : Base(Io, std::move(Settings), Metrics, impl::BalancerRecordPrefix),
         Directory(Options.Zone, Random(), Options.EnabledMechanisms),
         Steering(Options.Packets.Address, Directory, StartedAt, Options.EnabledMechanisms),
+        IgnoredEvacuations(Metrics.counter("evacuation_keys_ignored_total",
+                                           "Evacuation requests that name no zone")),
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
         OpeningSeconds(Metrics.histogram(
@@ -121,6 +127,7 @@
   using Base::spawn;
   using Base::StartedAt;
   using Base::Store;
+  using Base::Zones;
 
   // --- packets
 
@@ -233,7 +240,7 @@
     using Change = relay::UpstreamDirectory::Change;
     const auto Effect = Directory.onReport(From, Report, Now);
     if (Effect == Change::Appeared)
-      sendTo(From, makeBeacon(Now));
+      sendTo(From, makeAgentBeacon(From, Now));
     if (Effect == Change::Appeared || Effect == Change::StateChanged)
       common::log(common::LogLevel::Info, "agent_changed",
                   {{"agent", Report.Id},
@@ -268,6 +275,7 @@
         sendTo(From, makeBeacon(Now));
     }
     this->hearStoreEra(Beacon.Era);
+    hearEvacuations(Beacon, From);
     if (Beacon.ConfigurationRevision > Steering.routes().revision() &&
         !std::exchange(FetchingFromPeers, true))
       spawn(fetchConfigurationFromPeers());
@@ -352,9 +360,24 @@
     const auto Live = Peers.live(Now);
     for (std::size_t I = 0; I < std::min(BeaconSampleSize, Live.size()); ++I)
       Beacon.Balancers.push_back(*SampleRotation.next(Live));
+    nameEvacuations(Beacon, Zones.current());
     return Beacon;
   }
 
+  /// A beacon for an agent, which needs to know of its own zone only.
+  relay::BalancerBeacon makeAgentBeacon(relay::NodeAddress Agent, common::TimePoint Now) {
+    auto Beacon = makeBeacon(Now);
+    if (const auto *View = Directory.find(Agent))
+      nameEvacuations(Beacon, Zones.current().ofZone(View->Report.Zone));
+    return Beacon;
+  }
+
+  static void nameEvacuations(relay::BalancerBeacon &Beacon, relay::Evacuations Named) {
+    Beacon.EvacuationsComplete = Named.fitsBeacon();
+    Beacon.EvacuatedZones =
+        Beacon.EvacuationsComplete ? std::move(Named) : relay::Evacuations{Named.asOf(), {}};
+  }
+
   /// Sends a balancer that has just started the addresses of all live balancers and agents, in
   /// beacons of at most MaxBeaconAddresses each.
   void sendNodeLists(relay::NodeAddress To, common::TimePoint Now) {
@@ -386,17 +409,15 @@
     sendToAll(Directory.agents(), Message);
   }
 
-  /// Notifies GossipFanout random balancers of a new configuration or era of the store, and those
+  /// Notifies GossipFanout random balancers of a new configuration, era of the store or evacuation,
+  /// and those
   /// without any configuration, which can't serve: when all processes restart together, the first
   /// balancer that reads the store supplies the others.
   void gossipNews(common::TimePoint Now) {
     auto Recipients = Peers.withoutConfiguration(MaxUnconfiguredRecipients);
     auto Live = Peers.live(Now);
-    const auto Count = std::min(GossipFanout, Live.size());
-    for (std::size_t I = 0; I < Count; ++I)
-      std::swap(Live[I], Live[I + common::uniformBelow(Random, Live.size() - I)]);
-    Recipients.insert(Recipients.end(), Live.begin(),
-                      Live.begin() + static_cast<std::ptrdiff_t>(Count));
+    common::chooseAtRandom(Live, GossipFanout, Random);
+    Recipients.insert(Recipients.end(), Live.begin(), Live.end());
     sendToAll(Recipients, makeBeacon(Now));
   }
 
@@ -407,7 +428,7 @@
     if (const auto Peer = PeerRotation.next(Peers.all()))
       sendTo(*Peer, makeBeacon(Now));
     if (const auto Agent = AgentRotation.next(Directory.agents()))
-      sendTo(*Agent, makeBeacon(Now));
+      sendTo(*Agent, makeAgentBeacon(*Agent, Now));
     if (Now >= NextContactAt && Peers.live(Now).empty()) {
       NextContactAt = Now + DiscoveryBeaconInterval;
       sendToAll(Peers.contacts(Now), makeBeacon(Now));
@@ -484,12 +505,17 @@
       return {400, nlohmann::json{{"error", Key.Failure.Detail}}.dump()};
     const relay::Route *Route = Steering.routes().find(Key->Service);
     const auto Agent = Steering.agentOf(*Key);
+    const relay::AgentView *View = Directory.find(Agent);
     return {200,
             nlohmann::json{
                 {"revision", Steering.routes().revision()},
                 {"route", Route == nullptr ? "" : Route->Name},
                 {"service", Route == nullptr ? "" : relay::RouteTable::serviceFor(*Route, *Key)},
-                {"agent", Agent == 0 ? "" : common::addressToString(Agent)}}
+                {"agent", Agent == 0 ? "" : common::addressToString(Agent)},
+                {"agent_zone", View == nullptr ? "" : View->Report.Zone},
+                {"agent_zone_evacuated",
+                 View != nullptr && Zones.current().contains(View->Report.Zone)},
+                {"evacuated_zones", Zones.current().zones()}}
                 .dump()};
   }
 
@@ -544,7 +570,7 @@
   }
 
   Awaitable<void> followConfiguration() {
-    impl::KeyWatch<typename Platform::Store> Watch(Store, Platform::Store::configurationKey());
+    impl::KeyWatch<typename Platform::Store> Watch(Store, Platform::Store::operatorPrefix());
     impl::Backoff Backoff(impl::MinCallBackoff, impl::MaxCallBackoff, Random);
     while (true) {
       if (Steering.routes().revision() != 0 &&
@@ -560,6 +586,8 @@
       }
       LastStoreAnswerAt = common::suspendAwareNow();
       Backoff.reset();
+      // Before the configuration: without one no flow is placed.
+      applyEvacuations(*Page, Watch.hasList());
       applyNewestItem(*Page);
       if (!Watch.hasValue())
         co_await impl::sleepFor(impl::jittered(impl::MinCallBackoff, Random));
@@ -588,6 +616,63 @@
     FetchingFromPeers = false;
   }
 
+  // --- evacuations
+
+  void applyEvacuations(const relay::StorePage &Page, bool IsList) {
+    const auto Requests = relay::readEvacuations(Page, &Platform::Store::readEvacuationKey);
+    for (const auto &Key : Requests.IgnoredKeys) {
+      IgnoredEvacuations.Increment();
+      common::log(common::LogLevel::Warning, "evacuation_key_ignored", {{"key", Key}});
+    }
+    takeEvacuations(IsList ? Requests.listed(Page.Revision)
+                           : Requests.appliedTo(Zones.current(), Page.Revision),
+                    "store");
+  }
+
+  /// Puts a newer value into force, and tells other balancers and the agents concerned at once.
+  void takeEvacuations(const relay::Evacuations &Offered, const char *Source) {
+    const auto Changed = Zones.take(Offered, Source);
+    if (Changed.empty())
+      return;
+    const auto Now = common::suspendAwareNow();
+    Directory.setEvacuations(Zones.current());
+    gossipNews(Now);
+    for (const auto &Zone : Changed) {
+      auto Agents = Directory.agentsInZone(Zone);
+      if (Agents.empty() && Zones.current().contains(Zone))
+        common::log(common::LogLevel::Warning, "evacuated_zone_unknown",
+                    {{"zone", Zone}, {"agents_known", Directory.size()}});
+      common::chooseAtRandom(Agents, MaxEvacuationRecipients, Random);
+      for (const auto Agent : Agents)
+        sendTo(Agent, makeAgentBeacon(Agent, Now));
+    }
+    perform(Steering.onLoadReported(Now), {}, Now);
+  }
+
+  void hearEvacuations(const relay::BalancerBeacon &Beacon, relay::NodeAddress From) {
+    if (Beacon.EvacuationsComplete)
+      return takeEvacuations(Beacon.EvacuatedZones, "peer");
+    if (Beacon.EvacuatedZones.asOf() > Zones.current().asOf() &&
+        !std::exchange(FetchingEvacuations, true))
+      spawn(fetchEvacuations(From));
+  }
+
+  /// Fetches a list of zones that is too long for a beacon. If it fails, the next beacon of a
+  /// balancer that knows it leads to another try.
+  Awaitable<void> fetchEvacuations(relay::NodeAddress From) {
+    const common::Endpoint Peer{From, Options.Admin.Port};
+    const auto Answer = co_await common::httpCall(Peer, "GET", "/v1/zones", "", PeerFetchTimeout);
+    FetchingEvacuations = false;
+    if (!Answer || Answer->Status != 200)
+      co_return;
+    try {
+      takeEvacuations(impl::evacuationsFromJson(common::parseJson(Answer->Body)), "peer");
+    } catch (const nlohmann::json::exception &Problem) {
+      this->rejectMessage({common::ResultCode::MessageMalformed, Problem.what()}, From,
+                          common::suspendAwareNow());
+    }
+  }
+
   // --- node records in the store
 
   Awaitable<void> lookUpNodes() {
@@ -631,10 +716,12 @@
   common::TimePoint LastStoreAnswerAt{};
   std::string ConfigurationText; ///< Unparsed, as served to peers.
   bool FetchingFromPeers = false;
+  bool FetchingEvacuations = false;
   bool Draining = false;
   bool WasReady = false;
 
   std::array<prometheus::Counter *, relay::SteeringReasonCount> PacketCounters{};
+  prometheus::Counter &IgnoredEvacuations;
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &AgentGauge;
   prometheus::Histogram &OpeningSeconds;
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -2,6 +2,7 @@
 #define GALENARELAY_RELAY_PEER_MESSAGE_H
 
 #include "galenarelay/common/error.h"
+#include "galenarelay/relay/evacuations.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/route_table.h"
 #include "galenarelay/relay/store_era.h"
@@ -63,6 +64,10 @@
   std::vector<NodeAddress> Balancers; ///< Live balancers known to the sender, without the sender.
   std::vector<NodeAddress> Agents; ///< Live agents known to the sender; empty in beacons to agents.
   StoreEra Era = 0;                ///< The newest era of the store that the sender has heard of.
+  /// As the sender knows them; in a beacon to an agent whose zone is known, only that zone.
+  Evacuations EvacuatedZones;
+  /// False if the sender knows more zones than a beacon carries, and names none of them.
+  bool EvacuationsComplete = true;
 
   friend bool operator==(const BalancerBeacon &, const BalancerBeacon &) = default;
 };
--- a/include/galenarelay/relay/store_call.h
+++ b/include/galenarelay/relay/store_call.h
@@ -6,6 +6,7 @@
 #include "galenarelay/common/time.h"
 #include "galenarelay/relay/store_era.h"
 
+#include <compare>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -34,17 +35,19 @@
   friend bool operator==(const StoreItem &, const StoreItem &) = default;
 };
 
-/// A revision of the whole store.
+/// A revision of the whole store. One of a later era is newer, whatever its number.
 struct StoreRevision {
   StoreEra Era = 0;
-  std::uint64_t Number = 0;
+  std::uint64_t Number = 0; ///< Above 0 in every answer of a store.
 
-  friend bool operator==(const StoreRevision &, const StoreRevision &) = default;
+  friend auto operator<=>(const StoreRevision &, const StoreRevision &) = default;
 };
 
 /// A page of keys or changes, and the revision of the whole store from which to continue.
 struct StorePage {
   std::vector<StoreItem> Items;
+  /// Keys of existing items of which something else can't be read. Some keys say all by themselves.
+  std::vector<std::string> UnreadableKeys;
   StoreRevision Revision;
   bool More = false;
 
@@ -67,7 +70,10 @@
 concept StoreProtocol = requires(const std::string &Text, std::uint64_t Number,
                                  common::Duration Time, const common::HttpResponse &Answer) {
   { T::configurationKey() } -> std::convertible_to<std::string>;
+  { T::operatorPrefix() } -> std::convertible_to<std::string>;
+  { T::readEvacuationKey(Text) } -> std::same_as<std::optional<std::string>>;
   { T::list(Text) } -> std::same_as<StoreCall>;
+  { T::listAfter(Text, Text) } -> std::same_as<StoreCall>;
   { T::listRecent(Text) } -> std::same_as<StoreCall>;
   { T::watch(Text, Number, Time) } -> std::same_as<StoreCall>;
   { T::put(Text, Text, Number) } -> std::same_as<StoreCall>;
--- a/include/galenarelay/relay/upstream_directory.h
+++ b/include/galenarelay/relay/upstream_directory.h
@@ -129,10 +129,15 @@
   /// anew.
   void onResume(common::TimePoint Now) noexcept { ListeningSince = Now; }
 
+  /// Sets the zones whose agents get no new flows.
+  void setEvacuations(Evacuations Zones) { EvacuatedZones = std::move(Zones); }
   /// The MaxCandidates first agents of a service for a flow by rendezvous hashing; with
   /// Mechanism::ZonePlacement those of the own zone come first.
   [[nodiscard]] std::vector<NodeAddress> candidates(const std::string &Service,
                                                     const packet::FlowKey &Key) const;
+  /// The same out of the agents whose zone isn't evacuated, for a new flow.
+  [[nodiscard]] std::vector<NodeAddress> placementCandidates(const std::string &Service,
+                                                             const packet::FlowKey &Key) const;
   /// The first NearCandidates of each service, for a flow whose service is unknown. Empty if these
   /// were more than MaxCandidates in all.
   [[nodiscard]] std::vector<NodeAddress> candidatesOfAll(const packet::FlowKey &Key) const;
@@ -170,6 +175,8 @@
   [[nodiscard]] bool hasFullAgent(const std::string &Service, std::span<const NodeAddress> Excluded,
                                   common::TimePoint Now) const;
   [[nodiscard]] bool isFull(NodeAddress Agent, common::TimePoint Now) const;
+  /// Whether the agent's zone is evacuated.
+  [[nodiscard]] bool isEvacuated(NodeAddress Agent) const;
   /// Whether all slots of the agent's upstream are taken.
   [[nodiscard]] bool isBusy(NodeAddress Agent, common::TimePoint Now) const;
   /// Adds a flow that is sent to the agent to its load until a load figure includes it.
@@ -181,6 +188,8 @@
   [[nodiscard]] const AgentView *find(NodeAddress Agent) const;
   /// Agents that have reported, in ascending order.
   [[nodiscard]] std::vector<NodeAddress> agents() const;
+  /// Agents of an availability zone that have reported.
+  [[nodiscard]] std::vector<NodeAddress> agentsInZone(const std::string &Zone) const;
   /// Agents that have reported and may hold flows: those whose upstream hasn't ended, and that
   /// aren't lost by the judgement of takeLost.
   [[nodiscard]] std::vector<NodeAddress> reportingHolders(common::TimePoint Now) const;
@@ -247,6 +256,8 @@
   /// that of the running process.
   [[nodiscard]] static bool succeeds(AgentEntry &Agent, const AgentReport &Report,
                                      common::TimePoint Now);
+  [[nodiscard]] std::vector<NodeAddress>
+  rankByZone(const packet::FlowKey &Key, std::span<const NodeAddress> ServiceAgents) const;
   [[nodiscard]] policy::Fitness fitness(const AgentEntry &Agent, common::TimePoint Now) const;
   [[nodiscard]] policy::UpstreamStatus statusOf(const AgentEntry &Agent,
                                                 common::TimePoint Now) const;
@@ -269,6 +280,7 @@
   static void dropReportedPlacements(AgentEntry &Agent);
 
   std::string OwnZone;
+  Evacuations EvacuatedZones;
   common::Engine Random;
   policy::Mechanisms InUse;
   std::map<NodeAddress, AgentEntry> Agents;
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -64,9 +64,10 @@
   RoomAgain,      ///< The upstream can accept a flow again after it was full.
   LostByUpstream, ///< The upstream restarted or ended and lost a flow that it held.
   Adopted,        ///< The upstream holds a flow whose opening this process has not seen.
-  ToCaller
+  ToCaller,
+  ZoneEvacuated ///< SYN returned to the balancer, as the operator has evacuated the zone.
 };
-inline constexpr std::size_t FlowEventCount = 10;
+inline constexpr std::size_t FlowEventCount = 11;
 
 [[nodiscard]] std::string_view name(FlowEvent Event) noexcept;
 
@@ -120,6 +121,9 @@
   bool onDeparture(const Departure &Received, common::TimePoint Now);
   /// Declines new flows from now on, as this process is about to stop.
   void stop() noexcept { Stopping = true; }
+  /// Sets whether the operator has evacuated the upstream's zone. If so, new flows are declined;
+  /// open ones stay.
+  void setEvacuated(bool IsEvacuated) noexcept { Evacuated = IsEvacuated; }
 
   [[nodiscard]] FlowActions onBalancerPacket(const PacketHeader &Head, const Transit &Fields,
                                              std::span<const std::uint8_t> Raw,
@@ -226,6 +230,7 @@
   /// has not taken it for ended since.
   bool TableComplete = false;
   bool Stopping = false;
+  bool Evacuated = false;
   /// Until the first heartbeat the settings name the upstream's service; false after a suspension,
   /// or after a heartbeat that names another service.
   bool SettingsValid = true;
--- a/programs/ctl/node_commands.cpp
+++ b/programs/ctl/node_commands.cpp
@@ -108,6 +108,31 @@
   return Printed;
 }
 
+/// Lists the evacuated zones that a balancer or agent of relayed flows knows.
+Result<Report> zones(const Invocation &Given) {
+  BOOST_LEAF_AUTO(Node, Given.address("node"));
+  BOOST_LEAF_AUTO(Document, askNode(Node, "/v1/zones"));
+  if (!Document.is_object() || !Document.contains("evacuated") ||
+      !Document.at("evacuated").is_array())
+    return fail(ResultCode::MessageMalformed, "the node's answer has no zones");
+  const auto Text = [](const json &Row, const char *Field) {
+    const auto Found = Row.find(Field);
+    if (Found == Row.end())
+      return std::string();
+    return Found->is_string() ? Found->get<std::string>() : Found->dump();
+  };
+  Report Printed;
+  Printed.Rows = {{"ZONE", "EVACUATED SINCE MS", "REVISION", "ERA", "SOURCE"}};
+  for (const json &Row : Document.at("evacuated")) {
+    if (!Row.is_object())
+      return fail(ResultCode::MessageMalformed, "the node's answer has an odd zone");
+    Printed.Rows.push_back({Text(Row, "zone"), Text(Row, "since_ms"), Text(Row, "revision"),
+                            Text(Row, "era"), Text(Row, "source")});
+  }
+  Printed.Document = std::move(Document);
+  return Printed;
+}
+
 /// Asks members for their revision, several at a time.
 class Poll {
 public:
@@ -224,6 +249,13 @@
   return {
       {"members", "", "List members, as a node or else the store knows them", 0, 0, {}, members},
       {"explain", "SRCIP:PORT-DSTIP:PORT", "Show why a flow goes where it goes", 1, 1, {}, explain},
+      {"zones",
+       "",
+       "List the evacuated zones, as a node of relayed flows knows them",
+       0,
+       0,
+       {},
+       zones},
       {"wait",
        "REVISION [--timeout-ms N]",
        "Wait until a revision is in force on every member",
--- a/src/relay/flow_steering.cpp
+++ b/src/relay/flow_steering.cpp
@@ -210,7 +210,7 @@
   if (PlacementScope == Scope::Service)
     return Directory.choose(Pending.Service, Pending.Kind, Pending.TriedAgents, Now);
   if (Pending.Candidates.empty())
-    Pending.Candidates = Directory.candidates(Pending.Service, Key);
+    Pending.Candidates = Directory.placementCandidates(Pending.Service, Key);
   while (true) {
     if (queryConsidered(Key, Pending, Now, Actions)) {
       Pending.AwaitingLoad = true;
@@ -291,8 +291,9 @@
 
 std::optional<NodeAddress> FlowSteering::takeLeastBusy(PendingFlow &Pending,
                                                        common::TimePoint Now) const {
-  std::erase_if(Pending.BusyAgents,
-                [&](NodeAddress Agent) { return Directory.isFull(Agent, Now); });
+  std::erase_if(Pending.BusyAgents, [&](NodeAddress Agent) {
+    return Directory.isFull(Agent, Now) || Directory.isEvacuated(Agent);
+  });
   const auto Load = [this](NodeAddress Agent) {
     const AgentView *View = Directory.find(Agent);
     return View != nullptr ? View->Load.Unanswered : UINT32_MAX;
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -53,9 +53,15 @@
 }
 
 json toJson(const BalancerBeacon &Beacon) {
-  return json::array({MessageType::Beacon, Beacon.Id, Beacon.Zone, Beacon.Incarnation,
-                      Beacon.ConfigurationRevision, Beacon.Leaving, Beacon.Balancers, Beacon.Agents,
-                      Beacon.Era});
+  json Fields = json::array({MessageType::Beacon, Beacon.Id, Beacon.Zone, Beacon.Incarnation,
+                             Beacon.ConfigurationRevision, Beacon.Leaving, Beacon.Balancers,
+                             Beacon.Agents, Beacon.Era});
+  if (Beacon.EvacuatedZones.known()) {
+    const auto AsOf = Beacon.EvacuatedZones.asOf();
+    Fields.push_back(json::array(
+        {AsOf.Era, AsOf.Number, Beacon.EvacuationsComplete, Beacon.EvacuatedZones.zones()}));
+  }
+  return Fields;
 }
 
 json toJson(const FlowNotice &Notice) {
@@ -158,6 +164,18 @@
   return Report;
 }
 
+Evacuations evacuationsFromJson(const json &Fields) {
+  std::set<std::string, std::less<>> Zones;
+  for (const json &Row : rowsOf(Fields.at(3), MaxBeaconZones)) {
+    auto Zone = Row.get<std::string>();
+    if (!isZoneName(Zone))
+      throw std::out_of_range("not a zone's name");
+    Zones.insert(std::move(Zone));
+  }
+  return {{readUnsigned<StoreEra>(Fields.at(0)), readUnsigned<std::uint64_t>(Fields.at(1))},
+          std::move(Zones)};
+}
+
 BalancerBeacon beaconFromJson(const json &Fields) {
   BalancerBeacon Beacon;
   Beacon.Id = Fields.at(1).get<std::string>();
@@ -170,6 +188,10 @@
   // Earlier versions don't send it.
   if (Fields.size() > 8)
     Beacon.Era = readUnsigned<StoreEra>(Fields.at(8));
+  if (Fields.size() > 9) {
+    Beacon.EvacuatedZones = evacuationsFromJson(Fields.at(9));
+    Beacon.EvacuationsComplete = Fields.at(9).at(2).get<bool>();
+  }
   return Beacon;
 }
 
--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -3,6 +3,7 @@
 #include "galenarelay/common/hash_mix.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace galenarelay::relay {
@@ -160,7 +161,24 @@
 
 std::vector<NodeAddress> UpstreamDirectory::candidates(const std::string &Service,
                                                        const packet::FlowKey &Key) const {
+  return rankByZone(Key, agentsOf(Service));
+}
+
+std::vector<NodeAddress>
+UpstreamDirectory::placementCandidates(const std::string &Service,
+                                       const packet::FlowKey &Key) const {
   const auto ServiceAgents = agentsOf(Service);
+  if (EvacuatedZones.zones().empty())
+    return rankByZone(Key, ServiceAgents);
+  std::vector<NodeAddress> Usable;
+  std::copy_if(ServiceAgents.begin(), ServiceAgents.end(), std::back_inserter(Usable),
+               [this](NodeAddress Agent) { return !isEvacuated(Agent); });
+  return rankByZone(Key, Usable);
+}
+
+std::vector<NodeAddress>
+UpstreamDirectory::rankByZone(const packet::FlowKey &Key,
+                              std::span<const NodeAddress> ServiceAgents) const {
   if (!InUse.uses(Mechanism::ZonePlacement))
     return rankCandidates(Key, ServiceAgents, MaxCandidates);
   std::vector<NodeAddress> Near;
@@ -260,6 +278,8 @@
 
 Fitness UpstreamDirectory::fitness(const AgentEntry &Agent, common::TimePoint Now) const {
   const AgentView &View = Agent.View;
+  if (EvacuatedZones.contains(View.Report.Zone))
+    return Fitness::Unfit;
   switch (View.Report.State) {
   case UpstreamState::Draining:
   case UpstreamState::Stopping:
@@ -406,6 +426,19 @@
   return Addresses;
 }
 
+bool UpstreamDirectory::isEvacuated(NodeAddress Agent) const {
+  const AgentView *View = find(Agent);
+  return View != nullptr && EvacuatedZones.contains(View->Report.Zone);
+}
+
+std::vector<NodeAddress> UpstreamDirectory::agentsInZone(const std::string &Zone) const {
+  std::vector<NodeAddress> Addresses;
+  for (const auto &[Address, Agent] : Agents)
+    if (Agent.View.Report.Zone == Zone)
+      Addresses.push_back(Address);
+  return Addresses;
+}
+
 void UpstreamDirectory::noteExpected(NodeAddress Agent, common::TimePoint Now) {
   if (!Agents.contains(Agent))
     Expected.try_emplace(Agent, ExpectedAgent{.Since = Now});
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -24,8 +24,8 @@
 
 std::string_view name(FlowEvent Event) noexcept {
   constexpr std::array<std::string_view, FlowEventCount> Names{
-      "open_offered", "open_declined", "accepted",         "delivered", "doubted",
-      "not_held",     "room_again",    "lost_by_upstream", "adopted",   "to_caller"};
+      "open_offered", "open_declined",    "accepted", "delivered", "doubted",       "not_held",
+      "room_again",   "lost_by_upstream", "adopted",  "to_caller", "zone_evacuated"};
   return Names[static_cast<std::size_t>(Event)];
 }
 
@@ -184,6 +184,9 @@
     return ReturnReason::Unanswered;
   if (State != UpstreamState::Ready && State != UpstreamState::Unknown)
     return ReturnReason::Leaving;
+  // Balancers place a flow elsewhere for this reason, also those of earlier versions.
+  if (Evacuated)
+    return ReturnReason::Leaving;
   if (full())
     return ReturnReason::Full;
   if (InUse.uses(policy::Mechanism::BusyDecline) && !Fields.Insist && slots() != 0 &&
@@ -238,8 +241,9 @@
     if (Reason && !(MayBeRepeated && LacksCapacity)) {
       if (*Reason == ReturnReason::Full)
         addWaitingBalancer(Balancer);
+      const bool ByOperator = Evacuated && *Reason == ReturnReason::Leaving;
       Actions.push_back({.Operation = FlowAction::Kind::Return,
-                         .Event = FlowEvent::OpenDeclined,
+                         .Event = ByOperator ? FlowEvent::ZoneEvacuated : FlowEvent::OpenDeclined,
                          .Key = Head.Key,
                          .Balancer = Balancer,
                          .Reason = *Reason});
--- a/tests/relay_events_test.cpp
+++ b/tests/relay_events_test.cpp
@@ -37,7 +37,8 @@
     for (const char *Name :
          {"include/galenarelay/node/relay_balancer.h", "include/galenarelay/node/relay_agent.h",
           "include/galenarelay/node/relay_program.h", "include/galenarelay/node/impl/relay_node.h",
-          "include/galenarelay/node/impl/relay_store.h", "platform/documents.cpp"})
+          "include/galenarelay/node/impl/relay_store.h",
+          "include/galenarelay/node/impl/zone_evacuations.h", "platform/documents.cpp"})
       Events.merge(eventsOf(read(Root / Name)));
     CPPUNIT_ASSERT(Events.size() > 20);
     for (const auto &Event : Events)
--- a/tests/relay_store_test.cpp
+++ b/tests/relay_store_test.cpp
@@ -1,6 +1,7 @@
 #include "galenarelay/common/http.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/node/impl/relay_store.h"
+#include "galenarelay/relay/evacuations.h"
 #include "platform/store_protocol.h"
 #include "soak/store_standin.h"
 
@@ -33,6 +34,9 @@
   CPPUNIT_TEST(testRecord_backAfterRestore_isRemovedAgain);
   CPPUNIT_TEST(testWatch_revisionGivenOutAgain_missesNoChange);
   CPPUNIT_TEST(testWatch_waitingDuringRestore_readsAfresh);
+  CPPUNIT_TEST(testWatch_ofSeveralPages_readsAllOfThem);
+  CPPUNIT_TEST(testWatch_evacuationLostInRestore_listsNone);
+  CPPUNIT_TEST(testWatch_evacuationDuringLostHistory_isListed);
   CPPUNIT_TEST(testAnswer_ofEndedEra_isRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -112,8 +116,22 @@
       return Page->Items[0].Value;
     }
 
+    /// The evacuations after the next page, with at most one failure before it.
+    relay::Evacuations nextEvacuations(node::impl::KeyWatch<Protocol> &Watch) {
+      auto Page = run(Watch.next());
+      if (!Page)
+        Page = run(Watch.next());
+      CPPUNIT_ASSERT(Page);
+      const auto Read = relay::readEvacuations(*Page, &Protocol::readEvacuationKey);
+      Evacuated =
+          Evacuated.takingNewer(Watch.hasList() ? Read.listed(Page->Revision)
+                                                : Read.appliedTo(Evacuated, Page->Revision));
+      return Evacuated;
+    }
+
     bool hasRecord() { return Standin.contains("nodes/a"); }
 
+    relay::Evacuations Evacuated;
     boost::asio::io_context Io{1};
     common::Metrics Metrics;
     common::Engine Random{1};
@@ -221,6 +239,50 @@
     CPPUNIT_ASSERT_EQUAL(std::string("3"), Node.nextValue(Watch));
   }
 
+  // Guards against evacuations that are missed because they stand on a later page.
+  void testWatch_ofSeveralPages_readsAllOfThem() {
+    NodeWithRestorableStore Node(false);
+    Node.Standin.setPageSize(2);
+    for (const char *Key :
+         {"op/config", "op/evacuate/a", "op/evacuate/b", "op/evacuate/c", "op/evacuate/d", "other"})
+      Node.Standin.put(Key, "{}");
+    node::impl::KeyWatch<Protocol> Watch(Node.Store, Protocol::operatorPrefix());
+    CPPUNIT_ASSERT((Node.nextEvacuations(Watch).zones() ==
+                    std::set<std::string, std::less<>>{"a", "b", "c", "d"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Node.Standin.calls("/-/kv-range"));
+    Node.Standin.erase("op/evacuate/b");
+    Node.Standin.put("op/evacuate/e", "{}");
+    const auto Known = Node.nextEvacuations(Watch);
+    CPPUNIT_ASSERT(!Known.contains("b") && Known.contains("e") && Known.contains("a"));
+  }
+
+  // Guards against a request that a restored store has lost and that stays in force.
+  void testWatch_evacuationLostInRestore_listsNone() {
+    NodeWithRestorableStore Node(false);
+    Node.Standin.put("op/config", "1");
+    const auto Restored = Node.Standin.revision();
+    Node.Standin.put("op/evacuate/a", "{}");
+    node::impl::KeyWatch<Protocol> Watch(Node.Store, Protocol::operatorPrefix());
+    CPPUNIT_ASSERT(Node.nextEvacuations(Watch).contains("a"));
+    Node.Standin.restoreTo(Restored);
+    const auto Known = Node.nextEvacuations(Watch);
+    CPPUNIT_ASSERT(Known.zones().empty() && Known.asOf().Era == 2);
+  }
+
+  // Guards against changes that a watch misses as the store drops its history.
+  void testWatch_evacuationDuringLostHistory_isListed() {
+    NodeWithRestorableStore Node(false);
+    Node.Standin.put("op/config", "1");
+    Node.Standin.put("op/evacuate/a", "{}");
+    node::impl::KeyWatch<Protocol> Watch(Node.Store, Protocol::operatorPrefix());
+    CPPUNIT_ASSERT(Node.nextEvacuations(Watch).contains("a"));
+    Node.Standin.erase("op/evacuate/a");
+    Node.Standin.put("op/evacuate/b", "{}");
+    Node.Standin.dropHistory();
+    const auto Known = Node.nextEvacuations(Watch);
+    CPPUNIT_ASSERT(!Known.contains("a") && Known.contains("b"));
+  }
+
   // Guards against a late answer of before a restore that is applied after one of the new era.
   void testAnswer_ofEndedEra_isRefused() {
     boost::asio::io_context Io{1};
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -106,11 +106,11 @@
         Chosen.Work + "/" + nameOf(I) + ".ini", Chosen.Work + "/" + nameOf(I) + ".log"));
   }
   for (std::size_t I = 0; I < Chosen.Hosts; ++I) {
-    Hosts.push_back(std::make_unique<Host>(Io, "host-" + std::to_string(I),
-                                           Host::Addresses{address(AgentGroup, I, AppPort),
-                                                           address(AgentGroup, I, OutboundPort),
-                                                           address(AgentGroup, I, ControlPort)},
-                                           Seen, Links, Random()));
+    Hosts.push_back(std::make_unique<Host>(
+        Io, "host-" + std::to_string(I), zoneOf(Chosen.Balancers + I),
+        Host::Addresses{address(AgentGroup, I, AppPort), address(AgentGroup, I, OutboundPort),
+                        address(AgentGroup, I, ControlPort)},
+        Seen, Links, Random()));
   }
   while (Joined + Chosen.LateBalancers < Chosen.Balancers)
     startBalancer(Joined++);
@@ -186,9 +186,10 @@
                                        : address(AgentGroup, Node - Chosen.Balancers, Port));
   };
   std::ofstream File(Chosen.Work + "/" + nameOf(Node) + ".ini");
-  File << "[node]\nid = " << nameOf(Node) << "\nzone = a\npackets = " << Text(PacketPort)
-       << "\npeers = " << Text(PeerPort) << "\nadmin = " << Text(AdminPort)
-       << "\ncontrol = " << Text(ControlPort) << "\nreadiness = " << Text(ReadyPort)
+  File << "[node]\nid = " << nameOf(Node) << "\nzone = " << zoneOf(Node)
+       << "\npackets = " << Text(PacketPort) << "\npeers = " << Text(PeerPort)
+       << "\nadmin = " << Text(AdminPort) << "\ncontrol = " << Text(ControlPort)
+       << "\nreadiness = " << Text(ReadyPort)
        << "\nseeds = " << common::toString(address(BalancerGroup, 0, PeerPort))
        << "\n[store]\naddress = " << common::toString(address(StoreGroup, 2, StorePort)) << "\n";
   if (!IsBalancer)
@@ -232,6 +233,34 @@
 
 void Fleet::writeConfiguration() { Store->put("op/config", Configuration); }
 
+std::string Fleet::zoneOf(std::size_t Node) const {
+  const bool Apart =
+      Chosen.TwoZones && Node >= Chosen.Balancers && Node < Chosen.Balancers + HostsInEvacuatedZone;
+  return Apart ? EvacuatedZone : "a";
+}
+
+void Fleet::evacuate(bool Wanted) {
+  EvacuationWanted = Wanted;
+  writeEvacuation();
+}
+
+void Fleet::writeEvacuation() {
+  const std::string Key = std::string("op/evacuate/") + EvacuatedZone;
+  if (EvacuationWanted) {
+    Store->put(Key, "{}");
+    Seen.onEvacuated(EvacuatedZone);
+  } else {
+    Seen.onReturned(EvacuatedZone);
+    Store->erase(Key);
+  }
+}
+
+void Fleet::writeAgain() {
+  writeConfiguration();
+  Seen.onReturned(EvacuatedZone);
+  writeEvacuation();
+}
+
 boost::asio::awaitable<std::string> Fleet::missingState() {
   for (std::size_t I = 0; I < Nodes.size(); ++I) {
     const bool IsBalancer = I < Chosen.Balancers;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -23,8 +23,14 @@
   std::size_t LateHosts = 0;
   std::size_t CallerAddresses = 4;
   std::uint64_t Seed = 1;
+  /// Whether the first hosts are in a zone of their own, EvacuatedZone.
+  bool TwoZones = false;
 };
 
+inline constexpr const char *EvacuatedZone = "b";
+/// Hosts in EvacuatedZone: one in three of the least number, of each service.
+inline constexpr std::size_t HostsInEvacuatedZone = 3;
+
 /// A process of the product: its settings, its log, and its present run.
 class Program {
 public:
@@ -65,8 +71,10 @@
 
   /// Writes the next configuration; Split sends some photos to the other service.
   void configure(bool Split);
-  /// The operator writes the newest configuration again.
-  void writeConfiguration();
+  /// The operator evacuates EvacuatedZone, or takes it back.
+  void evacuate(bool Wanted);
+  /// The operator writes the newest configuration and request again, after a restore of the store.
+  void writeAgain();
   [[nodiscard]] std::size_t nodes() const noexcept { return Nodes.size(); }
   [[nodiscard]] std::size_t balancers() const noexcept { return Chosen.Balancers; }
   [[nodiscard]] std::size_t hosts() const noexcept { return Hosts.size(); }
@@ -101,6 +109,9 @@
     int Misses = 0;
   };
 
+  void writeConfiguration();
+  void writeEvacuation();
+  [[nodiscard]] std::string zoneOf(std::size_t Node) const;
   void startBalancer(std::size_t Number);
   void startHost(std::size_t Number);
   [[nodiscard]] std::uint32_t machine(std::size_t Node) const;
@@ -126,6 +137,7 @@
   std::size_t JoinedHosts = 0; ///< The same of upstreams.
   std::uint64_t Version = 0;
   std::string Configuration; ///< The newest one, as the operator writes it.
+  bool EvacuationWanted = false;
 };
 
 } // namespace galenarelay::soak
--- a/tests/soak/host.cpp
+++ b/tests/soak/host.cpp
@@ -74,9 +74,10 @@
   return hasPattern(Text, Read.Attempt) ? std::optional(Read) : std::nullopt;
 }
 
-Host::Host(boost::asio::io_context &Io, std::string Name, Addresses Where, Ledger &Seen,
-           Network &Links, std::uint64_t Seed)
-    : Io(Io), Name(std::move(Name)), Where(Where), Seen(Seen), Links(Links), Random(Seed) {}
+Host::Host(boost::asio::io_context &Io, std::string Name, std::string Zone, Addresses Where,
+           Ledger &Seen, Network &Links, std::uint64_t Seed)
+    : Io(Io), Name(std::move(Name)), Zone(std::move(Zone)), Where(Where), Seen(Seen), Links(Links),
+      Random(Seed) {}
 
 void Host::start(const std::string &Of) {
   Service = Of;
@@ -157,7 +158,7 @@
           Socket->send(Packet, Where.Outbound);
       });
     });
-    Seen.onOpened(Id, Service, Head.Key);
+    Seen.onOpened(Id, Service, Zone, Head.Key);
   }
   relay::PacketHeader Accept;
   Accept.Key = Head.Key;
@@ -240,7 +241,7 @@
 boost::asio::awaitable<bool> Host::sendHeartbeat(std::uint64_t Sequence) {
   const nlohmann::json Body{{"service", Service},
                             {"address", common::toString(Where.App)},
-                            {"zone", "a"},
+                            {"zone", Zone},
                             {"version", "v1"},
                             {"concurrencyLimit", Slots},
                             {"state", Draining ? "draining" : "ready"},
--- a/tests/soak/host.h
+++ b/tests/soak/host.h
@@ -43,8 +43,8 @@
     common::Endpoint Control;  ///< The agent's, for heartbeats.
   };
 
-  Host(boost::asio::io_context &Io, std::string Name, Addresses Where, Ledger &Seen, Network &Links,
-       std::uint64_t Seed);
+  Host(boost::asio::io_context &Io, std::string Name, std::string Zone, Addresses Where,
+       Ledger &Seen, Network &Links, std::uint64_t Seed);
 
   /// A new life with another ID, which knows nothing of earlier flows.
   void start(const std::string &Service);
@@ -87,6 +87,7 @@
 
   boost::asio::io_context &Io;
   std::string Name;
+  std::string Zone;
   Addresses Where;
   Ledger &Seen;
   Network &Links;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -16,7 +16,7 @@
   Versions.push_back({Clock::now(), std::move(Services)});
 }
 
-void Ledger::onOpened(const std::string &Host, const std::string &Service,
+void Ledger::onOpened(const std::string &Host, const std::string &Service, const std::string &Zone,
                       const packet::FlowKey &Flow) {
   const auto SentAt = Opened[Flow];
   const common::Endpoint Route = Flow.Service;
@@ -37,6 +37,10 @@
   const auto Leaving = Drained.find(Host);
   if (CheckTimes && calm() && Leaving != Drained.end() && SentAt - Leaving->second > DrainBound)
     violation("drain", Host + " got a flow although it drains");
+  const auto Request = Evacuated.find(Zone);
+  if (CheckTimes && calm() && Request != Evacuated.end() &&
+      SentAt - Request->second > EvacuationBound)
+    violation("evacuation", Host + " got a flow although zone " + Zone + " is evacuated");
 }
 
 void Ledger::onRun(std::uint64_t Request, std::uint64_t Attempt, Kind What) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -24,6 +24,7 @@
 inline constexpr auto StableWindow = std::chrono::milliseconds(4000);
 inline constexpr auto ConfigurationBound = std::chrono::milliseconds(3000);
 inline constexpr auto DrainBound = std::chrono::milliseconds(3000);
+inline constexpr auto EvacuationBound = std::chrono::milliseconds(5000);
 inline constexpr auto MisrouteBound = std::chrono::milliseconds(2000);
 inline constexpr std::size_t MisroutedPackets = 3;
 /// A soak that itself stood still for this long excuses what follows, since its upstreams did so
@@ -61,6 +62,10 @@
   void onUnplannedFault(std::uint32_t Machine) {
     LastUnplanned = MachineFaults[Machine] = Clock::now();
   }
+  /// The store has acknowledged the evacuation of a zone.
+  void onEvacuated(const std::string &Zone) { Evacuated.try_emplace(Zone, Clock::now()); }
+  /// The zone is about to be taken back, or the store to lose the request.
+  void onReturned(const std::string &Zone) { Evacuated.erase(Zone); }
   void onDrainAcknowledged(const std::string &Host) { Drained.try_emplace(Host, Clock::now()); }
 
   /// Called at short intervals, and before a flow is judged.
@@ -69,7 +74,8 @@
   /// A caller opens a flow.
   void onFirstPacket(const packet::FlowKey &Flow) { Opened[Flow] = Clock::now(); }
   /// An upstream has taken the first packet of a flow.
-  void onOpened(const std::string &Host, const std::string &Service, const packet::FlowKey &Flow);
+  void onOpened(const std::string &Host, const std::string &Service, const std::string &Zone,
+                const packet::FlowKey &Flow);
   /// An upstream begins to work on an attempt of a request.
   void onRun(std::uint64_t Request, std::uint64_t Attempt, Kind What);
   /// The caller was told that the attempt has not run, or its flow never opened.
@@ -118,6 +124,7 @@
   bool CheckTimes;
   std::vector<Version> Versions;
   std::map<std::string, Clock::time_point> Drained;
+  std::map<std::string, Clock::time_point> Evacuated; ///< Zones, with the acknowledgement's time.
   std::map<packet::FlowKey, Clock::time_point> Opened;
   std::map<std::uint64_t, std::size_t> RunsOfRequest;
   std::set<std::uint64_t> RunAttempts;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,10 @@
 constexpr auto StartTime = std::chrono::milliseconds(2500);
 /// Shares of the time: planned work alone, then faults as well; then all is calm.
 constexpr double PlannedShare = 0.3;
+/// Share of the time for which a zone is evacuated, in runs with an evacuation.
+constexpr double EvacuatedShare = 0.6;
+/// One seed in this many has an evacuation. It isn't drawn, so that the others play as before.
+constexpr std::uint64_t SeedsPerEvacuation = 4;
 /// After the last fault a quarter of the requests is served within this time.
 constexpr auto RecoveryBound = std::chrono::seconds(12);
 constexpr double RecoveredShare = 0.25;
@@ -40,6 +44,7 @@
   double Seconds = 20;
   double Rate = 60;
   bool CheckTimes = false;
+  bool Evacuates = false;
 };
 
 /// Load, planned work and faults of one run, all drawn from one seed.
@@ -54,6 +59,8 @@
     spawn(tick());
     spawn(load());
     spawn(play());
+    if (Chosen.Evacuates)
+      spawn(evacuate());
   }
 
 private:
@@ -141,6 +148,18 @@
     }
   }
 
+  /// A zone is evacuated and taken back, beside all else.
+  Task evacuate() {
+    co_await sleepFor(StartTime + std::chrono::duration_cast<common::Duration>(
+                                      std::chrono::duration<double>(Chosen.Seconds * 0.1)));
+    note("evacuate", 0);
+    Under.evacuate(true);
+    co_await sleepFor(std::chrono::duration_cast<common::Duration>(
+        std::chrono::duration<double>(Chosen.Seconds * EvacuatedShare)));
+    note("take_back", 0);
+    Under.evacuate(false);
+  }
+
   /// Restarts half of the balancers or of all nodes, one after the other or overlapping, while an
   /// upstream may be replaced.
   void restartMany() {
@@ -252,7 +271,7 @@
     Under.Store->setFault(StoreFault::None);
     Seen.onStoreFault();
     co_await sleepFor(between(0, 1));
-    Under.writeConfiguration();
+    Under.writeAgain();
   }
 
   Task storeFault(StoreFault What) {
@@ -343,14 +362,15 @@
   Options.Balancers += Options.LateBalancers;
   Options.Hosts += Options.LateHosts;
   Options.Seed = Seed;
+  Options.TwoZones = Seed % SeedsPerEvacuation == 0;
   std::filesystem::create_directories(Options.Work);
   boost::asio::io_context Io(1);
   Ledger Seen(Given["check-times"].as<bool>());
   Fleet Under(Io, Options, Seen);
-  Soak Run(
-      Io, Under, Seen,
-      {Given["seconds"].as<double>(), Given["rate"].as<double>(), Given["check-times"].as<bool>()},
-      Seed);
+  Soak Run(Io, Under, Seen,
+           {Given["seconds"].as<double>(), Given["rate"].as<double>(),
+            Given["check-times"].as<bool>(), Options.TwoZones},
+           Seed);
   Run.start();
   Io.run();
   common::log(common::LogLevel::Info, "soak_ended",
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -76,7 +76,8 @@
 HttpResponse StoreStandin::serve(const HttpRequest &Request) {
   constexpr std::string_view Keep = "/-/kv-keep/";
   if (Request.Path == "/-/kv-range")
-    return range(Request.Query.at("prefix"));
+    return range(Request.Query.at("prefix"),
+                 Request.Query.contains("after") ? Request.Query.at("after") : "");
   if (Request.Path == "/-/kv-txn")
     return transact(Request.Body);
   if (Request.Path == "/-/kv-lease") {
@@ -132,15 +133,21 @@
   }
 }
 
-HttpResponse StoreStandin::range(const std::string &Prefix) const {
+HttpResponse StoreStandin::range(const std::string &Prefix, const std::string &After) const {
   json Rows = json::array();
-  for (const auto &[Key, Held] : Data.Items)
-    if (Key.starts_with(Prefix))
-      Rows.push_back({{"key", Key},
-                      {"value", common::encodeBase64(Held.Value)},
-                      {"revision", Held.Revision},
-                      {"lease", Held.Lease}});
-  return {200, json{{"items", Rows}, {"hasMore", false}, {"currentRev", Data.Revision}}.dump()};
+  bool HasMore = false;
+  for (const auto &[Key, Held] : Data.Items) {
+    if (!Key.starts_with(Prefix) || Key <= After)
+      continue;
+    HasMore = Rows.size() >= PageSize;
+    if (HasMore)
+      break;
+    Rows.push_back({{"key", Key},
+                    {"value", common::encodeBase64(Held.Value)},
+                    {"revision", Held.Revision},
+                    {"lease", Held.Lease}});
+  }
+  return {200, json{{"items", Rows}, {"hasMore", HasMore}, {"currentRev", Data.Revision}}.dump()};
 }
 
 HttpResponse StoreStandin::transact(const std::string &Body) {
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -39,8 +39,11 @@
   void restore(common::Duration Age);
   /// The same from the copy with this revision, or the oldest one after it.
   void restoreTo(std::uint64_t Revision);
-  /// The operator writes a key.
+  /// The operator writes a key, or removes it.
   void put(const std::string &Key, const std::string &Value) { write(Key, Value, 0); }
+  void erase(const std::string &Key) { remove(Key); }
+  /// Maximum number of items in a page.
+  void setPageSize(std::size_t Items) { PageSize = Items; }
   [[nodiscard]] bool contains(const std::string &Key);
   [[nodiscard]] std::uint64_t revision() const noexcept { return Data.Revision; }
   /// Calls so far whose path begins so.
@@ -80,7 +83,7 @@
   Answer answerWithoutEra(common::HttpRequest Request);
   common::HttpResponse serve(const common::HttpRequest &Request);
   Answer watch(common::HttpRequest Request);
-  common::HttpResponse range(const std::string &Prefix) const;
+  common::HttpResponse range(const std::string &Prefix, const std::string &After) const;
   common::HttpResponse transact(const std::string &Body);
   void write(const std::string &Key, const std::string &Value, std::uint64_t Lease);
   void remove(const std::string &Key);
@@ -93,6 +96,7 @@
   common::Engine Random;
   StoreFault Fault = StoreFault::None;
   std::uint64_t Era = 1;
+  std::size_t PageSize = 500;
   State Data;
   std::deque<Copy> Copies;
   std::map<std::string, std::size_t> CallsByPath;
