Bound the openings at cold upstreams of services that state a rate

Balancers name the rate of the agent's service in their beacons. A rate of 0, as the deployments of today state, is taken for no bound.

A restarted agent gets a beacon at once from each balancer that it reports to, like a new one, since it knows nothing of its zone and rate either.

--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -42,6 +42,7 @@
   RelayAgent(boost::asio::io_context &Io, RelayAgentOptions Settings, common::Metrics &Metrics)
       : Base(Io, std::move(Settings.Node), Metrics, impl::AgentRecordPrefix),
         Upstream(Settings.Upstream), FromUpstream(Settings.FromUpstream),
+        ColdStart(Settings.ColdStart),
         Flows(std::move(Settings.Service), Settings.HeartbeatInterval, StartedAt,
               Options.EnabledMechanisms),
         UnansweredGauge(
@@ -217,6 +218,7 @@
       Zones.take(Beacon->EvacuatedZones, "balancer");
       Flows.setEvacuated(Zones.current().contains(Options.Zone));
     }
+    hearColdRate(*Beacon);
     reportToNewBalancers(KnownBefore, From, Now);
     if (!IsNew)
       return;
@@ -227,6 +229,19 @@
     sendTo(From, makeReport(Now));
   }
 
+  /// The newest configuration that a balancer has states the bound.
+  void hearColdRate(const relay::BalancerBeacon &Beacon) {
+    if (!Beacon.ColdRate || Beacon.ConfigurationRevision < ColdRateRevision)
+      return;
+    ColdRateRevision = Beacon.ConfigurationRevision;
+    const auto Bound = ColdStart.bound(*Beacon.ColdRate);
+    if (std::exchange(LastColdBound, Bound) == Bound)
+      return;
+    Flows.setColdBound(Bound);
+    common::log(common::LogLevel::Info, "cold_bound_changed",
+                {{"openings_per_s", Bound.value_or(0)}, {"revision", ColdRateRevision}});
+  }
+
   relay::AgentReport makeReport(common::TimePoint Now) {
     const auto &LastHeartbeat = Flows.registration().last();
     relay::AgentReport Report;
@@ -415,6 +430,9 @@
 
   common::Endpoint Upstream;     ///< UDP address to which packets for the upstream are sent.
   common::Endpoint FromUpstream; ///< UDP address that receives the upstream's packets.
+  relay::policy::ColdStartAllowance ColdStart;
+  std::optional<std::size_t> LastColdBound;
+  relay::Revision ColdRateRevision = 0;
   relay::UpstreamFlows Flows;
   std::unique_ptr<common::UdpSocket> UpstreamSocket;
   common::TimePoint NextReportAt{};
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -238,8 +238,11 @@
 
   void handle(const relay::AgentReport &Report, relay::NodeAddress From, common::TimePoint Now) {
     using Change = relay::UpstreamDirectory::Change;
+    const auto *Known = Directory.find(From);
+    const bool IsNewProcess = Known == nullptr || Known->Report.Incarnation != Report.Incarnation;
     const auto Effect = Directory.onReport(From, Report, Now);
-    if (Effect == Change::Appeared)
+    // A new process knows nothing of its zone and its service's configuration.
+    if (IsNewProcess && Effect != Change::Outdated)
       sendTo(From, makeAgentBeacon(From, Now));
     if (Effect == Change::Appeared || Effect == Change::StateChanged)
       common::log(common::LogLevel::Info, "agent_changed",
@@ -367,8 +370,11 @@
   /// A beacon for an agent, which needs to know of its own zone only.
   relay::BalancerBeacon makeAgentBeacon(relay::NodeAddress Agent, common::TimePoint Now) {
     auto Beacon = makeBeacon(Now);
-    if (const auto *View = Directory.find(Agent))
+    if (const auto *View = Directory.find(Agent)) {
       nameEvacuations(Beacon, Zones.current().ofZone(View->Report.Zone));
+      if (Steering.routes().revision() != 0)
+        Beacon.ColdRate = Steering.routes().coldRate(View->Report.Service);
+    }
     return Beacon;
   }
 
--- a/include/galenarelay/node/relay_settings.h
+++ b/include/galenarelay/node/relay_settings.h
@@ -3,6 +3,7 @@
 
 #include "galenarelay/common/settings.h"
 #include "galenarelay/common/time.h"
+#include "galenarelay/relay/policy/cold_start_limit.h"
 #include "galenarelay/relay/policy/mechanism.h"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
   common::Endpoint Upstream;     ///< UDP, packets for the upstream.
   common::Endpoint FromUpstream; ///< UDP, packets of the upstream.
   common::Duration HeartbeatInterval{};
+  relay::policy::ColdStartAllowance ColdStart;
 
   friend bool operator==(const RelayAgentOptions &, const RelayAgentOptions &) = default;
 };
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -8,6 +8,7 @@
 #include "galenarelay/relay/store_era.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -68,6 +69,9 @@
   Evacuations EvacuatedZones;
   /// False if the sender knows more zones than a beacon carries, and names none of them.
   bool EvacuationsComplete = true;
+  /// In a beacon to an agent: openings per second that its upstream bears while it is cold, by the
+  /// sender's configuration; 0 if that isn't stated. Empty for an agent whose service is unknown.
+  std::optional<double> ColdRate;
 
   friend bool operator==(const BalancerBeacon &, const BalancerBeacon &) = default;
 };
--- a/include/galenarelay/relay/route_table.h
+++ b/include/galenarelay/relay/route_table.h
@@ -5,6 +5,7 @@
 #include "galenarelay/packet/packet.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,9 @@
   Revision Number = 0;
   std::vector<Route> Routes;
   common::Duration IdleTimeout{}; ///< A flow without packets may be removed after this time.
+  /// Openings per second that an upstream of a service bears while it is cold; only services that
+  /// state it.
+  std::map<std::string, double> ColdRates;
 
   friend bool operator==(const Configuration &, const Configuration &) = default;
 };
@@ -53,6 +57,11 @@
   [[nodiscard]] std::size_t size() const noexcept { return Config.Routes.size(); }
   /// The route of a service endpoint; null if there is none.
   [[nodiscard]] const Route *find(common::Endpoint Service) const noexcept;
+  /// Openings per second that a cold upstream of a service bears; 0 if that isn't stated.
+  [[nodiscard]] double coldRate(const std::string &Service) const {
+    const auto Found = Config.ColdRates.find(Service);
+    return Found == Config.ColdRates.end() ? 0 : Found->second;
+  }
   /// The service for a new flow; empty if the route has none. For a given route it depends only on
   /// the flow key, so that a retransmitted SYN gets the same service on every node.
   [[nodiscard]] static const std::string &serviceFor(const Route &MatchedRoute,
--- a/include/galenarelay/relay/upstream_flows.h
+++ b/include/galenarelay/relay/upstream_flows.h
@@ -4,6 +4,7 @@
 #include "galenarelay/common/bucket_sweep.h"
 #include "galenarelay/relay/packet_head.h"
 #include "galenarelay/relay/peer_message.h"
+#include "galenarelay/relay/policy/cold_start_limit.h"
 #include "galenarelay/relay/policy/mechanism.h"
 #include "galenarelay/relay/registration.h"
 #include "galenarelay/relay/response_time.h"
@@ -125,6 +126,9 @@
   /// open ones stay.
   void setEvacuated(bool IsEvacuated) noexcept { Evacuated = IsEvacuated; }
 
+  /// Sets the bound of openings in any second while the upstream is cold; empty for none.
+  void setColdBound(std::optional<std::size_t> Openings) noexcept { ColdBound = Openings; }
+
   [[nodiscard]] FlowActions onBalancerPacket(const PacketHeader &Head, const Transit &Fields,
                                              std::span<const std::uint8_t> Raw,
                                              NodeAddress Balancer, common::TimePoint Now);
@@ -197,7 +201,9 @@
   void onSyn(const PacketHeader &Head, const Transit &Fields, std::span<const std::uint8_t> Raw,
              NodeAddress Balancer, common::TimePoint Now, FlowActions &Actions);
   [[nodiscard]] std::optional<ReturnReason> declineReason(const Transit &Fields,
-                                                          common::TimePoint Now) const;
+                                                          common::TimePoint Now);
+  /// Whether one more opening would exceed the bound of a cold upstream.
+  [[nodiscard]] bool exceedsColdBound(common::TimePoint Now);
   /// Slots of the upstream; 0 if unknown.
   [[nodiscard]] std::uint32_t slots() const noexcept;
   [[nodiscard]] bool full() const noexcept;
@@ -231,6 +237,8 @@
   bool TableComplete = false;
   bool Stopping = false;
   bool Evacuated = false;
+  std::optional<std::size_t> ColdBound;
+  policy::ColdStartLimit Openings;
   /// Until the first heartbeat the settings name the upstream's service; false after a suspension,
   /// or after a heartbeat that names another service.
   bool SettingsValid = true;
--- a/src/node/relay_settings.cpp
+++ b/src/node/relay_settings.cpp
@@ -52,6 +52,10 @@
                    "UDP address to which the upstream sends its packets"});
   Rules.push_back({"upstream", "heartbeat_ms", SettingKind::Integer, std::nullopt, 10, 60000,
                    "interval of the upstream's heartbeats"});
+  Rules.push_back({"upstream", "cold_overage", SettingKind::Real, "1", 0, 1000,
+                   "factor of the rate that a cold upstream bears, for the bound of openings"});
+  Rules.push_back(
+      {"upstream", "cold_slack", SettingKind::Real, "0", 0, 10'000, "openings a second beside it"});
   return Rules;
 }
 
@@ -82,6 +86,8 @@
   Options.Service = Values.text("upstream", "service");
   Options.Upstream = Values.endpoint("upstream", "address");
   Options.FromUpstream = Values.endpoint("upstream", "outbound");
+  Options.ColdStart = {Values.real("upstream", "cold_overage"),
+                       Values.real("upstream", "cold_slack")};
   Options.HeartbeatInterval = std::chrono::milliseconds(Values.integer("upstream", "heartbeat_ms"));
   return Options;
 }
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Openings per second that a beacon may state for a cold upstream.
+constexpr double MaxColdRate = 1e6;
+
 /// Message type, the first element of each encoded array.
 enum class MessageType : std::uint8_t {
   Report,
@@ -61,6 +64,11 @@
     Fields.push_back(json::array(
         {AsOf.Era, AsOf.Number, Beacon.EvacuationsComplete, Beacon.EvacuatedZones.zones()}));
   }
+  if (Beacon.ColdRate) {
+    if (!Beacon.EvacuatedZones.known())
+      Fields.push_back(nullptr);
+    Fields.push_back(*Beacon.ColdRate);
+  }
   return Fields;
 }
 
@@ -188,10 +196,12 @@
   // Earlier versions don't send it.
   if (Fields.size() > 8)
     Beacon.Era = readUnsigned<StoreEra>(Fields.at(8));
-  if (Fields.size() > 9) {
+  if (Fields.size() > 9 && !Fields.at(9).is_null()) {
     Beacon.EvacuatedZones = evacuationsFromJson(Fields.at(9));
     Beacon.EvacuationsComplete = Fields.at(9).at(2).get<bool>();
   }
+  if (Fields.size() > 10)
+    Beacon.ColdRate = common::readNumber(Fields.at(10), 0, MaxColdRate);
   return Beacon;
 }
 
--- a/src/relay/upstream_flows.cpp
+++ b/src/relay/upstream_flows.cpp
@@ -176,7 +176,7 @@
 }
 
 std::optional<ReturnReason> UpstreamFlows::declineReason(const Transit &Fields,
-                                                         common::TimePoint Now) const {
+                                                         common::TimePoint Now) {
   if (Fields.ServiceDigest != serviceDigest(Upstream.service()))
     return ReturnReason::WrongService;
   const UpstreamState State = state(Now);
@@ -187,7 +187,7 @@
   // Balancers place a flow elsewhere for this reason, also those of earlier versions.
   if (Evacuated)
     return ReturnReason::Leaving;
-  if (full())
+  if (full() || exceedsColdBound(Now))
     return ReturnReason::Full;
   if (InUse.uses(policy::Mechanism::BusyDecline) && !Fields.Insist && slots() != 0 &&
       Unanswered >= slots())
@@ -197,6 +197,12 @@
   return std::nullopt;
 }
 
+// Before its first heartbeat to this process the upstream may have just started.
+bool UpstreamFlows::exceedsColdBound(common::TimePoint Now) {
+  const bool MayBeCold = !Upstream.known() || Upstream.coldFor(Now) > common::Duration::zero();
+  return ColdBound && MayBeCold && !Openings.allows(*ColdBound, Now);
+}
+
 std::uint32_t UpstreamFlows::slots() const noexcept {
   return Upstream.last() ? Upstream.last()->Slots : 0;
 }
@@ -252,6 +258,8 @@
     if (It != Flows.end() && !MayBeRepeated)
       eraseFlow(It);
   }
+  if (!Repeated)
+    Openings.note(Now);
   Flow &Entry = Flows[Head.Key];
   Entry.Balancer = Balancer;
   Entry.LastPacketAt = Now;
--- a/tests/relay_evacuation_test.cpp
+++ b/tests/relay_evacuation_test.cpp
@@ -2,6 +2,7 @@
 #include "relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 
@@ -29,6 +30,7 @@
   CPPUNIT_TEST(testBeacon_oddZones_isRefused);
   CPPUNIT_TEST(testPlacement_zoneEvacuated_avoidsItUntilTheReturn);
   CPPUNIT_TEST(testPlacement_allZonesEvacuated_isRefusedAtOnce);
+  CPPUNIT_TEST(testPlacement_mostAgentsEvacuated_findsTheOthers);
   CPPUNIT_TEST(testPlacement_unknownZoneEvacuated_concernsNoAgent);
   CPPUNIT_TEST(testPlacement_busyAgentOfEvacuatedZone_isNotInsistedOn);
   CPPUNIT_TEST(testOpenFlow_zoneEvacuated_staysAtItsAgent);
@@ -61,7 +63,8 @@
 
   /// A balancer in zone a, with agents of the service desk in the zones a and b.
   struct Node {
-    Node() : Directory("a", 1), Steering(BalancerOne, Directory, RelayStart - 60s) {
+    explicit Node(relay::policy::Mechanisms InUse = {})
+        : Directory("a", 1, InUse), Steering(BalancerOne, Directory, RelayStart - 60s, InUse) {
       Steering.setRoutes(relayRoutes());
       Steering.setRoutesCurrent(true);
       report(AgentOne, "a");
@@ -185,6 +188,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{9}, nlohmann::json::from_cbor(Raw).size());
     const auto Read = relay::decodeMessage(Raw);
     CPPUNIT_ASSERT(Read && std::get<relay::BalancerBeacon>(*Read) == Beacon);
+    Beacon.ColdRate = 12.5;
+    const auto WithRate = relay::decodeMessage(relay::encode(Beacon));
+    CPPUNIT_ASSERT(WithRate && std::get<relay::BalancerBeacon>(*WithRate) == Beacon);
     Beacon.EvacuatedZones = evacuated({"a", "b"}, 70, 3);
     const auto WithZones = relay::decodeMessage(relay::encode(Beacon));
     CPPUNIT_ASSERT(WithZones && std::get<relay::BalancerBeacon>(*WithZones) == Beacon);
@@ -260,6 +266,20 @@
     CPPUNIT_ASSERT(Balancer.Directory.agentsInZone("b") == std::vector{AgentTwo});
   }
 
+  // Guards against flows that are refused as their candidates happen to be in evacuated zones.
+  void testPlacement_mostAgentsEvacuated_findsTheOthers() {
+    using relay::policy::Mechanisms;
+    for (const auto &InUse :
+         {Mechanisms(), Mechanisms().with(relay::policy::Mechanism::ZonePlacement)}) {
+      Node Balancer(InUse);
+      for (relay::NodeAddress I = 0; I < 100; ++I)
+        Balancer.report(0x0a030000 + I, "a");
+      Balancer.Directory.setEvacuations(evacuated({"a"}));
+      CPPUNIT_ASSERT((Balancer.agentsOfNewFlows(1000) == AgentSet{AgentTwo}));
+      CPPUNIT_ASSERT(Balancer.Directory.candidates("desk", relayKey(1)).size() > 1);
+    }
+  }
+
   void testPlacement_unknownZoneEvacuated_concernsNoAgent() {
     Node Balancer;
     Balancer.Directory.setEvacuations(evacuated({"z"}));
