--- a/include/galenarelay/node/relay_agent.h
+++ b/include/galenarelay/node/relay_agent.h
@@ -214,8 +214,9 @@
     const auto KnownBefore = Peers.all();
     const bool IsNew = Peers.onBeacon(From, *Beacon, Now);
     this->hearStoreEra(Beacon->Era);
+    // Balancers that know this agent name no other zone.
     if (Beacon->EvacuationsComplete) {
-      Zones.take(Beacon->EvacuatedZones, "balancer");
+      Zones.take(Beacon->EvacuatedZones.ofZone(Options.Zone), "balancer");
       Flows.setEvacuated(Zones.current().contains(Options.Zone));
     }
     hearColdRate(*Beacon);
