--- a/src/relay/upstream_directory.cpp
+++ b/src/relay/upstream_directory.cpp
@@ -164,9 +164,8 @@
   return rankByZone(Key, agentsOf(Service));
 }
 
-std::vector<NodeAddress>
-UpstreamDirectory::placementCandidates(const std::string &Service,
-                                       const packet::FlowKey &Key) const {
+std::vector<NodeAddress> UpstreamDirectory::placementCandidates(const std::string &Service,
+                                                                const packet::FlowKey &Key) const {
   const auto ServiceAgents = agentsOf(Service);
   if (EvacuatedZones.zones().empty())
     return rankByZone(Key, ServiceAgents);
