Share the newest era and the version parser between the store's clients

RelayStore and NodeStoreClient each kept the newest era in like lines; NewestEra does for both. store_link's version parser was a twin of the one of config/store_client. RevisionPushRoundsLeft counts pushes of the era as well: ChangePushRoundsLeft.

--- a/include/galenarelay/config/store_client.h
+++ b/include/galenarelay/config/store_client.h
@@ -4,6 +4,8 @@
 #include "galenarelay/common/error.h"
 #include "galenarelay/common/http.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -59,6 +61,9 @@
 
 namespace impl {
 
+/// The version in a response of this era. Throws nlohmann::json::exception.
+[[nodiscard]] StoreVersion versionFromJson(const nlohmann::json &Document, std::uint64_t Era);
+
 /// Request target of a key; with a version, that of a write that expects this version, which the
 /// store refuses in any other era.
 [[nodiscard]] std::string keyTarget(const std::string &Key);
--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -254,7 +254,7 @@
   std::uint64_t Digest = 0;
   std::uint64_t Revision = 0;
   std::uint64_t StoreEra = 0;
-  std::uint32_t RevisionPushRoundsLeft = 0; ///< Rounds of push messages left for these two.
+  std::uint32_t ChangePushRoundsLeft = 0; ///< Rounds of push messages left for these two.
   std::uint64_t NextSequence = 1;
   std::uint32_t DigestMismatches = 0;
   std::uint32_t EarlySyncsLeft = MaxEarlySyncs;
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -5,6 +5,7 @@
 #include "galenarelay/common/log.h"
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/node/impl/call_pause.h"
+#include "galenarelay/node/impl/newest_era.h"
 #include "galenarelay/relay/store_call.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -39,7 +40,7 @@
         EraGauge(Metrics.gauge("store_era", "Era of the store's newest answer")) {}
 
   /// The newest era that an answer has named; 0 before the first answer.
-  [[nodiscard]] relay::StoreEra era() const noexcept { return NewestEra.value_or(0); }
+  [[nodiscard]] relay::StoreEra era() const noexcept { return Newest.value(); }
 
   /// Callback is called with the era when an answer shows that the store has been restored.
   void onRestored(std::function<void(relay::StoreEra)> Callback) {
@@ -148,15 +149,15 @@
     const auto Named = Protocol::readEra(Response);
     if (!Named)
       return {std::nullopt, Named.Failure};
-    const relay::StoreEra Era = Named->value_or(era());
-    // A late answer of before the restore.
-    if (Era < era())
+    const auto Found = Newest.note(*Named);
+    if (Found == NewestEra::Finding::Ended)
       return eraEnded<T>();
-    if (*Named)
-      noteEra(Era);
+    EraGauge.Set(static_cast<double>(era()));
+    if (Found == NewestEra::Finding::Restored && OnRestored)
+      OnRestored(era());
     auto Result = ReadResponse(Response);
     if (Result)
-      eraOf(*Result) = Era;
+      eraOf(*Result) = era();
     return Result;
   }
 
@@ -164,19 +165,6 @@
   static relay::StoreEra &eraOf(relay::StoreRevision &Revision) { return Revision.Era; }
   static relay::StoreEra &eraOf(relay::StoreLease &Lease) { return Lease.Era; }
 
-  void noteEra(relay::StoreEra Era) {
-    if (NewestEra && Era <= *NewestEra)
-      return;
-    const auto Previous = std::exchange(NewestEra, Era);
-    EraGauge.Set(static_cast<double>(Era));
-    if (!Previous)
-      return;
-    common::log(common::LogLevel::Warning, "store_restored",
-                {{"era", Era}, {"previous", *Previous}});
-    if (OnRestored)
-      OnRestored(Era);
-  }
-
   void logReachabilityChange(bool IsReachable, const std::string &Code) {
     if (std::exchange(Reachable, IsReachable) == IsReachable)
       return;
@@ -189,7 +177,7 @@
   common::Endpoint Address;
   common::Metrics &Metrics;
   prometheus::Gauge &EraGauge;
-  std::optional<relay::StoreEra> NewestEra;
+  NewestEra Newest;
   std::function<void(relay::StoreEra)> OnRestored;
   bool Reachable = true;
 };
--- a/include/galenarelay/node/impl/store_link.h
+++ b/include/galenarelay/node/impl/store_link.h
@@ -5,6 +5,7 @@
 #include "galenarelay/common/metrics.h"
 #include "galenarelay/config/store_client.h"
 #include "galenarelay/membership/member.h"
+#include "galenarelay/node/impl/newest_era.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -39,7 +40,7 @@
   NodeStoreClient(common::Endpoint Store, common::Metrics &Metrics);
 
   /// The newest era that a response has named; 0 before the first one.
-  [[nodiscard]] std::uint64_t era() const noexcept { return NewestEra.value_or(0); }
+  [[nodiscard]] std::uint64_t era() const noexcept { return Newest.value(); }
   /// Callback is called when a response shows that the store has been restored.
   void onRestored(std::function<void()> Callback) { OnRestored = std::move(Callback); }
 
@@ -74,10 +75,8 @@
   /// Refuses a response of an earlier era, and notes a newer one.
   [[nodiscard]] common::Outcome<common::HttpResponse> inNewestEra(common::HttpResponse Response);
 
-  void noteEra(std::uint64_t Era);
-
   common::Endpoint Store;
-  std::optional<std::uint64_t> NewestEra;
+  NewestEra Newest;
   std::function<void()> OnRestored;
   prometheus::Counter &Calls;
   prometheus::Counter &Failures;
--- a/include/galenarelay/relay/store_call.h
+++ b/include/galenarelay/relay/store_call.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace galenarelay::relay {
@@ -40,7 +41,10 @@
   StoreEra Era = 0;
   std::uint64_t Number = 0; ///< Above 0 in every answer of a store.
 
-  friend auto operator<=>(const StoreRevision &, const StoreRevision &) = default;
+  friend bool operator==(const StoreRevision &, const StoreRevision &) = default;
+  friend std::strong_ordering operator<=>(const StoreRevision &A, const StoreRevision &B) noexcept {
+    return std::tie(A.Era, A.Number) <=> std::tie(B.Era, B.Number);
+  }
 };
 
 /// A page of keys or changes, and the revision of the whole store from which to continue.
--- a/src/config/store_client.cpp
+++ b/src/config/store_client.cpp
@@ -45,10 +45,6 @@
   return {ResultCode::StoreBadAnswer, Detail + ": " + Response.Body};
 }
 
-StoreVersion versionFromJson(const json &Document, std::uint64_t Era) {
-  return {Era, common::readUnsigned<std::uint64_t>(Document.at("version"))};
-}
-
 StoredValue valueFromJson(const json &Document, std::uint64_t Era) {
   return {Document.at("key").get<std::string>(), versionFromJson(Document, Era),
           Document.at("value").get<std::string>()};
@@ -60,6 +56,10 @@
 
 } // namespace
 
+StoreVersion versionFromJson(const json &Document, std::uint64_t Era) {
+  return {Era, common::readUnsigned<std::uint64_t>(Document.at("version"))};
+}
+
 std::string keyTarget(const std::string &Key) { return "/v1/kv/" + common::encodeQuery(Key); }
 
 std::string keyTarget(const std::string &Key, StoreVersion Expected) {
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -220,7 +220,7 @@
   if (Offered <= Current)
     return;
   Current = Offered;
-  RevisionPushRoundsLeft = PushRoundsPerChange;
+  ChangePushRoundsLeft = PushRoundsPerChange;
   NextPushAt = std::max(NextPushAt, Now);
 }
 
@@ -570,19 +570,19 @@
 bool Gossip::hasPendingPush() const noexcept {
   const bool HasFreshRecords =
       !Broadcasts.empty() && Broadcasts.minSendCount() < PushRoundsPerChange * PushFanout;
-  return (HasFreshRecords || RevisionPushRoundsLeft > 0) && !liveIds().empty();
+  return (HasFreshRecords || ChangePushRoundsLeft > 0) && !liveIds().empty();
 }
 
 void Gossip::pushChanges(TimePoint Now) {
   NextPushAt = Now + PushInterval;
-  if (RevisionPushRoundsLeft == 0 && ByteBudget < static_cast<double>(MaxRecordBytes))
+  if (ChangePushRoundsLeft == 0 && ByteBudget < static_cast<double>(MaxRecordBytes))
     return;
   for (const std::string &Id : randomPeers(PushFanout, {})) {
     const Peer &Receiver = Peers.at(Id);
     send("push", Receiver.Record.Control, &Receiver, json::object());
   }
-  if (RevisionPushRoundsLeft > 0)
-    --RevisionPushRoundsLeft;
+  if (ChangePushRoundsLeft > 0)
+    --ChangePushRoundsLeft;
 }
 
 const std::vector<std::string> &Gossip::liveIds() const {
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -45,9 +45,7 @@
 
 Outcome<StoreVersion> parseVersion(const HttpResponse &Response, std::uint64_t Era) {
   try {
-    return {StoreVersion{Era, common::readUnsigned<std::uint64_t>(
-                                  common::parseJson(Response.Body).at("version"))},
-            {}};
+    return {config::impl::versionFromJson(common::parseJson(Response.Body), Era), {}};
   } catch (const json::exception &Problem) {
     return {std::nullopt, malformedResponse(Problem)};
   }
@@ -56,7 +54,7 @@
 Outcome<StoreEntry> parseEntry(const HttpResponse &Response, std::uint64_t Era) {
   try {
     const json Document = common::parseJson(Response.Body);
-    return {StoreEntry{{Era, common::readUnsigned<std::uint64_t>(Document.at("version"))},
+    return {StoreEntry{config::impl::versionFromJson(Document, Era),
                        Document.at("value").get<std::string>()},
             {}};
   } catch (const json::exception &Problem) {
@@ -117,23 +115,12 @@
   const auto Named = config::readStoreEra(Response);
   if (!Named)
     return {std::nullopt, Named.Failure};
-  // A late response of before the restore.
-  if (*Named && **Named < era())
+  const auto Found = Newest.note(*Named);
+  if (Found == NewestEra::Finding::Ended)
     return {std::nullopt, eraEnded()};
-  if (*Named)
-    noteEra(**Named);
-  return {std::move(Response), {}};
-}
-
-void NodeStoreClient::noteEra(std::uint64_t Era) {
-  if (NewestEra && Era <= *NewestEra)
-    return;
-  const auto Previous = std::exchange(NewestEra, Era);
-  if (!Previous)
-    return;
-  common::log(common::LogLevel::Warning, "store_restored", {{"era", Era}, {"previous", *Previous}});
-  if (OnRestored)
+  if (Found == NewestEra::Finding::Restored && OnRestored)
     OnRestored();
+  return {std::move(Response), {}};
 }
 
 awaitable<Outcome<StoreVersion>> NodeStoreClient::registerMember(membership::Member Self) {
--- a/tests/relay_events_test.cpp
+++ b/tests/relay_events_test.cpp
@@ -38,6 +38,7 @@
          {"include/galenarelay/node/relay_balancer.h", "include/galenarelay/node/relay_agent.h",
           "include/galenarelay/node/relay_program.h", "include/galenarelay/node/impl/relay_node.h",
           "include/galenarelay/node/impl/relay_store.h",
+          "include/galenarelay/node/impl/newest_era.h",
           "include/galenarelay/node/impl/zone_evacuations.h", "platform/documents.cpp"})
       Events.merge(eventsOf(read(Root / Name)));
     CPPUNIT_ASSERT(Events.size() > 20);
