--- a/src/relay/policy/release_shares.cpp
+++ b/src/relay/policy/release_shares.cpp
@@ -16,7 +16,6 @@
 
 /// Flows of one class are interchangeable but for priority, caller and age.
 enum class FlowClass : std::uint8_t { InTime, Late, CallerGone };
-constexpr std::size_t FlowClassCount = 3;
 
 bool isLate(const WaitingFlow &Flow, common::TimePoint Now) noexcept {
   return Flow.requestAge(Now) >= Flow.LatencyObjective;
