Read the store when no balancer is known to have read it lately

What callers saw: the store turned away 6 of 28 machines for 9 s. Who watches was decided by beacons, which show that a balancer lives, not that the store answers it. Evacuations come with the same watch, and membership::storeWatchers with node::Runtime had the same rule. Change: beacons and gossip messages say how long ago the store is known to have held nothing that the sender doesn't know. A node whose knowledge reaches an age of its own between two bounds reads the store itself. Few nodes have a low one, and tell the others at once, so that a read of one node keeps the others from reading. Watchers only make changes arrive sooner.

--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -5,6 +5,7 @@
 #include "galenarelay/common/time.h"
 #include "galenarelay/membership/impl/broadcast_queue.h"
 #include "galenarelay/membership/member.h"
+#include "galenarelay/membership/store_freshness.h"
 
 #include <nlohmann/json.hpp>
 
@@ -83,6 +84,13 @@
 inline constexpr std::size_t MaxContacts = 1024;
 /// Number of members per availability zone that watch the store.
 inline constexpr std::size_t WatchersPerZone = 3;
+/// When a member reads the store because no member is known to have read it lately, in a system of
+/// up to as many members as make MaxStoreReadsPerSecond if the store turns all of them away. With
+/// more, the time between the bounds and the retry interval grow in proportion.
+inline constexpr FreshnessBounds StoreReadBounds{std::chrono::seconds(3), std::chrono::seconds(6),
+                                                 std::chrono::seconds(4)};
+/// A quarter of the reads that the store serves.
+inline constexpr std::size_t MaxStoreReadsPerSecond = 500;
 
 /// Action: send a datagram from the control socket.
 struct SendDatagram {
@@ -119,6 +127,12 @@
   friend bool operator==(const CheckStore &, const CheckStore &) = default;
 };
 
+/// Action: read the configuration from the store, and pass the result to Gossip::noteStoreRead or
+/// Gossip::noteStoreReadFailed.
+struct ReadStore {
+  friend bool operator==(const ReadStore &, const ReadStore &) = default;
+};
+
 /// Action: count and log a rejected input.
 struct RejectInput {
   common::Error Reason;
@@ -127,7 +141,7 @@
 };
 
 using GossipAction = std::variant<SendDatagram, NotifyViewChanged, FetchMembers, FetchConfiguration,
-                                  CheckStore, RejectInput>;
+                                  CheckStore, ReadStore, RejectInput>;
 using GossipActions = std::vector<GossipAction>;
 
 /// IDs of the members that watch the store for a zone, selected by rendezvous hashing: the active
@@ -181,6 +195,16 @@
   /// Sets the store's era that this node has seen and pushes it to peers; a lower or equal era is
   /// ignored.
   [[nodiscard]] GossipActions setStoreEra(std::uint64_t NewEra, common::TimePoint Now);
+  /// This node has read the store, which had no later configuration at AsOf. If no member was known
+  /// to have read it lately, pushes this to peers.
+  [[nodiscard]] GossipActions noteStoreRead(common::TimePoint AsOf, common::TimePoint Now);
+  /// The read that ReadStore asked for has failed.
+  void noteStoreReadFailed(common::TimePoint Now);
+  /// Time since the store was last known to have no later configuration than this node's; empty
+  /// before the first read is known.
+  [[nodiscard]] std::optional<common::Duration> storeReadAge(common::TimePoint Now) const noexcept {
+    return Freshness.age(Now);
+  }
 
 private:
   struct Peer {
@@ -203,8 +227,13 @@
   GossipActions takeActions();
   void handleMessage(const nlohmann::json &Message, common::Endpoint From, common::TimePoint Now);
   void applyRecords(const nlohmann::json &Records, common::TimePoint Now);
+  /// Takes over what the sender of a message knows of reads of the store.
+  void hearStoreRead(const nlohmann::json &Message, common::TimePoint Now);
+  void readStoreIfDue(common::TimePoint Now);
+  /// Sends the age of the last known read of the store to peers at once.
+  void pushStoreReadAge(common::TimePoint Now);
   void compareDigest(const Peer &Sender, std::uint64_t SenderDigest, common::TimePoint Now);
-  void onAck(std::uint64_t Sequence);
+  void onAck(std::uint64_t Sequence, common::TimePoint Now);
   void relayProbe(const nlohmann::json &Message, common::Endpoint From, common::TimePoint Now);
 
   bool applyRecord(const Member &Incoming, RecordSource Source, common::TimePoint Now);
@@ -219,7 +248,7 @@
   void probeNext(common::TimePoint Now);
   std::optional<std::string> nextProbeTarget();
   void failUnansweredProbe(common::TimePoint Now);
-  void sendIndirectProbes();
+  void sendIndirectProbes(common::TimePoint Now);
   void expireSuspicions(common::TimePoint Now);
   void removeExpiredDeadMembers(common::TimePoint Now);
   void probeDeadMember(common::TimePoint Now);
@@ -232,7 +261,7 @@
   [[nodiscard]] std::vector<std::string> randomPeers(std::size_t Count,
                                                      const std::string &ExcludedId);
   void send(const std::string &Type, common::Endpoint To, const Peer *Receiver,
-            nlohmann::json Fields);
+            nlohmann::json Fields, common::TimePoint Now);
   void refillByteBudget(common::TimePoint Now);
   /// Replaces a number that all messages carry by a higher one and pushes it to peers.
   void pushIfNewer(std::uint64_t &Current, std::uint64_t Offered, common::TimePoint Now);
@@ -254,7 +283,9 @@
   std::uint64_t Digest = 0;
   std::uint64_t Revision = 0;
   std::uint64_t StoreEra = 0;
-  std::uint32_t ChangePushRoundsLeft = 0; ///< Rounds of push messages left for these two.
+  StoreFreshness Freshness;
+  bool ReadingStore = false;              ///< The result of a ReadStore is awaited.
+  std::uint32_t ChangePushRoundsLeft = 0; ///< Rounds of push messages left for these three.
   std::uint64_t NextSequence = 1;
   std::uint32_t DigestMismatches = 0;
   std::uint32_t EarlySyncsLeft = MaxEarlySyncs;
--- a/include/galenarelay/node/impl/relay_node.h
+++ b/include/galenarelay/node/impl/relay_node.h
@@ -116,6 +116,11 @@
     });
   }
 
+  /// Time for which a datagram that is read at Now may have waited in its socket.
+  [[nodiscard]] common::Duration sinceLastTick(common::TimePoint Now) const noexcept {
+    return std::max(Now - LastTick, common::Duration::zero());
+  }
+
   void sendTo(relay::NodeAddress To, const relay::PeerMessage &Message) {
     if (To != 0)
       PeerSocket->send(relay::encode(Message), {To, Options.Peers.Port});
--- a/include/galenarelay/node/impl/relay_store.h
+++ b/include/galenarelay/node/impl/relay_store.h
@@ -25,8 +25,9 @@
 /// many times the usual few milliseconds, and leaves time within the 3 s for a configuration
 /// change.
 inline constexpr common::Duration StoreCallTimeout = std::chrono::milliseconds(1000);
-/// Wait that a watch requests from the store (long poll). It bounds the time until a dead
-/// connection is noticed.
+/// Wait that a watch requests from the store (long poll). With StoreCallTimeout it bounds the time
+/// until a dead connection is noticed; changes that it misses meanwhile are found by
+/// RelayBalancer::readStore().
 inline constexpr common::Duration StoreWatchWait = std::chrono::seconds(4);
 
 /// Client of the key-value store, whose requests and responses Protocol encodes and parses. Every
@@ -190,20 +191,27 @@
   KeyWatch(RelayStore<Protocol> &Store, std::string Prefix)
       : Store(Store), Prefix(std::move(Prefix)) {}
 
-  /// Returns the next page; it may have no items. Errors: those of RelayStore's calls. The caller
-  /// pauses before the next call after an error, and while no key exists.
-  boost::asio::awaitable<common::Outcome<relay::StorePage>> next() {
+  /// Returns the next page; it may have no items. Waits for a change for up to LongestWait. Errors:
+  /// those of RelayStore's calls. The caller pauses before the next call after an error, and while
+  /// no key exists.
+  boost::asio::awaitable<common::Outcome<relay::StorePage>>
+  next(common::Duration LongestWait = StoreWatchWait) {
     // g++ 12 destroys temporaries of a co_await within a conditional expression twice.
     common::Outcome<relay::StorePage> Page;
     HasList = !Position;
-    if (Position) {
-      // After a failure the store may have been restored. Without a wait, the answer tells at once.
-      const auto Wait = AfterFailure ? common::Duration::zero() : StoreWatchWait;
+    const auto SentAt = common::suspendAwareNow();
+    // After a failure the store may have been restored. Without a wait, the answer tells at once.
+    const auto Wait = AfterFailure || HasList ? common::Duration::zero() : LongestWait;
+    if (Position)
       Page = co_await Store.watch(Prefix, *Position, Wait);
-    } else {
+    else
       Page = co_await Store.listAll(Prefix);
-    }
     AfterFailure = !Page;
+    // The store sends a change at once and the answer may be delayed, so that only an answer
+    // without changes shows that the store has waited.
+    AsOf = SentAt;
+    if (Page && Page->Items.empty())
+      AsOf = std::min(SentAt + Wait, common::suspendAwareNow());
     if (Page && (Position || !Page->Items.empty()))
       Position = Page->Revision;
     else if (Page.Failure.Code == common::ResultCode::StoreHistoryGone ||
@@ -216,6 +224,8 @@
   void restart() { Position.reset(); }
   /// Whether the last page has all keys, and not only those that have changed.
   [[nodiscard]] bool hasList() const noexcept { return HasList; }
+  /// A time at which the store had no later change than those of the last page.
+  [[nodiscard]] common::TimePoint asOf() const noexcept { return AsOf; }
   /// False before a value has been read.
   [[nodiscard]] bool hasValue() const noexcept { return Position.has_value(); }
 
@@ -223,6 +233,7 @@
   RelayStore<Protocol> &Store;
   std::string Prefix;
   std::optional<relay::StoreRevision> Position;
+  common::TimePoint AsOf{};
   bool HasList = false;
   bool AfterFailure = false;
 };
--- a/include/galenarelay/node/impl/runtime.h
+++ b/include/galenarelay/node/impl/runtime.h
@@ -87,6 +87,7 @@
   void performAction(const membership::FetchMembers &Action);
   void performAction(const membership::FetchConfiguration &Action);
   void performAction(const membership::CheckStore &Action);
+  void performAction(const membership::ReadStore &Action);
   void performAction(const membership::RejectInput &Action);
   void armGossipTimer();
   void scheduleViewBuild();
@@ -105,6 +106,10 @@
   [[nodiscard]] boost::asio::awaitable<void> addStoreContacts();
   [[nodiscard]] boost::asio::awaitable<void> joinThroughStore();
   [[nodiscard]] boost::asio::awaitable<void> watchStore();
+  [[nodiscard]] boost::asio::awaitable<void> readStore();
+  [[nodiscard]] boost::asio::awaitable<common::ResultCode>
+  readConfiguration(std::optional<config::StoreVersion> &Known, std::chrono::milliseconds Wait);
+  void noteStoreRead(common::TimePoint AsOf);
   [[nodiscard]] boost::asio::awaitable<void> fetchMembers(common::Endpoint Admin);
   [[nodiscard]] boost::asio::awaitable<void> fetchConfiguration();
   [[nodiscard]] boost::asio::awaitable<common::Outcome<config::Configuration>>
@@ -135,6 +140,7 @@
   std::uint64_t HeardStoreEra = 0;    ///< Named by a peer.
   /// Era of the store in which it last had all edits that this node knows; 0 before.
   std::uint64_t ConfigurationEra = 0;
+  std::optional<config::StoreVersion> LastRead; ///< By readStore().
   bool RegistrationRunning = false;
   bool RegistrationDoubted = false; ///< The store was restored while it ran.
   common::LogRateLimit RejectLog{RejectLogLimit};
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -1,6 +1,8 @@
 #ifndef GALENARELAY_NODE_RELAY_BALANCER_H
 #define GALENARELAY_NODE_RELAY_BALANCER_H
 
+#include "galenarelay/common/hash_mix.h"
+#include "galenarelay/membership/store_freshness.h"
 #include "galenarelay/node/impl/relay_node.h"
 #include "galenarelay/relay/flow_steering.h"
 #include "galenarelay/relay/holder_survey.h"
@@ -34,6 +36,10 @@
 inline constexpr std::size_t BeaconSampleSize = 8;
 /// Interval at which a balancer that doesn't watch the store checks whether it should now.
 inline constexpr common::Duration WatcherCheckInterval = std::chrono::milliseconds(500);
+/// When a balancer reads the operator's keys itself because no balancer is known to have read them
+/// lately. With the read and gossip, a change is in force within 3 s wherever the store answers.
+inline constexpr membership::FreshnessBounds StoreReadBounds{
+    std::chrono::milliseconds(1200), std::chrono::milliseconds(2400), std::chrono::seconds(2)};
 /// Configuration changes within this time are coalesced into one read of the store.
 inline constexpr common::Duration WatchCoalescingTime = std::chrono::milliseconds(100);
 /// A balancer that watches the store fetches a newer configuration from a peer if the store has not
@@ -58,9 +64,14 @@
       : Base(Io, std::move(Settings), Metrics, impl::BalancerRecordPrefix),
         Directory(Options.Zone, Random(), Options.EnabledMechanisms),
         Steering(Options.Packets.Address, Directory, StartedAt, Options.EnabledMechanisms),
+        Freshness(StoreReadBounds, common::mixHash(Random(), Options.Packets.Address), StartedAt),
+        StoreReader(Store, Platform::Store::operatorPrefix()),
         IgnoredEvacuations(Metrics.counter("evacuation_keys_ignored_total",
                                            "Evacuation requests that name no zone")),
         RevisionGauge(Metrics.gauge("configuration_revision", "Configuration in force")),
+        StoreReadAgeGauge(Metrics.gauge(
+            "store_read_age_seconds",
+            "Time since all that the store held was known here, by own reads or those of others")),
         AgentGauge(Metrics.gauge("agents", "Agents known")),
         UnsteadyGauge(Metrics.gauge("unsteady_upstreams",
                                     "Upstreams that are spared for their faults or tried again")),
@@ -334,6 +345,7 @@
     }
     this->hearStoreEra(Beacon.Era);
     hearEvacuations(Beacon, From);
+    hearStoreRead(Beacon, Now);
     if (Beacon.ConfigurationRevision > Steering.routes().revision() &&
         !std::exchange(FetchingFromPeers, true))
       spawn(fetchConfigurationFromPeers());
@@ -424,12 +436,15 @@
     for (std::size_t I = 0; I < std::min(BeaconSampleSize, Live.size()); ++I)
       Beacon.Balancers.push_back(*SampleRotation.next(Live));
     nameEvacuations(Beacon, Zones.current());
+    if (const auto Age = Freshness.age(Now); Age && *Age < StoreReadBounds.MaxAge)
+      Beacon.StoreReadAge = std::chrono::ceil<std::chrono::milliseconds>(*Age);
     return Beacon;
   }
 
   /// A beacon for an agent, which needs to know of its own zone only.
   relay::BalancerBeacon makeAgentBeacon(relay::NodeAddress Agent, common::TimePoint Now) {
     auto Beacon = makeBeacon(Now);
+    Beacon.StoreReadAge.reset();
     if (const auto *View = Directory.find(Agent)) {
       nameEvacuations(Beacon, Zones.current().ofZone(View->Report.Zone));
       if (Steering.routes().revision() != 0)
@@ -505,7 +520,11 @@
     if (PausedFor > common::Duration::zero()) {
       Steering.restartSettling(Now);
       Directory.onResume(Now);
+      Freshness.onResume(Now);
     }
+    if (Steering.routes().revision() != 0 && Freshness.readDue(Now) &&
+        !std::exchange(ReadingStore, true))
+      spawn(readStore());
     Steering.setRoutesCurrent(routesCurrent(Now));
     Steering.setSurveyPossible(!Peers.live(Now).empty());
     perform(Steering.onTimer(Now), {}, Now);
@@ -528,6 +547,8 @@
     Directory.expireAgents(Now);
     Peers.expirePeers(Now);
     logReadinessChange(Now);
+    if (const auto Age = Freshness.age(Now))
+      StoreReadAgeGauge.Set(std::chrono::duration<double>(*Age).count());
     AgentGauge.Set(static_cast<double>(Directory.size()));
     UnsteadyGauge.Set(static_cast<double>(Directory.sparing().unsteady()));
     ExemptGauge.Set(static_cast<double>(Directory.sparing().exempted()));
@@ -611,12 +632,12 @@
 
   // --- configuration
 
-  /// Whether the configuration is known to be current: the store has answered lately or peers are
+  /// Whether the configuration is known to be current: the store has been read lately or peers are
   /// live, and no peer has a newer revision, as after a restore of the store from an older copy.
   bool routesCurrent(common::TimePoint Now) const {
-    const bool StoreAnswers =
-        Now - LastStoreAnswerAt <= impl::StoreWatchWait + impl::StoreCallTimeout;
-    return (StoreAnswers || !Peers.live(Now).empty()) &&
+    const auto Age = Freshness.age(Now);
+    const bool StoreRead = Age && *Age <= impl::StoreWatchWait + impl::StoreCallTimeout;
+    return (StoreRead || !Peers.live(Now).empty()) &&
            !Peers.peerNewerThan(Steering.routes().revision(), Options.Zone);
   }
 
@@ -659,8 +680,22 @@
       applyIfNewer(Newest->Value, "store");
   }
 
+  using OperatorWatch = impl::KeyWatch<typename Platform::Store>;
+
+  /// Applies a page of the operator's keys that Watch has returned.
+  void applyPage(const relay::StorePage &Page, const OperatorWatch &Watch) {
+    // Before the configuration: without one no flow is placed.
+    applyEvacuations(Page, Watch.hasList());
+    applyNewestItem(Page);
+    const auto Now = common::suspendAwareNow();
+    if (Freshness.noteRead(Watch.asOf(), Now))
+      gossipNews(Now);
+  }
+
+  /// Watches the operator's keys while this balancer is one of its zone's watchers, so that changes
+  /// arrive at once.
   Awaitable<void> followConfiguration() {
-    impl::KeyWatch<typename Platform::Store> Watch(Store, Platform::Store::operatorPrefix());
+    OperatorWatch Watch(Store, Platform::Store::operatorPrefix());
     impl::Backoff Backoff(impl::MinCallBackoff, impl::MaxCallBackoff, Random);
     while (true) {
       if (Steering.routes().revision() != 0 &&
@@ -674,11 +709,8 @@
         co_await impl::sleepFor(Backoff.nextDelay());
         continue;
       }
-      LastStoreAnswerAt = common::suspendAwareNow();
       Backoff.reset();
-      // Before the configuration: without one no flow is placed.
-      applyEvacuations(*Page, Watch.hasList());
-      applyNewestItem(*Page);
+      applyPage(*Page, Watch);
       if (!Watch.hasValue())
         co_await impl::sleepFor(impl::jittered(impl::MinCallBackoff, Random));
       else if (!Page->Items.empty())
@@ -686,6 +718,39 @@
     }
   }
 
+  /// Reads the operator's keys because no balancer is known to have read them lately. The store may
+  /// turn away those that watch it, or have lost their connections without a sign.
+  Awaitable<void> readStore() {
+    bool Served = true;
+    if (Freshness.retries()) {
+      // Costs a tenth of another read while the store turns this balancer away.
+      const auto Recent = co_await Store.listRecent(Platform::Store::operatorPrefix());
+      Served = static_cast<bool>(Recent);
+    }
+    if (Served) {
+      auto Page = co_await StoreReader.next(common::Duration::zero());
+      // Changes since the last read that can't be told any more are read with all values.
+      if (!Page && (Page.Failure.Code == common::ResultCode::StoreHistoryGone ||
+                    Page.Failure.Code == common::ResultCode::StoreEraEnded))
+        Page = co_await StoreReader.next(common::Duration::zero());
+      Served = static_cast<bool>(Page);
+      if (Page)
+        applyPage(*Page, StoreReader);
+    }
+    if (!Served)
+      Freshness.noteFailure(common::suspendAwareNow());
+    ReadingStore = false;
+  }
+
+  /// Takes the sender's knowledge of the store for the own if it isn't ahead of this balancer's.
+  void hearStoreRead(const relay::BalancerBeacon &Beacon, common::TimePoint Now) {
+    if (!Beacon.StoreReadAge || Beacon.ConfigurationRevision > Steering.routes().revision() ||
+        Beacon.EvacuatedZones.asOf() > Zones.current().asOf())
+      return;
+    if (Freshness.noteHeard(Now - *Beacon.StoreReadAge - this->sinceLastTick(Now), Now))
+      gossipNews(Now);
+  }
+
   /// Fetches the configuration from peers until no reachable one has a newer revision. A balancer
   /// that watches the store gives the store PeerFetchDelay first, which saves needless calls to
   /// peers, unless it has no configuration and can't serve.
@@ -797,14 +862,16 @@
   relay::UpstreamDirectory Directory;
   relay::FlowSteering Steering;
   relay::HolderSurvey Survey;
+  membership::StoreFreshness Freshness;
+  impl::KeyWatch<typename Platform::Store> StoreReader; ///< Of readStore() alone.
   common::TimePoint LastPacketAt{};
   common::TimePoint NextBeaconAt{};
   common::TimePoint NextContactAt{};
   relay::Rotation PeerRotation;
   relay::Rotation AgentRotation;
   relay::Rotation SampleRotation; ///< Selects the balancers named in beacons.
-  common::TimePoint LastStoreAnswerAt{};
-  std::string ConfigurationText; ///< Unparsed, as served to peers.
+  std::string ConfigurationText;  ///< Unparsed, as served to peers.
+  bool ReadingStore = false;
   bool FetchingFromPeers = false;
   bool FetchingEvacuations = false;
   bool Draining = false;
@@ -813,6 +880,7 @@
   std::array<prometheus::Counter *, relay::SteeringReasonCount> PacketCounters{};
   prometheus::Counter &IgnoredEvacuations;
   prometheus::Gauge &RevisionGauge;
+  prometheus::Gauge &StoreReadAgeGauge;
   prometheus::Gauge &AgentGauge;
   prometheus::Gauge &UnsteadyGauge;
   prometheus::Gauge &ExemptGauge;
--- a/include/galenarelay/relay/peer_message.h
+++ b/include/galenarelay/relay/peer_message.h
@@ -81,6 +81,9 @@
   /// In a beacon to an agent: openings per second that its upstream bears while it is cold, by the
   /// sender's configuration; 0 if that isn't stated. Empty for an agent whose service is unknown.
   std::optional<double> ColdRate;
+  /// In a beacon to a balancer: all that the store held this long before is known to the sender.
+  /// Empty if that is too long ago to be of use, or not known.
+  std::optional<std::chrono::milliseconds> StoreReadAge;
 
   friend bool operator==(const BalancerBeacon &, const BalancerBeacon &) = default;
 };
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint64_t MaxIncarnation = std::uint64_t{1} << 62;
 /// Bytes that the key and the array header of the record list add to a datagram.
 constexpr std::size_t RecordListOverheadBytes = 8;
+/// Longest age of a read of the store that a message may state, in milliseconds.
+constexpr std::uint32_t MaxStoreReadAgeMs = 3'600'000;
 /// Estimated bytes per record in a JSON member list, to limit the rate of full synchronizations.
 constexpr double ListedRecordBytes = 220;
 
@@ -75,7 +77,8 @@
 }
 
 Gossip::Gossip(Member Self, std::vector<Endpoint> Seeds, std::uint64_t RandomSeed)
-    : OwnRecord(std::move(Self)), Random(RandomSeed) {
+    : OwnRecord(std::move(Self)), Random(RandomSeed),
+      Freshness(StoreReadBounds, common::hash64(OwnRecord.Id, OwnRecord.Incarnation), TimePoint{}) {
   addContacts(Seeds);
   Digest = recordDigest(OwnRecord);
 }
@@ -121,6 +124,8 @@
     Next = std::min(Next, Suspicions.begin()->first);
   if (hasPendingPush())
     Next = std::min(Next, NextPushAt);
+  if (!ReadingStore)
+    Next = std::min(Next, Freshness.nextRead());
   return Next;
 }
 
@@ -134,6 +139,7 @@
   BudgetRefilledAt = Now;
   NextSyncAt = Now;
   LastChangeAt = Now;
+  Freshness = {StoreReadBounds, common::hash64(OwnRecord.Id, OwnRecord.Incarnation), Now};
   broadcast(OwnRecord);
   contactSeed(Now);
   return takeActions();
@@ -145,7 +151,8 @@
     resumeAfterPause(Now);
   expireSuspicions(Now);
   if (PendingProbe && !PendingProbe->IndirectSent && Now >= IndirectProbesAt)
-    sendIndirectProbes();
+    sendIndirectProbes(Now);
+  readStoreIfDue(Now);
   if (Now >= NextProbeAt) {
     failUnansweredProbe(Now);
     probeNext(Now);
@@ -216,6 +223,23 @@
   return takeActions();
 }
 
+GossipActions Gossip::noteStoreRead(TimePoint AsOf, TimePoint Now) {
+  ReadingStore = false;
+  if (Freshness.noteRead(AsOf, Now))
+    pushStoreReadAge(Now);
+  return takeActions();
+}
+
+void Gossip::noteStoreReadFailed(TimePoint Now) {
+  ReadingStore = false;
+  Freshness.noteFailure(Now);
+}
+
+void Gossip::pushStoreReadAge(TimePoint Now) {
+  ChangePushRoundsLeft = std::max(ChangePushRoundsLeft, std::uint32_t{1});
+  NextPushAt = std::max(NextPushAt, Now);
+}
+
 void Gossip::pushIfNewer(std::uint64_t &Current, std::uint64_t Offered, TimePoint Now) {
   if (Offered <= Current)
     return;
@@ -232,8 +256,8 @@
 }
 
 /// Message fields: t type, f ID of the sender, rev configuration revision, era of the store, d
-/// digest, u records, n sequence number of a probe, id target of a pingreq, j request for the
-/// receiver's own record.
+/// digest, age of the last known read of the store in milliseconds, u records, n sequence number of
+/// a probe, id target of a pingreq, j request for the receiver's own record.
 void Gossip::handleMessage(const json &Message, Endpoint From, TimePoint Now) {
   const auto Type = Message.at("t").get<std::string>();
   const auto Sender = Message.at("f").get<std::string>();
@@ -248,13 +272,15 @@
   const std::uint64_t SenderEra = Message.contains("era") ? unsignedField(Message, "era") : 0;
   if (SenderEra > StoreEra)
     Actions.emplace_back(CheckStore{SenderEra});
+  if (SenderRevision <= Revision)
+    hearStoreRead(Message, Now);
   if (Type == "ping") {
     json Fields{{"n", unsignedField(Message, "n")}};
     if (Message.contains("j"))
       Fields["u"] = json::array({fullRecord(OwnRecord)});
-    send("ack", From, SenderPeer, std::move(Fields));
+    send("ack", From, SenderPeer, std::move(Fields), Now);
   } else if (Type == "ack") {
-    onAck(unsignedField(Message, "n"));
+    onAck(unsignedField(Message, "n"), Now);
   } else if (Type == "pingreq") {
     relayProbe(Message, From, Now);
   } else if (Type != "push") {
@@ -266,6 +292,34 @@
     compareDigest(*SenderPeer, SenderDigest, Now);
 }
 
+void Gossip::hearStoreRead(const json &Message, TimePoint Now) {
+  // Earlier versions don't send it.
+  if (!Message.contains("age"))
+    return;
+  const auto Age = std::chrono::milliseconds(
+      common::readUnsigned<std::uint32_t>(Message.at("age"), MaxStoreReadAgeMs));
+  if (Freshness.noteHeard(Now - Age, Now))
+    pushStoreReadAge(Now);
+}
+
+void Gossip::readStoreIfDue(TimePoint Now) {
+  const auto Members = static_cast<double>(liveCount());
+  const double MembersWithinBounds =
+      MaxStoreReadsPerSecond * std::chrono::duration<double>(StoreReadBounds.RetryInterval).count();
+  const double Scale = std::max(1.0, Members / MembersWithinBounds);
+  const auto Scaled = [Scale](common::Duration Time) {
+    return std::chrono::duration_cast<common::Duration>(Time * Scale);
+  };
+  Freshness.setBounds(
+      {StoreReadBounds.MinAge,
+       StoreReadBounds.MinAge + Scaled(StoreReadBounds.MaxAge - StoreReadBounds.MinAge),
+       Scaled(StoreReadBounds.RetryInterval)});
+  if (!ReadingStore && Freshness.readDue(Now)) {
+    ReadingStore = true;
+    Actions.emplace_back(ReadStore{});
+  }
+}
+
 void Gossip::applyRecords(const json &Records, TimePoint Now) {
   for (const json &Record : Records) {
     if (Record.is_array()) {
@@ -412,10 +466,10 @@
   Actions.emplace_back(FetchMembers{Sender.Record.Admin});
 }
 
-void Gossip::onAck(std::uint64_t Sequence) {
+void Gossip::onAck(std::uint64_t Sequence, TimePoint Now) {
   const auto Relayed = RelayedProbes.find(Sequence);
   if (Relayed != RelayedProbes.end()) {
-    send("ack", Relayed->second.Requester, nullptr, {{"n", Relayed->second.Sequence}});
+    send("ack", Relayed->second.Requester, nullptr, {{"n", Relayed->second.Sequence}}, Now);
     RelayedProbes.erase(Relayed);
   }
   if (!PendingProbe || PendingProbe->Sequence != Sequence)
@@ -436,7 +490,7 @@
     return;
   const std::uint64_t OwnSequence = NextSequence++;
   RelayedProbes[OwnSequence] = {From, RequesterSequence, Now + ProbeInterval};
-  send("ping", Found->second.Record.Control, &Found->second, {{"n", OwnSequence}});
+  send("ping", Found->second.Record.Control, &Found->second, {{"n", OwnSequence}}, Now);
 }
 
 // Discards the pending probe, makes the next one due and restarts the suspicion timeouts. Timeouts
@@ -445,6 +499,7 @@
 void Gossip::resumeAfterPause(TimePoint Now) {
   PendingProbe.reset();
   NextProbeAt = Now;
+  Freshness.onResume(Now);
   std::set<std::pair<TimePoint, std::string>> RestartedSuspicions;
   for (const auto &Entry : Suspicions)
     RestartedSuspicions.emplace(Now + SuspicionTimeout, Entry.second);
@@ -487,10 +542,10 @@
     Reported.State = MemberState::Dead;
     Fields["u"] = json::array({shortRecord(Reported)});
   }
-  send("ping", Target.Record.Control, &Target, std::move(Fields));
+  send("ping", Target.Record.Control, &Target, std::move(Fields), Now);
 }
 
-void Gossip::sendIndirectProbes() {
+void Gossip::sendIndirectProbes(TimePoint Now) {
   PendingProbe->IndirectSent = true;
   const auto Found = Peers.find(PendingProbe->Id);
   if (Found == Peers.end())
@@ -498,7 +553,7 @@
   for (const std::string &HelperId : randomPeers(IndirectProbeCount, PendingProbe->Id)) {
     const Peer &HelperPeer = Peers.at(HelperId);
     send("pingreq", HelperPeer.Record.Control, &HelperPeer,
-         {{"n", PendingProbe->Sequence}, {"id", PendingProbe->Id}});
+         {{"n", PendingProbe->Sequence}, {"id", PendingProbe->Id}}, Now);
   }
 }
 
@@ -547,7 +602,7 @@
   if (DeadPeers.empty())
     return;
   const Peer &Chosen = *DeadPeers[common::uniformBelow(Random, DeadPeers.size())];
-  send("ping", Chosen.Record.Control, &Chosen, {{"n", NextSequence++}});
+  send("ping", Chosen.Record.Control, &Chosen, {{"n", NextSequence++}}, Now);
 }
 
 void Gossip::contactSeed(TimePoint Now) {
@@ -562,7 +617,7 @@
     if (LiveAddresses.contains(Contact))
       continue;
     json Fields{{"n", NextSequence++}, {"j", 1}, {"u", json::array({fullRecord(OwnRecord)})}};
-    send("ping", Contact, nullptr, std::move(Fields));
+    send("ping", Contact, nullptr, std::move(Fields), Now);
     return;
   }
 }
@@ -579,7 +634,7 @@
     return;
   for (const std::string &Id : randomPeers(PushFanout, {})) {
     const Peer &Receiver = Peers.at(Id);
-    send("push", Receiver.Record.Control, &Receiver, json::object());
+    send("push", Receiver.Record.Control, &Receiver, json::object(), Now);
   }
   if (ChangePushRoundsLeft > 0)
     --ChangePushRoundsLeft;
@@ -620,13 +675,16 @@
   ByteBudget = std::min(GossipBurstBytes, ByteBudget + Elapsed.count() * GossipBytesPerSecond);
 }
 
-void Gossip::send(const std::string &Type, Endpoint To, const Peer *Receiver, json Fields) {
+void Gossip::send(const std::string &Type, Endpoint To, const Peer *Receiver, json Fields,
+                  TimePoint Now) {
   json Message = std::move(Fields);
   Message["t"] = Type;
   Message["f"] = OwnRecord.Id;
   Message["rev"] = Revision;
   Message["era"] = StoreEra;
   Message["d"] = Digest;
+  if (const auto Age = Freshness.age(Now); Age && *Age < StoreReadBounds.MaxAge)
+    Message["age"] = std::chrono::ceil<std::chrono::milliseconds>(*Age).count();
   if (!Message.contains("u"))
     Message["u"] = json::array();
   // A receiver that is believed suspect or dead gets its record, so that it can refute it.
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -224,6 +224,10 @@
   }
 }
 
+void Runtime::performAction(const membership::ReadStore &) {
+  asio::co_spawn(Io, readStore(), asio::detached);
+}
+
 void Runtime::performAction(const membership::RejectInput &Action) { reject(Action.Reason, {}); }
 
 void Runtime::armGossipTimer() {
@@ -426,49 +430,85 @@
     }
     // After a failure the store may have been restored. Without a wait, the answer tells at once.
     const auto Wait = AfterFailure ? std::chrono::milliseconds(0) : NodeStoreClient::MaxWatchWait;
-    const auto Entry = co_await Store.watchConfiguration(Known, Wait);
-    if (Stopped)
-      co_return;
-    AfterFailure = !Entry && Entry.Failure.Code != ResultCode::NotInForce;
-    if (!Entry && Entry.Failure.Code == ResultCode::NotInForce) {
+    const auto Code = co_await readConfiguration(Known, Wait);
+    AfterFailure = Code != ResultCode::Ok;
+    if (!AfterFailure) {
       Backoff.reset();
-      if (Known)
-        continue;
+      continue;
+    }
+    // The first configuration must be in force within 4 s, so a missing key restarts the backoff
+    // from a short pause.
+    if (Code == ResultCode::StoreKeyNotFound)
+      Backoff.setNextBase(MissingKeyPause);
+    co_await sleepFor(Backoff.nextDelay());
+  }
+}
+
+/// Waits for a version of the configuration after Known for up to Wait, and puts it into force.
+/// Known is then its version, or empty if the next call has to read the value whatever its version.
+/// Errors: those of NodeStoreClient::watchConfiguration but NotInForce; StoreConflict if edits that
+/// a restore has lost couldn't be written back.
+awaitable<ResultCode> Runtime::readConfiguration(std::optional<config::StoreVersion> &Known,
+                                                 std::chrono::milliseconds Wait) {
+  const auto SentAt = steadyNow();
+  const auto Entry = co_await Store.watchConfiguration(Known, Wait);
+  if (Stopped)
+    co_return ResultCode::Ok;
+  if (!Entry && Entry.Failure.Code == ResultCode::NotInForce) {
+    bool Taken = true;
+    if (!Known) {
       // Without a known version, the store has none.
       const config::StoreVersion Missing{Store.era(), 0};
       config::Configuration Empty;
-      const bool Taken = co_await takeFromStore(Missing, std::move(Empty));
-      if (!Taken)
-        co_await sleepFor(Backoff.nextDelay());
-      continue;
-    }
-    if (!Entry) {
-      // The first configuration must be in force within 4 s, so a missing key restarts the backoff
-      // from a short pause.
-      const bool KeyMissing = Entry.Failure.Code == ResultCode::StoreKeyNotFound;
-      const bool ReadsAfresh = Entry.Failure.Code == ResultCode::StoreEraEnded ||
-                               Entry.Failure.Code == ResultCode::StoreHistoryGone;
-      if (KeyMissing || ReadsAfresh)
-        Known.reset();
-      if (KeyMissing)
-        Backoff.setNextBase(MissingKeyPause);
-      co_await sleepFor(Backoff.nextDelay());
-      continue;
+      Taken = co_await takeFromStore(Missing, std::move(Empty));
     }
-    Backoff.reset();
-    Known = Entry->Version;
-    const json Document = common::parseJsonOrDiscard(Entry->Value);
-    auto Parsed = common::capture([&] { return config::configurationFromJson(Document); });
-    if (!Parsed) {
-      log(LogLevel::Error, "configuration_malformed", {{"detail", Parsed.Failure.Detail}});
-      continue;
-    }
-    const bool Taken = co_await takeFromStore(Entry->Version, std::move(*Parsed));
-    if (!Taken) {
+    if (Taken)
+      noteStoreRead(std::min(SentAt + Wait, steadyNow()));
+    co_return Taken ? ResultCode::Ok : ResultCode::StoreConflict;
+  }
+  if (!Entry) {
+    const auto Code = Entry.Failure.Code;
+    if (Code == ResultCode::StoreKeyNotFound || Code == ResultCode::StoreEraEnded ||
+        Code == ResultCode::StoreHistoryGone)
       Known.reset();
-      co_await sleepFor(Backoff.nextDelay());
-    }
+    if (Code == ResultCode::StoreKeyNotFound)
+      noteStoreRead(SentAt);
+    co_return Code;
   }
+  Known = Entry->Version;
+  const json Document = common::parseJsonOrDiscard(Entry->Value);
+  auto Parsed = common::capture([&] { return config::configurationFromJson(Document); });
+  if (!Parsed) {
+    log(LogLevel::Error, "configuration_malformed", {{"detail", Parsed.Failure.Detail}});
+    noteStoreRead(SentAt);
+    co_return ResultCode::Ok;
+  }
+  const bool Taken = co_await takeFromStore(Entry->Version, std::move(*Parsed));
+  if (!Taken) {
+    Known.reset();
+    co_return ResultCode::StoreConflict;
+  }
+  noteStoreRead(SentAt);
+  co_return ResultCode::Ok;
+}
+
+void Runtime::noteStoreRead(common::TimePoint AsOf) {
+  if (!Stopped)
+    perform(GossipCore->noteStoreRead(AsOf, steadyNow()));
+}
+
+/// Reads the configuration because no member is known to have read it lately. The store may turn
+/// away those that watch it, or have lost their connections without a sign.
+awaitable<void> Runtime::readStore() {
+  const auto Alive = shared_from_this();
+  constexpr std::chrono::milliseconds NoWait(0);
+  auto Code = co_await readConfiguration(LastRead, NoWait);
+  if (!Stopped && (Code == ResultCode::StoreEraEnded || Code == ResultCode::StoreHistoryGone))
+    Code = co_await readConfiguration(LastRead, NoWait);
+  if (Stopped || Code == ResultCode::Ok || Code == ResultCode::StoreKeyNotFound)
+    co_return;
+  GossipCore->noteStoreReadFailed(steadyNow());
+  armGossipTimer();
 }
 
 awaitable<void> Runtime::fetchMembers(Endpoint Admin) {
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -15,6 +15,8 @@
 
 /// Openings per second that a beacon may state for a cold upstream.
 constexpr double MaxColdRate = 1e6;
+/// Longest age of knowledge of the store that a beacon may state, in milliseconds.
+constexpr std::uint32_t MaxStoreReadAgeMs = 3'600'000;
 
 /// Message type, the first element of each encoded array.
 enum class MessageType : std::uint8_t {
@@ -80,11 +82,13 @@
     Fields.push_back(json::array(
         {AsOf.Era, AsOf.Number, Beacon.EvacuationsComplete, Beacon.EvacuatedZones.zones()}));
   }
-  if (Beacon.ColdRate) {
-    if (!Beacon.EvacuatedZones.known())
-      Fields.push_back(nullptr);
-    Fields.push_back(*Beacon.ColdRate);
-  }
+  if (!Beacon.EvacuatedZones.known() && (Beacon.ColdRate || Beacon.StoreReadAge))
+    Fields.push_back(nullptr);
+  // Earlier versions read a number here, so that an empty rate before the age is 0.
+  if (Beacon.ColdRate || Beacon.StoreReadAge)
+    Fields.push_back(Beacon.ColdRate.value_or(0));
+  if (Beacon.StoreReadAge)
+    Fields.push_back(Beacon.StoreReadAge->count());
   return Fields;
 }
 
@@ -226,6 +230,11 @@
   }
   if (Fields.size() > 10)
     Beacon.ColdRate = common::readNumber(Fields.at(10), 0, MaxColdRate);
+  if (Fields.size() > 11) {
+    Beacon.StoreReadAge = std::chrono::milliseconds(readUnsigned(Fields.at(11), MaxStoreReadAgeMs));
+    if (*Beacon.ColdRate == 0)
+      Beacon.ColdRate.reset();
+  }
   return Beacon;
 }
 
--- a/tests/gossip_network.h
+++ b/tests/gossip_network.h
@@ -31,6 +31,7 @@
     std::uint64_t SentMessages = 0;
     std::uint64_t RejectedInputs = 0;
     std::uint64_t FetchedLists = 0;
+    std::uint64_t StoreReads = 0; ///< Asked for.
   };
 
   explicit GossipNetwork(std::uint64_t Seed, double LossRate = 0)
@@ -57,6 +58,9 @@
     return Self;
   }
 
+  /// Whether the store serves a node.
+  std::function<bool(std::size_t)> StoreServes = [](std::size_t) { return true; };
+
   /// Starts a node whose seed is node 0; returns its index.
   std::size_t add() {
     const std::size_t I = Nodes.size();
@@ -205,6 +209,13 @@
     at(Now + delay() + delay(),
        [this, I, Era = Action.Era] { perform(I, core(I).setStoreEra(Era, Now)); });
   }
+  void performOne(std::size_t I, const membership::ReadStore &) {
+    ++Nodes[I].StoreReads;
+    if (!StoreServes(I))
+      return core(I).noteStoreReadFailed(Now);
+    for (const auto &Action : core(I).noteStoreRead(Now, Now))
+      std::visit([&](const auto &Concrete) { performOne(I, Concrete); }, Action);
+  }
   void performOne(std::size_t I, const membership::RejectInput &) { ++Nodes[I].RejectedInputs; }
   void performOne(std::size_t, const membership::NotifyViewChanged &) {}
 
--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(testMessage_oddRecord_keepsOthers);
   CPPUNIT_TEST(testDatagram_manyChanges_staysWithinLimit);
   CPPUNIT_TEST(testWatchers_zone_countAndOrderAreStable);
+  CPPUNIT_TEST(testStoreReads_mostMembersTurnedAway_areKnownToAll);
+  CPPUNIT_TEST(testStoreReads_messageOfPeer_countsWithItsRevisionOnly);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t ClusterSize = 40;
@@ -320,6 +322,55 @@
     CPPUNIT_ASSERT_EQUAL(WatchersPerZone, WatchersAfterLeave.size());
     CPPUNIT_ASSERT_EQUAL(Watchers[1], WatchersAfterLeave[0]);
   }
+
+  // Guards against members that wait without limit for others which the store turns away, and
+  // against reads whose number grows with the system.
+  void testStoreReads_mostMembersTurnedAway_areKnownToAll() {
+    GossipNetwork Network(23);
+    Network.StoreServes = [](std::size_t I) { return I % 3 == 0; };
+    formCluster(Network, 150);
+    Network.run(std::chrono::seconds(10));
+    const auto Reads = [&] {
+      std::uint64_t Sum = 0;
+      for (std::size_t I = 0; I < Network.size(); ++I)
+        Sum += Network.node(I).StoreReads;
+      return Sum;
+    };
+    const auto Before = Reads();
+    for (int Second = 0; Second < 30; ++Second) {
+      Network.run(std::chrono::seconds(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Network.countUnless([&](Gossip &Core) {
+        const auto Age = Core.storeReadAge(Network.now());
+        return Age && *Age <= StoreReadBounds.MaxAge + ProbeInterval;
+      }));
+    }
+    // Each read keeps the others from reading for MinAge; some are done beside it.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Reads() - Before), Reads() - Before <= 60);
+  }
+
+  // Guards against knowledge of a sender that has a configuration which isn't here yet, and against
+  // messages of earlier versions that are refused.
+  void testStoreReads_messageOfPeer_countsWithItsRevisionOnly() {
+    GossipNetwork Network(29);
+    formCluster(Network, 2);
+    Gossip &Core = Network.core(0);
+    const auto Hear = [&](std::uint64_t Revision, std::optional<int> Age) {
+      nlohmann::json Message{{"t", "push"},        {"f", GossipNetwork::id(1)},
+                             {"rev", Revision},    {"era", 0},
+                             {"d", Core.digest()}, {"u", nlohmann::json::array()}};
+      if (Age)
+        Message["age"] = *Age;
+      for (const auto &Action :
+           Core.onMessage(Message, GossipNetwork::record(1).Control, Network.now()))
+        CPPUNIT_ASSERT(!std::holds_alternative<RejectInput>(Action));
+      return Core.storeReadAge(Network.now());
+    };
+    Network.run(std::chrono::seconds(2));
+    const auto Before = Core.storeReadAge(Network.now());
+    CPPUNIT_ASSERT(Hear(Core.revision(), std::nullopt) == Before);
+    CPPUNIT_ASSERT(Hear(Core.revision() + 1, 1) == Before);
+    CPPUNIT_ASSERT(Hear(Core.revision(), 1) == std::chrono::milliseconds(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GossipTest);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,7 +1,9 @@
 #include "galenarelay/config/edit.h"
+#include "galenarelay/membership/gossip.h"
 #include "galenarelay/node/balancer.h"
 #include "galenarelay/node/impl/configuration_difference.h"
 #include "galenarelay/standins/store/store_server.h"
+#include "store_door.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,7 +12,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace galenarelay::tests {
 
@@ -59,6 +65,7 @@
   CPPUNIT_TEST(testStore_restoredWithoutConfiguration_getsItBack);
   CPPUNIT_TEST(testStore_restoredAndEdited_keepsBothEdits);
   CPPUNIT_TEST(testStore_restoredWithoutRecords_getsThemBack);
+  CPPUNIT_TEST(testStore_watchersTurnedAway_servesConfigurationToOthers);
   CPPUNIT_TEST(testControl_badInput_isCountedAndDropped);
   CPPUNIT_TEST(testBalancer_packets_reachHomeAgentWithInitialTtl);
   CPPUNIT_TEST(testBalancer_drain_forwardsUntilQuietPeriodEnds);
@@ -319,6 +326,50 @@
     CPPUNIT_ASSERT(TestedNode.view()->configuration().UpstreamLabels.at("agent-a") == Expected);
   }
 
+  // Guards against members that the store serves and that wait for the watchers of their zone,
+  // which it turns away, as in review/9.
+  void testStore_watchersTurnedAway_servesConfigurationToOthers() {
+    struct NodeWithDoor {
+      NodeWithDoor(asio::io_context &Io, Endpoint Store) : Door(Io, Store) {}
+
+      common::Metrics Metrics;
+      StoreDoor Door;
+      std::optional<Node> Started;
+    };
+    putConfiguration(document(1));
+    std::vector<membership::Member> Members;
+    for (const char *Id : {"a", "b", "c", "d", "e"})
+      Members.push_back(options(Id, {}, {}).Self);
+    // The watchers start first, so that no other member ever watches.
+    auto Order = membership::storeWatchers(Members, "zone-1");
+    for (const auto &Each : Members)
+      if (std::find(Order.begin(), Order.end(), Each.Id) == Order.end())
+        Order.push_back(Each.Id);
+    std::vector<std::unique_ptr<NodeWithDoor>> Nodes;
+    for (const std::string &Id : Order) {
+      auto &Added = *Nodes.emplace_back(std::make_unique<NodeWithDoor>(*Io, Store->local()));
+      std::vector<Endpoint> Seeds;
+      if (Nodes.size() > 1)
+        Seeds.push_back(Nodes.front()->Started->self().Control);
+      Added.Started.emplace(*Io, options(Id, Added.Door.local(), Seeds), Added.Metrics);
+      Added.Started->start();
+      runUntil([&] {
+        return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Each) {
+          return Each->Started->view()->members().size() == Nodes.size() &&
+                 revision(*Each->Started) == 1;
+        });
+      });
+    }
+    for (std::size_t I = 0; I < membership::WatchersPerZone; ++I)
+      Nodes[I]->Door.Now = Treatment::Reset;
+    CPPUNIT_ASSERT(!Nodes.back()->Door.watched());
+    putConfiguration(document(2));
+    runUntil([&] {
+      return std::all_of(Nodes.begin(), Nodes.end(),
+                         [](const auto &Each) { return revision(*Each->Started) == 2; });
+    });
+  }
+
   // Guards against members that stay unknown to editors and new nodes after a restore.
   void testStore_restoredWithoutRecords_getsThemBack() {
     common::Metrics Metrics[2];
--- a/tests/relay_evacuation_test.cpp
+++ b/tests/relay_evacuation_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(testKeys_unreadable_areIgnoredAndNamed);
   CPPUNIT_TEST(testValue_unreadable_isARequest);
   CPPUNIT_TEST(testBeacon_withoutKnowledge_isAsBefore);
+  CPPUNIT_TEST(testBeacon_withReadAge_isReadByEarlierVersions);
   CPPUNIT_TEST(testBeacon_longestLists_staysBelowTheLimit);
   CPPUNIT_TEST(testBeacon_tooManyZones_isNotComplete);
   CPPUNIT_TEST(testBeacon_oddZones_isRefused);
@@ -196,6 +197,31 @@
     CPPUNIT_ASSERT(WithZones && std::get<relay::BalancerBeacon>(*WithZones) == Beacon);
   }
 
+  // Guards against a beacon with the age of a read that nodes of the version before refuse: they
+  // read the fields up to the eleventh, which is a number to them.
+  void testBeacon_withReadAge_isReadByEarlierVersions() {
+    for (const bool NamesZones : {false, true}) {
+      for (const std::optional<double> ColdRate : {std::optional<double>{}, {12.5}}) {
+        relay::BalancerBeacon Beacon{"b", "z", 1, 2, false, {1}, {3}, 4};
+        Beacon.StoreReadAge = 730ms;
+        Beacon.ColdRate = ColdRate;
+        if (NamesZones)
+          Beacon.EvacuatedZones = evacuated({"a", "b"}, 70, 3);
+        const auto Read = relay::decodeMessage(relay::encode(Beacon));
+        CPPUNIT_ASSERT(Read && std::get<relay::BalancerBeacon>(*Read) == Beacon);
+        auto Fields = nlohmann::json::from_cbor(relay::encode(Beacon));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, Fields.size());
+        CPPUNIT_ASSERT(NamesZones ? Fields.at(9).is_array() : Fields.at(9).is_null());
+        CPPUNIT_ASSERT(Fields.at(10).is_number());
+        for (const auto &Odd :
+             {nlohmann::json(-1), nlohmann::json("1"), nlohmann::json(UINT64_MAX)}) {
+          Fields.at(11) = Odd;
+          CPPUNIT_ASSERT(!relay::decodeMessage(nlohmann::json::to_cbor(Fields)));
+        }
+      }
+    }
+  }
+
   void testBeacon_longestLists_staysBelowTheLimit() {
     const std::vector<relay::NodeAddress> Nodes(relay::MaxBeaconAddresses, 0xffffffff);
     relay::BalancerBeacon Beacon{std::string(200, 'x'),
@@ -210,6 +236,7 @@
     for (std::size_t I = 0; I < relay::MaxBeaconZones; ++I)
       Zones.insert(std::to_string(10 + I) + std::string(44, 'z'));
     Beacon.EvacuatedZones = {{UINT64_MAX, UINT64_MAX}, Zones};
+    Beacon.StoreReadAge = 1h;
     CPPUNIT_ASSERT(Beacon.EvacuatedZones.fitsBeacon());
     CPPUNIT_ASSERT(relay::encode(Beacon).size() <= relay::MaxMessageBytes);
     CPPUNIT_ASSERT(relay::decodeMessage(relay::encode(Beacon)));
