Guard the reads beside a watch that has gone silent by tests

Cause: until its time limit, 4 s in the store and 1 s for the answer, a watch on a connection that carries nothing looks like a store without changes. The same test of the product's own interface, where a watch waits for 27 s, goes with it.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(testStore_restoredAndEdited_keepsBothEdits);
   CPPUNIT_TEST(testStore_restoredWithoutRecords_getsThemBack);
   CPPUNIT_TEST(testStore_watchersTurnedAway_servesConfigurationToOthers);
+  CPPUNIT_TEST(testStore_watchGoneSilent_isReadBeforeTheWatchEnds);
   CPPUNIT_TEST(testControl_badInput_isCountedAndDropped);
   CPPUNIT_TEST(testBalancer_packets_reachHomeAgentWithInitialTtl);
   CPPUNIT_TEST(testBalancer_drain_forwardsUntilQuietPeriodEnds);
@@ -370,6 +371,22 @@
     });
   }
 
+  // Guards against a watch that waits for its time limit of 27 s on a connection that carries
+  // nothing more, as in review/10.
+  void testStore_watchGoneSilent_isReadBeforeTheWatchEnds() {
+    common::Metrics Metrics;
+    putConfiguration(document(1));
+    StoreDoor Door(*Io, Store->local());
+    Node TestedNode(*Io, options("agent-a", Door.local(), {}), Metrics);
+    TestedNode.start();
+    runUntil([&] { return revision(TestedNode) == 1 && Door.watched(); });
+    Door.silenceOpenCalls();
+    putConfiguration(document(2));
+    runUntil([&] { return revision(TestedNode) == 2; });
+    CPPUNIT_ASSERT(Metrics.render().find("galenarelay_store_call_failures_total 0") !=
+                   std::string::npos);
+  }
+
   // Guards against members that stay unknown to editors and new nodes after a restore.
   void testStore_restoredWithoutRecords_getsThemBack() {
     common::Metrics Metrics[2];
--- a/tests/relay_balancer_test.cpp
+++ b/tests/relay_balancer_test.cpp
@@ -61,6 +61,15 @@
   [[nodiscard]] double revision(std::size_t I) {
     return All[I]->Metrics.gauge("configuration_revision", "Configuration in force").Value();
   }
+  /// Watches of this balancer that have failed.
+  [[nodiscard]] double failedWatches(std::size_t I) {
+    return All[I]
+        ->Metrics
+        .counter("store_calls_total", "Calls to the store",
+                 {{"kind", "watch"},
+                  {"result", std::string(name(common::ResultCode::RequestOutcomeUnknown))}})
+        .Value();
+  }
   [[nodiscard]] bool allHave(int Version) {
     for (std::size_t I = 0; I < All.size(); ++I)
       if (revision(I) != Version)
@@ -95,6 +104,7 @@
 class RelayBalancerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayBalancerTest);
   CPPUNIT_TEST(testConfiguration_watchersTurnedAway_reachesBalancersThatAreServed);
+  CPPUNIT_TEST(testConfiguration_watchGoneSilent_isReadBeforeTheWatchEnds);
   CPPUNIT_TEST_SUITE_END();
 
   boost::asio::io_context Io{1};
@@ -137,6 +147,17 @@
     for (std::size_t I = 0; I < Cases.size(); ++I)
       CPPUNIT_ASSERT_MESSAGE(Cases[I].first, Fleets[I]->allHave(2));
   }
+
+  // Guards against a watch that waits for its time limit of 5 s on a connection that carries
+  // nothing more (review/10).
+  void testConfiguration_watchGoneSilent_isReadBeforeTheWatchEnds() {
+    BalancerFleet Fleet(Io, 87, 1);
+    CPPUNIT_ASSERT(await([&] { return Fleet.allHave(1) && Fleet.door(0).watched(); }));
+    Fleet.door(0).silenceOpenCalls();
+    Fleet.configure(2);
+    CPPUNIT_ASSERT(await([&] { return Fleet.allHave(2); }));
+    CPPUNIT_ASSERT_EQUAL(0.0, Fleet.failedWatches(0));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayBalancerTest);
