--- a/include/galenarelay/membership/store_freshness.h
+++ b/include/galenarelay/membership/store_freshness.h
@@ -50,7 +50,7 @@
   /// When the next read is due if nothing is heard until then.
   [[nodiscard]] common::TimePoint nextRead() const noexcept;
   /// Whether the last own read failed.
-  [[nodiscard]] bool retries() const noexcept { return Retries; }
+  [[nodiscard]] bool lastReadFailed() const noexcept { return LastReadFailed; }
   /// Age of the knowledge; empty before the first read is known.
   [[nodiscard]] std::optional<common::Duration> age(common::TimePoint Now) const noexcept;
 
@@ -61,12 +61,12 @@
 
   FreshnessBounds Bounds;
   common::Engine Random;
-  double DelayPart; ///< Of the time between the bounds.
-  common::TimePoint KnownAt;
+  double DelayFraction;        ///< Of the time between the bounds, in [0, 1).
+  common::TimePoint KnownAt;   ///< All that the store held then is known; or the start.
   common::TimePoint NotBefore; ///< Earliest time of the next read.
   common::TimePoint TrustsPeersAt{};
   bool Known = false;
-  bool Retries = false;
+  bool LastReadFailed = false;
 };
 
 } // namespace galenarelay::membership
--- a/include/galenarelay/node/impl/runtime.h
+++ b/include/galenarelay/node/impl/runtime.h
@@ -140,7 +140,7 @@
   std::uint64_t HeardStoreEra = 0;    ///< Named by a peer.
   /// Era of the store in which it last had all edits that this node knows; 0 before.
   std::uint64_t ConfigurationEra = 0;
-  std::optional<config::StoreVersion> LastRead; ///< By readStore().
+  std::optional<config::StoreVersion> LastRead; ///< Version that readStore() has read.
   bool RegistrationRunning = false;
   bool RegistrationDoubted = false; ///< The store was restored while it ran.
   common::LogRateLimit RejectLog{RejectLogLimit};
--- a/include/galenarelay/node/relay_balancer.h
+++ b/include/galenarelay/node/relay_balancer.h
@@ -722,7 +722,7 @@
   /// turn away those that watch it, or have lost their connections without a sign.
   Awaitable<void> readStore() {
     bool Served = true;
-    if (Freshness.retries()) {
+    if (Freshness.lastReadFailed()) {
       // Costs a tenth of another read while the store turns this balancer away.
       const auto Recent = co_await Store.listRecent(Platform::Store::operatorPrefix());
       Served = static_cast<bool>(Recent);
--- a/src/membership/store_freshness.cpp
+++ b/src/membership/store_freshness.cpp
@@ -8,15 +8,16 @@
 // The density of the delays rises with their square. Few of many nodes draw a short one, and not
 // too many a long one, for the case that none keeps the others from reading.
 StoreFreshness::StoreFreshness(FreshnessBounds Bounds, std::uint64_t Seed, common::TimePoint Now)
-    : Bounds(Bounds), Random(Seed), DelayPart(std::cbrt(common::uniformUnit(Random))), KnownAt(Now),
-      NotBefore(Now) {}
+    : Bounds(Bounds), Random(Seed), DelayFraction(std::cbrt(common::uniformUnit(Random))),
+      KnownAt(Now), NotBefore(Now) {}
 
 common::Duration StoreFreshness::readDelay() const noexcept {
-  return std::chrono::duration_cast<common::Duration>((Bounds.MaxAge - Bounds.MinAge) * DelayPart);
+  return std::chrono::duration_cast<common::Duration>((Bounds.MaxAge - Bounds.MinAge) *
+                                                      DelayFraction);
 }
 
 bool StoreFreshness::noteRead(common::TimePoint AsOf, common::TimePoint Now) {
-  Retries = false;
+  LastReadFailed = false;
   return advance(AsOf, Now);
 }
 
@@ -35,7 +36,7 @@
 
 // The retries of nodes that the store turns away together are spread over the interval.
 void StoreFreshness::noteFailure(common::TimePoint Now) {
-  Retries = true;
+  LastReadFailed = true;
   const auto Delay = Bounds.RetryInterval * (0.5 + common::uniformUnit(Random));
   NotBefore = Now + std::chrono::duration_cast<common::Duration>(Delay);
 }
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -502,9 +502,11 @@
 awaitable<void> Runtime::readStore() {
   const auto Alive = shared_from_this();
   constexpr std::chrono::milliseconds NoWait(0);
-  auto Code = co_await readConfiguration(LastRead, NoWait);
+  auto Known = LastRead;
+  auto Code = co_await readConfiguration(Known, NoWait);
   if (!Stopped && (Code == ResultCode::StoreEraEnded || Code == ResultCode::StoreHistoryGone))
-    Code = co_await readConfiguration(LastRead, NoWait);
+    Code = co_await readConfiguration(Known, NoWait);
+  LastRead = Known;
   if (Stopped || Code == ResultCode::Ok || Code == ResultCode::StoreKeyNotFound)
     co_return;
   GossipCore->noteStoreReadFailed(steadyNow());
