Push the age of a read of the store on its own, and draw the same ages on every machine

Evidence: after the random draw of a node's age had changed, GossipTest testPartition_longerThanRetention_viewsConvergeThroughSeeds failed: 83 s in place of 60 s. The fault is older. Change: pushes of the age carry no member records and don't count as a comparison of views, so that they take nothing from the budget of records and can't hide a view that differs. The age at which a node reads is the maximum of three uniform draws, the same on every machine; std::cbrt may round differently. Messages state ages with the bound that other stated times have.

--- a/include/galenarelay/membership/gossip.h
+++ b/include/galenarelay/membership/gossip.h
@@ -230,7 +230,7 @@
   /// Takes over what the sender of a message knows of reads of the store.
   void hearStoreRead(const nlohmann::json &Message, common::TimePoint Now);
   void readStoreIfDue(common::TimePoint Now);
-  /// Sends the age of the last known read of the store to peers at once.
+  /// Sends the age of the last known read of the store to PushFanout random peers.
   void pushStoreReadAge(common::TimePoint Now);
   void compareDigest(const Peer &Sender, std::uint64_t SenderDigest, common::TimePoint Now);
   void onAck(std::uint64_t Sequence, common::TimePoint Now);
@@ -283,9 +283,9 @@
   std::uint64_t Digest = 0;
   std::uint64_t Revision = 0;
   std::uint64_t StoreEra = 0;
+  std::uint32_t ChangePushRoundsLeft = 0; ///< Rounds of push messages left for these two.
   StoreFreshness Freshness;
-  bool ReadingStore = false;              ///< The result of a ReadStore is awaited.
-  std::uint32_t ChangePushRoundsLeft = 0; ///< Rounds of push messages left for these three.
+  bool ReadingStore = false; ///< The result of a ReadStore is awaited.
   std::uint64_t NextSequence = 1;
   std::uint32_t DigestMismatches = 0;
   std::uint32_t EarlySyncsLeft = MaxEarlySyncs;
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -22,8 +22,6 @@
 constexpr std::uint64_t MaxIncarnation = std::uint64_t{1} << 62;
 /// Bytes that the key and the array header of the record list add to a datagram.
 constexpr std::size_t RecordListOverheadBytes = 8;
-/// Longest age of a read of the store that a message may state, in milliseconds.
-constexpr std::uint32_t MaxStoreReadAgeMs = 3'600'000;
 /// Estimated bytes per record in a JSON member list, to limit the rate of full synchronizations.
 constexpr double ListedRecordBytes = 220;
 
@@ -236,8 +234,10 @@
 }
 
 void Gossip::pushStoreReadAge(TimePoint Now) {
-  ChangePushRoundsLeft = std::max(ChangePushRoundsLeft, std::uint32_t{1});
-  NextPushAt = std::max(NextPushAt, Now);
+  for (const std::string &Id : randomPeers(PushFanout, {})) {
+    const Peer &Receiver = Peers.at(Id);
+    send("push", Receiver.Record.Control, &Receiver, {{"o", 1}}, Now);
+  }
 }
 
 void Gossip::pushIfNewer(std::uint64_t &Current, std::uint64_t Offered, TimePoint Now) {
@@ -257,7 +257,8 @@
 
 /// Message fields: t type, f ID of the sender, rev configuration revision, era of the store, d
 /// digest, age of the last known read of the store in milliseconds, u records, n sequence number of
-/// a probe, id target of a pingreq, j request for the receiver's own record.
+/// a probe, id target of a pingreq, j request for the receiver's own record, o of a push for the
+/// age alone.
 void Gossip::handleMessage(const json &Message, Endpoint From, TimePoint Now) {
   const auto Type = Message.at("t").get<std::string>();
   const auto Sender = Message.at("f").get<std::string>();
@@ -288,7 +289,8 @@
         RejectInput{Error{ResultCode::MessageMalformed, "unknown message type '" + Type + "'"}});
     return;
   }
-  if (SenderPeer != nullptr)
+  // Frequent messages of peers with this node's view would hide the mismatches of others.
+  if (SenderPeer != nullptr && !Message.contains("o"))
     compareDigest(*SenderPeer, SenderDigest, Now);
 }
 
@@ -296,8 +298,7 @@
   // Earlier versions don't send it.
   if (!Message.contains("age"))
     return;
-  const auto Age = std::chrono::milliseconds(
-      common::readUnsigned<std::uint32_t>(Message.at("age"), MaxStoreReadAgeMs));
+  const auto Age = common::readMilliseconds(Message.at("age"));
   if (Freshness.noteHeard(Now - Age, Now))
     pushStoreReadAge(Now);
 }
@@ -687,6 +688,10 @@
     Message["age"] = std::chrono::ceil<std::chrono::milliseconds>(*Age).count();
   if (!Message.contains("u"))
     Message["u"] = json::array();
+  if (Message.contains("o")) {
+    Actions.emplace_back(SendDatagram{To, json::to_cbor(Message)});
+    return;
+  }
   // A receiver that is believed suspect or dead gets its record, so that it can refute it.
   const bool ReceiverBelievedFaulty =
       Receiver != nullptr && (Receiver->Record.State == MemberState::Suspect ||
--- a/src/membership/store_freshness.cpp
+++ b/src/membership/store_freshness.cpp
@@ -1,15 +1,25 @@
 #include "galenarelay/membership/store_freshness.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace galenarelay::membership {
 
-// The density of the delays rises with their square. Few of many nodes draw a short one, and not
-// too many a long one, for the case that none keeps the others from reading.
+namespace {
+
+/// The maximum of three uniform values: few of many nodes draw a low one, and not too many a high
+/// one, for the case that none keeps the others from reading.
+double drawDelayFraction(common::Engine &Random) {
+  double Highest = 0;
+  for (int I = 0; I < 3; ++I)
+    Highest = std::max(Highest, common::uniformUnit(Random));
+  return Highest;
+}
+
+} // namespace
+
 StoreFreshness::StoreFreshness(FreshnessBounds Bounds, std::uint64_t Seed, common::TimePoint Now)
-    : Bounds(Bounds), Random(Seed), DelayFraction(std::cbrt(common::uniformUnit(Random))),
-      KnownAt(Now), NotBefore(Now) {}
+    : Bounds(Bounds), Random(Seed), DelayFraction(drawDelayFraction(Random)), KnownAt(Now),
+      NotBefore(Now) {}
 
 common::Duration StoreFreshness::readDelay() const noexcept {
   return std::chrono::duration_cast<common::Duration>((Bounds.MaxAge - Bounds.MinAge) *
--- a/src/relay/peer_message.cpp
+++ b/src/relay/peer_message.cpp
@@ -15,8 +15,6 @@
 
 /// Openings per second that a beacon may state for a cold upstream.
 constexpr double MaxColdRate = 1e6;
-/// Longest age of knowledge of the store that a beacon may state, in milliseconds.
-constexpr std::uint32_t MaxStoreReadAgeMs = 3'600'000;
 
 /// Message type, the first element of each encoded array.
 enum class MessageType : std::uint8_t {
@@ -231,7 +229,8 @@
   if (Fields.size() > 10)
     Beacon.ColdRate = common::readNumber(Fields.at(10), 0, MaxColdRate);
   if (Fields.size() > 11) {
-    Beacon.StoreReadAge = std::chrono::milliseconds(readUnsigned(Fields.at(11), MaxStoreReadAgeMs));
+    Beacon.StoreReadAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+        common::readMilliseconds(Fields.at(11)));
     if (*Beacon.ColdRate == 0)
       Beacon.ColdRate.reset();
   }
