Ask an unknown member that pings for its record

What operators saw: after a partition that was longer than the memory of dead members, some members stayed unknown to others for minutes. Cause: the halves meet at one pair of members. The others of a half learn of one member of the other half, have equal views again and request no list, since most messages come from their own half. Messages of members that aren't in a view aren't compared with it. Change: a ping of an unknown member is answered by a ping that asks for its record.

--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -280,6 +280,10 @@
     if (Message.contains("j"))
       Fields["u"] = json::array({fullRecord(OwnRecord)});
     send("ack", From, SenderPeer, std::move(Fields), Now);
+    // A member that this node has forgotten during a partition. Its digest can't be compared, and
+    // members that have forgotten it too have equal views.
+    if (SenderPeer == nullptr)
+      send("ping", From, nullptr, {{"n", NextSequence++}, {"j", 1}}, Now);
   } else if (Type == "ack") {
     onAck(unsignedField(Message, "n"), Now);
   } else if (Type == "pingreq") {
--- a/tests/membership_gossip_test.cpp
+++ b/tests/membership_gossip_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testKill_node_isDeclaredDeadInTime);
   CPPUNIT_TEST(testPartition_healed_viewsConvergeWithoutEmptyTables);
   CPPUNIT_TEST(testPartition_longerThanRetention_viewsConvergeThroughSeeds);
+  CPPUNIT_TEST(testPing_ofForgottenMember_asksForItsRecord);
   CPPUNIT_TEST(testSuspicion_false_isRefuted);
   CPPUNIT_TEST(testPause_resumedNode_declaresNoPeerDead);
   CPPUNIT_TEST(testRevision_raised_reachesEveryNode);
@@ -131,6 +132,25 @@
         Network.runUntil(SeedContactInterval + JoinLimit, [&] { return Network.converged(); }));
   }
 
+  // Guards against a view that never gets a member back which it has forgotten: views of members
+  // that have all forgotten it are equal, so that none of them asks for a list.
+  void testPing_ofForgottenMember_asksForItsRecord() {
+    GossipNetwork Network(31);
+    formCluster(Network, 3);
+    const nlohmann::json Ping{{"t", "ping"}, {"f", "forgotten"}, {"rev", 0},
+                              {"era", 0},    {"d", 1},           {"u", nlohmann::json::array()},
+                              {"n", 5}};
+    const common::Endpoint From{0x0a0000ff, 2};
+    std::vector<std::string> Answers;
+    for (const auto &Action : Network.core(0).onMessage(Ping, From, Network.now())) {
+      const auto &Sent = std::get<SendDatagram>(Action);
+      CPPUNIT_ASSERT(Sent.To == From);
+      const auto Message = nlohmann::json::from_cbor(Sent.Bytes);
+      Answers.push_back(Message.at("t").get<std::string>() + (Message.contains("j") ? " j" : ""));
+    }
+    CPPUNIT_ASSERT((Answers == std::vector<std::string>{"ack", "ping j"}));
+  }
+
   // Guards against a live member that stays suspect or dead because its refutation is ignored.
   void testSuspicion_false_isRefuted() {
     GossipNetwork Network(15);
