Review case 11: a late check-in gives orders to another service

Cause: an agent takes a check-in of the lifetime in effect as a sign of life at the time of its arrival, however late it is. If the address of its crashed host has gone to another service, first packets of the old service reach the new host.

--- /dev/null
+++ b/review/standins-3/callers.h
@@ -0,0 +1,72 @@
+#ifndef GALENARELAY_REVIEW_STANDINS_3_CALLERS_H
+#define GALENARELAY_REVIEW_STANDINS_3_CALLERS_H
+
+#include "record.h"
+
+#include "galenarelay/common/random.h"
+#include "galenarelay/common/udp_socket.h"
+#include "tests/soak/stream.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenarelay::review {
+
+/// Callers with their flows, and the routers that hand their packets to balancers.
+class Callers {
+public:
+  enum class Phase { Opening, Open, Closed };
+  struct Flow {
+    Phase State = Phase::Opening;
+    std::uint32_t Start = 0;
+    Clock::time_point OpenedAt{};
+    std::uint32_t Copies = 0;
+    std::uint32_t Acknowledged = 0; ///< The caller's latest.
+    std::optional<soak::Stream> Data;
+    std::string Pending; ///< The request that isn't answered yet.
+    std::uint32_t Answers = 0;
+    Clock::time_point AskedAt{};
+  };
+  /// Called for a reset of an open flow that a node of the system made.
+  using ResetObserver = std::function<void(const packet::FlowKey &)>;
+
+  Callers(boost::asio::io_context &Io, Record &Notes, std::vector<common::Endpoint> Own,
+          std::vector<common::Endpoint> Balancers, std::uint64_t Seed);
+
+  /// Opens a flow and sends the request as soon as it is open. The caller's address is chosen by
+  /// its number.
+  packet::FlowKey open(std::size_t Caller, common::Endpoint Service, std::string Request);
+  /// Sends a request on an open flow. False if it isn't open.
+  bool ask(const packet::FlowKey &Key, std::string Request);
+  void close(const packet::FlowKey &Key);
+  void onReset(ResetObserver Observer) { OnReset = std::move(Observer); }
+  [[nodiscard]] const Flow &flow(const packet::FlowKey &Key) const { return Flows.at(Key); }
+  [[nodiscard]] std::uint32_t answers() const noexcept { return Answered; }
+  void onTimer(Clock::time_point Now);
+
+private:
+  void send(const packet::FlowKey &Key, const relay::Bytes &Packet);
+  void sendSyn(const packet::FlowKey &Key, const Flow &Entry);
+  void onPacket(std::span<const std::uint8_t> Raw);
+
+  boost::asio::io_context &Io;
+  Record &Notes;
+  std::vector<common::Endpoint> Own;
+  std::vector<common::Endpoint> Balancers;
+  common::Engine Random;
+  std::vector<std::unique_ptr<common::UdpSocket>> Sockets;
+  std::map<packet::FlowKey, Flow> Flows;
+  std::uint16_t NextPort = 20'000;
+  std::uint32_t Answered = 0;
+  ResetObserver OnReset;
+};
+
+} // namespace galenarelay::review
+
+#endif // GALENARELAY_REVIEW_STANDINS_3_CALLERS_H
--- /dev/null
+++ b/review/standins-3/host.cpp
@@ -0,0 +1,164 @@
+#include "host.h"
+
+#include "galenarelay/common/http.h"
+#include "galenarelay/node/impl/call_pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace galenarelay::review {
+
+using node::impl::sleepFor;
+
+namespace {
+
+constexpr std::uint32_t Slots = 5;
+constexpr auto CheckInInterval = std::chrono::milliseconds(1200);
+/// A check-in that isn't acknowledged within this time has failed.
+constexpr auto CheckInTimeout = std::chrono::milliseconds(1000);
+/// How long it serves after its draining check-in was acknowledged: drainMs and a little more.
+constexpr auto DrainTime = std::chrono::milliseconds(3300);
+
+} // namespace
+
+void Host::start(std::string NewId, std::string OfService) {
+  Id = std::move(NewId);
+  Service = std::move(OfService);
+  Life = ++Lives;
+  Born = static_cast<std::uint64_t>(common::wallMilliseconds());
+  Sequence = 0;
+  Draining = false;
+  StartedAt = Clock::now();
+  Socket = std::make_unique<common::UdpSocket>(
+      Io, Where.App, [this](std::span<std::uint8_t> Raw, common::Endpoint) { onPacket(Raw); });
+  Notes.note("host " + Id + " of " + Service + " starts at " + common::toString(Where.App) +
+             ", born " + std::to_string(Born));
+  boost::asio::co_spawn(Io, sendCheckIns(), boost::asio::detached);
+}
+
+void Host::crash() {
+  Notes.note("host " + Id + " ends, born " + std::to_string(Born));
+  Life = 0;
+  Flows.clear();
+  Socket->close();
+}
+
+bool Host::holds(const packet::FlowKey &Key) const {
+  const auto Found = Flows.find(Key);
+  return lives() && Found != Flows.end() && Found->second.Established && !Found->second.Ended;
+}
+
+std::size_t Host::openFlows() const {
+  return static_cast<std::size_t>(std::count_if(Flows.begin(), Flows.end(), [](const auto &Each) {
+    return Each.second.Established && !Each.second.Ended;
+  }));
+}
+
+void Host::onTimer(Clock::time_point Now) {
+  for (auto &[Key, Each] : Flows)
+    if (Each.Data)
+      Each.Data->onTimer(Now);
+}
+
+void Host::onPacket(std::span<const std::uint8_t> Raw) {
+  if (!lives())
+    return;
+  const auto Head = platform::PacketCodec::decode(Raw, relay::Side::Caller);
+  if (!Head || !soak::isGenuine(Raw))
+    return Notes.violation("UNASKED: host " + Id + " gets a packet that no caller wrote");
+  if (Head->opensFlow())
+    return open(*Head);
+  const auto Found = Flows.find(Head->Key);
+  const bool Holds = Found != Flows.end() && (Found->second.Established ||
+                                              Head->Acknowledgement == Found->second.Start + 1);
+  if (!Holds)
+    return Socket->send(soak::markReturned(Raw), Where.Outbound);
+  Flow &Held = Found->second;
+  Held.Established = true;
+  Held.Data->onPacket(*Head, soak::payloadOf(Raw), Clock::now());
+  while (const auto Text = Held.Data->takeMessage())
+    boost::asio::co_spawn(Io, run(Head->Key, *Text), boost::asio::detached);
+  if (Held.Ended || !Held.Data->peerEnded())
+    return;
+  Held.Data->sendEnd(Clock::now());
+  Held.Ended = true;
+}
+
+void Host::open(const relay::PacketHeader &Head) {
+  auto [Found, Added] = Flows.try_emplace(Head.Key);
+  Flow &Held = Found->second;
+  if (Added) {
+    Held.Start = static_cast<std::uint32_t>(Random());
+    Held.Data.emplace(Head.Key, false, Held.Start, Head.Sequence,
+                      [this, Of = Life](const relay::Bytes &Packet) {
+                        if (Life == Of)
+                          Socket->send(Packet, Where.Outbound);
+                      });
+  }
+  relay::PacketHeader Accept;
+  Accept.Key = Head.Key;
+  Accept.TowardsCaller = true;
+  Accept.Flags.Syn = Accept.Flags.Ack = true;
+  Accept.Sequence = Held.Start;
+  Accept.Acknowledgement = Head.Sequence + 1;
+  Socket->send(soak::buildPacket(Accept, ""), Where.Outbound);
+}
+
+boost::asio::awaitable<void> Host::run(packet::FlowKey Key, std::string Text) {
+  const auto Of = Life;
+  Notes.note("host " + Id + " of " + Service + " runs " + Text + " on " + packet::toString(Key));
+  if (OnRun)
+    OnRun(*this, Text);
+  co_await sleepFor(WorkTime);
+  const auto Found = Flows.find(Key);
+  if (Life == Of && Found != Flows.end() && !Found->second.Ended)
+    Found->second.Data->sendMessage("answer to " + Text, Clock::now());
+}
+
+std::string Host::checkIn() {
+  return nlohmann::json{{"service", Service},
+                        {"address", common::toString(Where.App)},
+                        {"zone", Zone},
+                        {"version", "v1"},
+                        {"concurrencyLimit", Slots},
+                        {"state", Draining ? "draining" : "ready"},
+                        {"remainingColdMs", 0},
+                        {"sequence", ++Sequence},
+                        {"born", Born}}
+      .dump();
+}
+
+boost::asio::awaitable<bool> Host::sendCheckIn() {
+  const std::string Body = checkIn();
+  const std::string Number = std::to_string(Sequence);
+  const auto Answer =
+      co_await common::httpCall(Where.Control, "PUT", "/-/instances/" + Id, Body, CheckInTimeout);
+  const bool Acknowledged = Answer && Answer->Status == 200;
+  Notes.note("host " + Id + " check-in " + Number + (Draining ? " (draining)" : "") +
+             (Acknowledged ? " acknowledged" : " not acknowledged"));
+  co_return Acknowledged;
+}
+
+boost::asio::awaitable<void> Host::sendCheckIns() {
+  const auto Of = Life;
+  while (Life == Of) {
+    (void)co_await sendCheckIn();
+    co_await sleepFor(CheckInInterval);
+  }
+}
+
+boost::asio::awaitable<void> Host::drain() {
+  Draining = true;
+  bool Acknowledged = false;
+  while (!Acknowledged) {
+    Acknowledged = co_await sendCheckIn();
+    if (!Acknowledged)
+      co_await sleepFor(CheckInInterval);
+  }
+  co_await sleepFor(DrainTime);
+}
+
+} // namespace galenarelay::review
--- /dev/null
+++ b/review/standins-3/host.h
@@ -0,0 +1,93 @@
+#ifndef GALENARELAY_REVIEW_STANDINS_3_HOST_H
+#define GALENARELAY_REVIEW_STANDINS_3_HOST_H
+
+#include "record.h"
+
+#include "galenarelay/common/random.h"
+#include "galenarelay/common/udp_socket.h"
+#include "tests/soak/stream.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace galenarelay::review {
+
+/// A host of the platform beside an agent: accepts flows, runs requests, sends check-ins.
+class Host {
+public:
+  struct Addresses {
+    common::Endpoint App;      ///< Its own, for packets.
+    common::Endpoint Outbound; ///< The agent's, for its packets.
+    common::Endpoint Control;  ///< The agent's, for check-ins.
+  };
+
+  Host(boost::asio::io_context &Io, Record &Notes, Addresses Where, std::string Zone,
+       std::uint64_t Seed)
+      : Io(Io), Notes(Notes), Where(Where), Zone(std::move(Zone)), Random(Seed) {}
+
+  /// A new lifetime, which holds and knows nothing of earlier ones. Its address may have been that
+  /// of another service's host.
+  void start(std::string NewId, std::string OfService);
+  /// Ends without a word.
+  void crash();
+  /// Says that it drains, and completes some time after drainMs from the acknowledgement.
+  boost::asio::awaitable<void> drain();
+
+  [[nodiscard]] bool lives() const noexcept { return Life != 0; }
+  [[nodiscard]] const std::string &id() const noexcept { return Id; }
+  [[nodiscard]] const std::string &service() const noexcept { return Service; }
+  /// Called with the service and the text of each request that is run.
+  std::function<void(const Host &, const std::string &)> OnRun;
+  /// Whether the present lifetime has an open flow with this key.
+  [[nodiscard]] bool holds(const packet::FlowKey &Key) const;
+  [[nodiscard]] std::size_t openFlows() const;
+  /// Time since the present lifetime began.
+  [[nodiscard]] Clock::duration age() const { return Clock::now() - StartedAt; }
+  /// The check-in that the present lifetime would send now.
+  [[nodiscard]] std::string checkIn();
+  [[nodiscard]] const Addresses &where() const noexcept { return Where; }
+  void onTimer(Clock::time_point Now);
+  /// How long a request takes.
+  std::chrono::milliseconds WorkTime{35};
+
+private:
+  struct Flow {
+    std::uint32_t Start = 0;
+    std::optional<soak::Stream> Data;
+    bool Established = false;
+    bool Ended = false;
+  };
+
+  void onPacket(std::span<const std::uint8_t> Raw);
+  void open(const relay::PacketHeader &Head);
+  boost::asio::awaitable<void> run(packet::FlowKey Key, std::string Text);
+  /// True if the agent acknowledged it.
+  boost::asio::awaitable<bool> sendCheckIn();
+  boost::asio::awaitable<void> sendCheckIns();
+
+  boost::asio::io_context &Io;
+  Record &Notes;
+  Addresses Where;
+  std::string Zone;
+  std::string Service;
+  common::Engine Random;
+  std::unique_ptr<common::UdpSocket> Socket;
+  std::string Id;
+  std::uint64_t Life = 0; ///< 0 while it doesn't run.
+  std::uint64_t Lives = 0;
+  std::uint64_t Born = 0;
+  std::uint64_t Sequence = 0;
+  bool Draining = false;
+  Clock::time_point StartedAt{};
+  std::map<packet::FlowKey, Flow> Flows;
+};
+
+} // namespace galenarelay::review
+
+#endif // GALENARELAY_REVIEW_STANDINS_3_HOST_H
