--- a/review/standins-3/callers.cpp
+++ b/review/standins-3/callers.cpp
@@ -28,7 +28,7 @@
   const packet::FlowKey Key{{Own.at(Caller % Own.size()).Address, ++NextPort}, Service};
   Flow &Entry = Flows[Key];
   Entry.Start = static_cast<std::uint32_t>(Random());
-  Entry.OpenedAt = Entry.AskedAt = Clock::now();
+  Entry.OpenedAt = Clock::now();
   Entry.Pending = std::move(Request);
   sendSyn(Key, Entry);
   return Key;
@@ -40,7 +40,6 @@
     return false;
   Notes.note("caller sends " + Request + " on " + packet::toString(Key));
   Entry.Pending = std::move(Request);
-  Entry.AskedAt = Clock::now();
   Entry.Data->sendMessage(Entry.Pending, Clock::now());
   return true;
 }
@@ -97,6 +96,7 @@
     if (Entry.State != Phase::Opening)
       return;
     Entry.State = Phase::Open;
+    Entry.WasOpen = true;
     Entry.Acknowledged = Head->Sequence + 1;
     Entry.Data.emplace(
         Head->Key, true, Entry.Start, Head->Sequence,
@@ -113,6 +113,11 @@
     return;
   Entry.Data->onPacket(*Head, soak::payloadOf(Raw), Clock::now());
   while (const auto Text = Entry.Data->takeMessage()) {
+    if (*Text == "not run " + Entry.Pending) {
+      Notes.note("caller gets " + *Text);
+      Entry.NotRun = true;
+      continue;
+    }
     if (*Text != "answer to " + Entry.Pending)
       Notes.violation("MIXED: a caller gets '" + *Text + "' for " + Entry.Pending);
     Notes.note("caller gets " + *Text);
--- a/review/standins-3/callers.h
+++ b/review/standins-3/callers.h
@@ -31,7 +31,8 @@
     std::optional<soak::Stream> Data;
     std::string Pending; ///< The request that isn't answered yet.
     std::uint32_t Answers = 0;
-    Clock::time_point AskedAt{};
+    bool WasOpen = false;
+    bool NotRun = false; ///< The host said so of the latest request.
   };
   /// Called for a reset of an open flow that a node of the system made.
   using ResetObserver = std::function<void(const packet::FlowKey &)>;
@@ -45,6 +46,8 @@
   /// Sends a request on an open flow. False if it isn't open.
   bool ask(const packet::FlowKey &Key, std::string Request);
   void close(const packet::FlowKey &Key);
+  /// Sends nothing more on a flow.
+  void giveUp(const packet::FlowKey &Key) { Flows.at(Key).State = Phase::Closed; }
   void onReset(ResetObserver Observer) { OnReset = std::move(Observer); }
   [[nodiscard]] const Flow &flow(const packet::FlowKey &Key) const { return Flows.at(Key); }
   [[nodiscard]] std::uint32_t answers() const noexcept { return Answered; }
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -42,6 +42,7 @@
   boost::asio::awaitable<void> restartAgent(std::size_t Number);
 
   [[nodiscard]] boost::asio::io_context &context() noexcept { return Io; }
+  [[nodiscard]] std::size_t hosts() const noexcept { return Hosts.size(); }
   [[nodiscard]] Host &host(std::size_t Number) { return *Hosts.at(Number); }
   [[nodiscard]] Process &agent(std::size_t Number) { return *Agents.at(Number); }
   [[nodiscard]] Callers &callers() { return *Users; }
--- a/review/standins-3/host.cpp
+++ b/review/standins-3/host.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::uint32_t Slots = 5;
+constexpr std::size_t QueueLimit = 20;
 constexpr auto CheckInInterval = std::chrono::milliseconds(1200);
 /// A check-in that isn't acknowledged within this time has failed.
 constexpr auto CheckInTimeout = std::chrono::milliseconds(1000);
@@ -43,6 +44,8 @@
   Notes.note("host " + Id + " ends, born " + std::to_string(Born));
   Life = 0;
   Flows.clear();
+  Queue.clear();
+  Running = 0;
   Socket->close();
 }
 
@@ -80,7 +83,7 @@
   Held.Established = true;
   Held.Data->onPacket(*Head, soak::payloadOf(Raw), Clock::now());
   while (const auto Text = Held.Data->takeMessage())
-    boost::asio::co_spawn(Io, run(Head->Key, *Text), boost::asio::detached);
+    onRequest(Head->Key, *Text);
   if (Held.Ended || !Held.Data->peerEnded())
     return;
   Held.Data->sendEnd(Clock::now());
@@ -93,9 +96,9 @@
   if (Added) {
     Held.Start = static_cast<std::uint32_t>(Random());
     Held.Data.emplace(Head.Key, false, Held.Start, Head.Sequence,
-                      [this, Of = Life](const relay::Bytes &Packet) {
+                      [this, Of = Life, Key = Head.Key](const relay::Bytes &Packet) {
                         if (Life == Of)
-                          Socket->send(Packet, Where.Outbound);
+                          send(Key, Packet);
                       });
   }
   relay::PacketHeader Accept;
@@ -107,15 +110,42 @@
   Socket->send(soak::buildPacket(Accept, ""), Where.Outbound);
 }
 
+// An end acknowledges every second packet.
+void Host::send(const packet::FlowKey &Key, const relay::Bytes &Packet) {
+  const auto Head = platform::PacketCodec::decode(Packet, relay::Side::Upstream);
+  const bool OnlyAcknowledges = Head->PayloadBytes == 0 && !Head->Flags.Fin;
+  if (OnlyAcknowledges && ++Flows.at(Key).Acknowledgements % 2 != 0)
+    return;
+  Socket->send(Packet, Where.Outbound);
+}
+
+void Host::onRequest(const packet::FlowKey &Key, std::string Text) {
+  if (Running < Slots)
+    boost::asio::co_spawn(Io, run(Key, std::move(Text)), boost::asio::detached);
+  else if (Queue.size() < QueueLimit)
+    Queue.emplace_back(Key, std::move(Text));
+  else
+    Flows.at(Key).Data->sendMessage("not run " + Text, Clock::now());
+}
+
 boost::asio::awaitable<void> Host::run(packet::FlowKey Key, std::string Text) {
   const auto Of = Life;
+  ++Running;
   Notes.note("host " + Id + " of " + Service + " runs " + Text + " on " + packet::toString(Key));
   if (OnRun)
     OnRun(*this, Text);
   co_await sleepFor(WorkTime);
+  if (Life != Of)
+    co_return;
+  --Running;
   const auto Found = Flows.find(Key);
-  if (Life == Of && Found != Flows.end() && !Found->second.Ended)
+  if (Found != Flows.end() && !Found->second.Ended)
     Found->second.Data->sendMessage("answer to " + Text, Clock::now());
+  if (Queue.empty() || Running >= Slots)
+    co_return;
+  auto Next = std::move(Queue.front());
+  Queue.pop_front();
+  boost::asio::co_spawn(Io, run(Next.first, std::move(Next.second)), boost::asio::detached);
 }
 
 std::string Host::checkIn() {
--- a/review/standins-3/host.h
+++ b/review/standins-3/host.h
@@ -10,11 +10,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace galenarelay::review {
 
@@ -59,6 +61,7 @@
 private:
   struct Flow {
     std::uint32_t Start = 0;
+    std::uint32_t Acknowledgements = 0; ///< Packets without data that were due.
     std::optional<soak::Stream> Data;
     bool Established = false;
     bool Ended = false;
@@ -66,6 +69,8 @@
 
   void onPacket(std::span<const std::uint8_t> Raw);
   void open(const relay::PacketHeader &Head);
+  void send(const packet::FlowKey &Key, const relay::Bytes &Packet);
+  void onRequest(const packet::FlowKey &Key, std::string Text);
   boost::asio::awaitable<void> run(packet::FlowKey Key, std::string Text);
   /// True if the agent acknowledged it.
   boost::asio::awaitable<bool> sendCheckIn();
@@ -86,6 +91,8 @@
   bool Draining = false;
   Clock::time_point StartedAt{};
   std::map<packet::FlowKey, Flow> Flows;
+  std::uint32_t Running = 0;
+  std::deque<std::pair<packet::FlowKey, std::string>> Queue;
 };
 
 } // namespace galenarelay::review
